exchange: one request to one server, and how it ended

Cause: the front must know whether a failed request may have run, which the Transport of net/http hides. Change: a client that owns its connections, parses answers strictly and reports the stage of each failure.

--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,189 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// surplusLimit is the number of answers to earlier requests that are skipped
+	// before the one awaited. More than one is already rare.
+	surplusLimit = 3
+	// surplusSize bounds such an answer in bytes. Reading more costs more than a
+	// new connection.
+	surplusSize = 1 << 20
+)
+
+// exchange is one request on one connection.
+type exchange struct {
+	ctx    context.Context
+	client *Client
+	conn   *conn
+	addr   string
+	stop   func() bool // detaches the connection from ctx
+	sent   *sending
+	idle   time.Duration // how long the connection may rest afterwards; 0: close it
+	dirty  bool          // something on the connection forbids its reuse
+	over   bool          // the connection was given back
+	ended  bool          // ctx ended while the connection was in use
+}
+
+func start(ctx context.Context, c *Client, conn *conn, addr string) *exchange {
+	conn.attach()
+	return &exchange{
+		ctx:    ctx,
+		client: c,
+		conn:   conn,
+		addr:   addr,
+		stop:   context.AfterFunc(ctx, conn.close),
+	}
+}
+
+// run sends the request and reads the head of its answer.
+func (x *exchange) run(r *Request) (*Response, error) {
+	x.sent = send(x.conn, r)
+	if x.sent.done == nil && x.sent.err != nil && x.sent.n == 0 {
+		return nil, x.fail(NotSent, x.sent.err)
+	}
+	surplus := 0
+	for {
+		h, f, err := x.readAnswer(r.Method)
+		if err != nil {
+			return nil, x.fail(x.stageOf(err, surplus), err)
+		}
+		if r.owns(h.header) {
+			return x.respond(r, h, f), nil
+		}
+		surplus++
+		if err := x.skip(r, f, surplus); err != nil {
+			return nil, x.fail(Foreign, err)
+		}
+	}
+}
+
+// readAnswer reads the head of the next final answer.
+func (x *exchange) readAnswer(method string) (*answerHead, framing, error) {
+	x.conn.left = headLimit
+	defer func() { x.conn.left = unlimited }()
+	for {
+		h, err := readHead(x.conn)
+		if err != nil {
+			return nil, framing{}, err
+		}
+		if h.status == http.StatusSwitchingProtocols {
+			return nil, framing{}, &malformedError{what: "switch of protocols"}
+		}
+		if h.informational() {
+			continue
+		}
+		f, err := framingOf(method, h)
+		return h, f, err
+	}
+}
+
+// stageOf classifies an answer whose head couldn't be read.
+func (x *exchange) stageOf(err error, surplus int) Stage {
+	var malformed *malformedError
+	switch {
+	case surplus > 0, errors.As(err, &malformed), errors.Is(err, errHeadTooLarge):
+		return Foreign
+	default:
+		return Unanswered
+	}
+}
+
+// skip reads an answer to an earlier request through. Where it ends is certain only
+// if it has a length and no HEAD request is in play.
+func (x *exchange) skip(r *Request, f framing, count int) error {
+	x.dirty = true
+	x.client.counters().surplus.Inc(1)
+	x.client.log().Warn("server sent an answer to another request", "server", x.addr)
+	if count > surplusLimit {
+		return errSurplusLimit
+	}
+	if r.Method == http.MethodHead || f.kind == untilClose {
+		return errUnknownLength
+	}
+	in := newPayload(x.conn.br, f, x.sent)
+	n, err := io.Copy(io.Discard, io.LimitReader(in, surplusSize+1))
+	if err != nil {
+		return err
+	}
+	if n > surplusSize {
+		return errSurplusSize
+	}
+	return nil
+}
+
+// respond makes the response and decides whether the connection may be reused after
+// it. After HEAD it may not: a late answer's length would be uncertain. After an
+// answer that came before the request was fully written, neither.
+func (x *exchange) respond(r *Request, h *answerHead, f framing) *Response {
+	if h.persistent() && !x.dirty && r.Method != http.MethodHead && x.sent.unfinished() == nil {
+		x.idle = idleTime(h.header)
+	}
+	return &Response{
+		Status:        h.status,
+		Header:        h.header,
+		ContentLength: f.length,
+		Body:          &body{x: x, in: newPayload(x.conn.br, f, x.sent)},
+		framing:       f,
+	}
+}
+
+// fail closes the connection and says how the exchange ended.
+func (x *exchange) fail(stage Stage, cause error) error {
+	x.finish(false)
+	if stage != Torn && x.sent.n == 0 {
+		stage = NotSent
+	}
+	return newFailure(stage, x.addr, x.causeOf(cause))
+}
+
+// causeOf finds what ended the exchange. The end of ctx closes the connection and so
+// hides behind other errors. A reset is reported once, to the read or to the write.
+func (x *exchange) causeOf(err error) error {
+	if x.ended {
+		return contextError(x.ctx)
+	}
+	endOfFile := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+	if endOfFile && x.sent.err != nil && !errors.Is(x.sent.err, net.ErrClosed) {
+		return x.sent.err
+	}
+	return err
+}
+
+// finish gives the connection back: to the pool if clean is set and nothing forbids
+// it, else closed.
+func (x *exchange) finish(clean bool) {
+	if x.over {
+		return
+	}
+	x.over = true
+	x.ended = !x.stop()
+	keep := clean && !x.ended && x.idle > 0 && x.conn.br.Buffered() == 0
+	if !keep {
+		x.conn.close()
+	}
+	x.sent.wait()
+	x.conn.detach()
+	if keep {
+		x.client.rest(x.conn, x.idle)
+		return
+	}
+	x.client.release(x.conn.own)
+}
+
+// contextError returns why ctx ended, wrapping ctx.Err() and its cause.
+func contextError(ctx context.Context) error {
+	err, cause := ctx.Err(), context.Cause(ctx)
+	if cause == nil || errors.Is(err, cause) || errors.Is(cause, err) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", err, cause)
+}
--- /dev/null
+++ b/internal/exchange/failure.go
@@ -0,0 +1,95 @@
+package exchange
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+)
+
+// Stage says how far a request got before its exchange failed.
+type Stage uint8
+
+// The stages of a failed exchange.
+const (
+	// NotSent means that no byte of the request was handed to a connection.
+	NotSent Stage = iota + 1
+	// Full means that the connection limit of the server left no connection for
+	// the request. Nothing was sent.
+	Full
+	// Unanswered means that bytes of the request left and no whole answer head came
+	// back. The server may have run the request.
+	Unanswered
+	// Foreign means that the server sent only answers to other requests, or bytes
+	// that are no valid answer. The server may have run the request.
+	Foreign
+	// Torn means that the head of the answer arrived and its body broke off.
+	Torn
+)
+
+// String names the stage for logs.
+func (s Stage) String() string {
+	switch s {
+	case NotSent:
+		return "not sent"
+	case Full:
+		return "no connection allowed"
+	case Unanswered:
+		return "unanswered"
+	case Foreign:
+		return "foreign answer"
+	case Torn:
+		return "torn answer"
+	default:
+		return fmt.Sprintf("stage %d", uint8(s))
+	}
+}
+
+// Failure is an exchange that failed.
+type Failure struct {
+	stage Stage
+	addr  string
+	cause error
+	reset bool
+}
+
+func newFailure(stage Stage, addr string, cause error) *Failure {
+	reset := errors.Is(cause, syscall.ECONNRESET) || errors.Is(cause, syscall.EPIPE)
+	return &Failure{stage: stage, addr: addr, cause: cause, reset: reset}
+}
+
+// Error says which server failed, how far the request got, and why.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("exchange with %s: %s: %v", f.addr, f.stage, f.cause)
+}
+
+// Unwrap returns the cause: the error of the context if that ended the exchange.
+func (f *Failure) Unwrap() error { return f.cause }
+
+// Stage says how far the request got.
+func (f *Failure) Stage() Stage { return f.stage }
+
+// Reset reports whether the server reset an established connection. A refused dial
+// is not a reset.
+func (f *Failure) Reset() bool { return f.reset }
+
+// Causes of a Failure that don't come from the operating system.
+var (
+	errNoConnection  = errors.New("connection limit reached")
+	errDialTimeout   = errors.New("dial timed out")
+	errHeadTooLarge  = errors.New("answer head exceeds the size limit")
+	errSurplusLimit  = errors.New("too many surplus answers")
+	errSurplusSize   = errors.New("surplus answer exceeds the size limit")
+	errUnknownLength = errors.New("length of a surplus answer is unknown")
+	errClosedEarly   = errors.New("connection closed before the request was fully sent")
+	errBodyClosed    = errors.New("read on a closed body")
+)
+
+// malformedError says which part of an answer breaks the protocol.
+type malformedError struct{ what string }
+
+func (e *malformedError) Error() string { return "malformed answer: " + e.what }
+
+// invalidRequestError says which part of a request can't be written safely.
+type invalidRequestError struct{ what string }
+
+func (e *invalidRequestError) Error() string { return "invalid request: " + e.what }
--- /dev/null
+++ b/internal/exchange/head.go
@@ -0,0 +1,118 @@
+package exchange
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+)
+
+// protocolPrefix begins every answer. The digit of the minor version follows.
+const protocolPrefix = "HTTP/1."
+
+// statusLineMin is the length of the shortest status line, "HTTP/1.1 200".
+const statusLineMin = len("HTTP/1.1 200")
+
+// answerHead is the status line and the header of an answer.
+type answerHead struct {
+	minor  byte // digit of the minor protocol version
+	status int
+	header http.Header
+}
+
+// informational reports whether another answer to the same request follows.
+func (h *answerHead) informational() bool { return h.status/100 == 1 }
+
+// persistent reports whether the server keeps the connection open.
+func (h *answerHead) persistent() bool {
+	return h.minor == '1' && !hasListToken(h.header["Connection"], "close")
+}
+
+// readHead reads an answer's head. Its error is a *malformedError or an error of
+// the connection; io.EOF only if the connection ended before the first byte.
+func readHead(c *conn) (*answerHead, error) {
+	if err := checkPrefix(c.br); err != nil {
+		return nil, err
+	}
+	h := &answerHead{}
+	if err := h.readStatusLine(c.br); err != nil {
+		return nil, err
+	}
+	if err := h.readHeader(c.br); err != nil {
+		// The parser takes a line that the connection's end cut off for a whole one.
+		if c.ended != nil {
+			return nil, cutShort(c.ended)
+		}
+		return nil, err
+	}
+	return h, nil
+}
+
+// checkPrefix waits for the first bytes of an answer, so that bytes of another
+// protocol are noticed without waiting for the end of a line.
+func checkPrefix(br *bufio.Reader) error {
+	got, err := br.Peek(len(protocolPrefix))
+	if !strings.HasPrefix(protocolPrefix, string(got)) {
+		return &malformedError{what: "not an HTTP/1 answer"}
+	}
+	if err != nil && len(got) > 0 {
+		return cutShort(err)
+	}
+	return err
+}
+
+func (h *answerHead) readStatusLine(br *bufio.Reader) error {
+	line, err := br.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return &malformedError{what: "status line is too long"}
+	}
+	if err != nil {
+		return cutShort(err)
+	}
+	text := strings.TrimSuffix(strings.TrimSuffix(string(line), "\n"), "\r")
+	if len(text) < statusLineMin || !isFieldValue(text) {
+		return &malformedError{what: "status line"}
+	}
+	h.minor = text[len(protocolPrefix)]
+	rest := text[len(protocolPrefix)+1:]
+	if h.minor < '0' || h.minor > '9' || rest[0] != ' ' || (len(rest) > 4 && rest[4] != ' ') {
+		return &malformedError{what: "status line"}
+	}
+	status, err := strconv.ParseUint(rest[1:4], 10, 16)
+	if err != nil || status < 100 {
+		return &malformedError{what: "status code"}
+	}
+	h.status = int(status)
+	return nil
+}
+
+func (h *answerHead) readHeader(br *bufio.Reader) error {
+	fields, err := textproto.NewReader(br).ReadMIMEHeader()
+	var protocol textproto.ProtocolError
+	if errors.As(err, &protocol) {
+		return &malformedError{what: protocol.Error()}
+	}
+	if err != nil {
+		return cutShort(err)
+	}
+	for name, values := range fields {
+		for _, v := range values {
+			if !isFieldValue(v) {
+				return &malformedError{what: "value of header " + name}
+			}
+		}
+	}
+	h.header = http.Header(fields)
+	return nil
+}
+
+// cutShort turns the end of the connection inside an answer into its own error.
+func cutShort(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/internal/exchange/response.go
@@ -0,0 +1,66 @@
+package exchange
+
+import (
+	"io"
+	"net/http"
+)
+
+// Response is an answer whose head was read.
+type Response struct {
+	// Status is the final status code; informational answers are skipped.
+	Status int
+	// Header is as the server sent it, the fields of the connection included.
+	Header http.Header
+	// ContentLength is the length of the body in bytes, or -1 if the answer
+	// doesn't state it. For HEAD it is what the header states.
+	ContentLength int64
+	// Body returns data as it arrives. Read ends with io.EOF only after a clean
+	// end, else with a *Failure of stage Torn. Close must be called; it keeps the
+	// connection only after a clean end. Both are called by one goroutine at a
+	// time; the end of the request's context interrupts a Read.
+	Body io.ReadCloser
+
+	framing framing
+}
+
+// Unframed reports whether the body ends when the server closes the connection.
+func (r *Response) Unframed() bool { return r.framing.kind == untilClose }
+
+// body is the body of a response.
+type body struct {
+	x   *exchange
+	in  payload
+	err error // of the last Read; final
+}
+
+// Read returns data as it arrives.
+func (b *body) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	if len(p) == 0 {
+		return 0, nil
+	}
+	n, err := b.in.Read(p)
+	if err != nil {
+		b.err = b.end(err)
+	}
+	return n, b.err
+}
+
+// end turns the payload's last error into the reader's.
+func (b *body) end(err error) error {
+	if b.in.clean() {
+		return io.EOF
+	}
+	return b.x.fail(Torn, err)
+}
+
+// Close ends the exchange.
+func (b *body) Close() error {
+	b.x.finish(b.in.clean())
+	if b.err == nil {
+		b.err = errBodyClosed
+	}
+	return nil
+}
