digest: the heartbeat datagram of a box

Boxes tell each other of their state in one datagram. It is a msgpack array that is written and read field by field: the library's own slices are made as long as the datagram says, which a damaged one could use to take all memory.

--- /dev/null
+++ b/internal/digest/decode.go
@@ -0,0 +1,155 @@
+package digest
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// ErrMalformed means that a datagram is not a digest of this format.
+var ErrMalformed = errors.New("malformed digest")
+
+// Decode reads a datagram. The error is ErrTooLarge or ErrMalformed; the digest
+// keeps no reference to the bytes.
+func Decode(data []byte) (*Digest, error) {
+	if len(data) > MaxBytes {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(data))
+	}
+	in := bytes.NewReader(data)
+	r := &reader{in: in, dec: msgpack.GetDecoder()}
+	defer msgpack.PutDecoder(r.dec)
+	r.dec.Reset(in)
+	d := r.digest()
+	if r.err == nil && in.Len() > 0 {
+		r.fail(fmt.Errorf("%d bytes too many", in.Len()))
+	}
+	if r.err == nil && (d.Box == "" || d.Addr == "") {
+		r.fail(errors.New("no sender"))
+	}
+	if r.err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, r.err)
+	}
+	return d, nil
+}
+
+// reader reads values until the first error; afterwards it returns zero values.
+type reader struct {
+	in  *bytes.Reader
+	dec *msgpack.Decoder
+	err error
+}
+
+func (r *reader) digest() *Digest {
+	d := &Digest{}
+	r.array(digestFields)
+	if f := r.int32(); f != format {
+		r.fail(fmt.Errorf("format %d", f))
+	}
+	d.Box, d.Addr, d.CallAddr, d.Domain = r.string(), r.string(), r.string(), r.string()
+	d.Incarnation = r.int64()
+	d.Seq = r.uint64()
+	d.IntervalMs = r.int32()
+	d.Join = r.bool()
+	d.ConfigVersion = r.int64()
+	d.ViewRevision = r.int64()
+	d.StoreTried = r.bool()
+	d.StoreReachable = r.bool()
+	d.StoreAgeMs = r.int32()
+	d.Leaving = r.bool()
+	d.Loads = list(r, loadFields, r.load)
+	d.Troubles = list(r, troubleFields, r.trouble)
+	d.Members = list(r, memberFields, r.member)
+	return d
+}
+
+// list reads an array of arrays that have a fixed number of fields.
+func list[T any](r *reader, fields int, read func() T) []T {
+	n := r.arrayLen()
+	// An element takes a byte for its own length and at least one for each field.
+	if r.err != nil || n <= 0 {
+		return nil
+	}
+	if n > (r.in.Len()+1)/(1+fields) {
+		r.fail(fmt.Errorf("array of %d in %d bytes", n, r.in.Len()))
+		return nil
+	}
+	out := make([]T, 0, n)
+	for range n {
+		r.array(fields)
+		out = append(out, read())
+	}
+	return out
+}
+
+func (r *reader) load() Load {
+	return Load{
+		Server:  r.string(),
+		Streams: r.int32(),
+		Tokens:  r.int32(),
+		Growth:  r.int32(),
+		Prefill: r.int32(),
+		Copies:  r.int32(),
+	}
+}
+
+func (r *reader) trouble() Trouble {
+	t := Trouble{Server: r.string(), AgeMs: r.int32()}
+	kind := r.uint64()
+	if kind > math.MaxUint8 {
+		r.fail(fmt.Errorf("kind %d", kind))
+	}
+	t.Kind = uint8(kind)
+	return t
+}
+
+func (r *reader) member() Member {
+	return Member{Name: r.string(), Addr: r.string(), CallAddr: r.string(), Domain: r.string()}
+}
+
+func (r *reader) fail(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+// array reads the length of an array that must be n.
+func (r *reader) array(n int) {
+	if got := r.arrayLen(); r.err == nil && got != n {
+		r.fail(fmt.Errorf("%d fields, not %d", got, n))
+	}
+}
+
+func (r *reader) arrayLen() int { return take(r, r.dec.DecodeArrayLen) }
+
+func (r *reader) string() string { return take(r, r.dec.DecodeString) }
+
+func (r *reader) int64() int64 { return take(r, r.dec.DecodeInt64) }
+
+func (r *reader) uint64() uint64 { return take(r, r.dec.DecodeUint64) }
+
+func (r *reader) bool() bool { return take(r, r.dec.DecodeBool) }
+
+func (r *reader) int32() int32 {
+	v := r.int64()
+	if v < math.MinInt32 || v > math.MaxInt32 {
+		r.fail(fmt.Errorf("%d does not fit into 32 bits", v))
+		return 0
+	}
+	return int32(v)
+}
+
+func take[T any](r *reader, decode func() (T, error)) T {
+	var zero T
+	if r.err != nil {
+		return zero
+	}
+	v, err := decode()
+	if err != nil {
+		r.fail(err)
+		return zero
+	}
+	return v
+}
--- /dev/null
+++ b/internal/digest/digest.go
@@ -0,0 +1,81 @@
+// Package digest is the datagram in which a box tells the others of its state: who
+// it is, how new its configuration is, and what it runs on the backend servers.
+//
+// A digest travels as one msgpack array without field names. Decoding is bounded,
+// so that a damaged datagram costs neither memory nor the process.
+package digest
+
+// Digest is the state of one box at one moment.
+type Digest struct {
+	// Box, Addr, CallAddr and Domain are those of the sender; see Member.
+	Box      string
+	Addr     string
+	CallAddr string
+	Domain   string
+	// Incarnation tells one start of the box from another: the time of the start in ns.
+	Incarnation int64
+	// Seq rises by one with each digest of one incarnation. A digest that goes to
+	// several boxes has one number.
+	Seq uint64
+	// IntervalMs is the longest time to the next digest for the same receiver.
+	IntervalMs int32
+	// Join asks for an answer with members.
+	Join bool
+	// ConfigVersion is the version of the configuration that the box holds, 0 for none.
+	ConfigVersion int64
+	// ViewRevision is the revision of its view of the backend servers, 0 for none.
+	ViewRevision int64
+	// StoreTried means that the box has lately called the store; only then does
+	// StoreReachable say something.
+	StoreTried     bool
+	StoreReachable bool
+	// StoreAgeMs is the time since the store last answered, or -1 if it never did.
+	StoreAgeMs int32
+	// Leaving means that the box is shutting down and takes no new work.
+	Leaving bool
+	// Loads is what the box runs on each backend server.
+	Loads []Load
+	// Troubles are the backend servers that the box saw failing.
+	Troubles []Trouble
+	// Members is a sample of the boxes that the sender counts as live. Only answers
+	// to new boxes and a few heartbeats carry it.
+	Members []Member
+}
+
+// Load is what one box runs on one backend server.
+type Load struct {
+	// Server is the id of the backend server.
+	Server string
+	// Streams is the number of running streams.
+	Streams int32
+	// Tokens is the number of tokens that they hold in memory now.
+	Tokens int32
+	// Growth is the number of tokens that they are expected to add.
+	Growth int32
+	// Prefill is the number of prompt tokens that are not yet read.
+	Prefill int32
+	// Copies is the number of tokens in copies that the server keeps for this box.
+	Copies int32
+}
+
+// Trouble is a backend server that a box saw failing.
+type Trouble struct {
+	// Server is the id of the backend server.
+	Server string
+	// AgeMs is the time since the failure.
+	AgeMs int32
+	// Kind says what failed; its values belong to the package that reports them.
+	Kind uint8
+}
+
+// Member is a box and the addresses that it is reached at.
+type Member struct {
+	// Name identifies the box in the fleet.
+	Name string
+	// Addr is the UDP address of its heartbeats, as host:port.
+	Addr string
+	// CallAddr is the TCP address of its remote procedure calls, as host:port.
+	CallAddr string
+	// Domain is the failure domain that the box stands in.
+	Domain string
+}
--- /dev/null
+++ b/internal/digest/encode.go
@@ -0,0 +1,122 @@
+package digest
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// MaxBytes is the size of the largest datagram. It is well under the 64 KiB of
+	// UDP and still holds some 200 loads.
+	MaxBytes = 8 << 10
+	// format changes when the fields do; a box refuses digests of another one.
+	format = 1
+	// digestFields, loadFields, troubleFields and memberFields are lengths of the
+	// arrays on the wire.
+	digestFields  = 18
+	loadFields    = 6
+	troubleFields = 3
+	memberFields  = 4
+)
+
+// ErrTooLarge means that a digest does not fit into MaxBytes.
+var ErrTooLarge = errors.New("digest is too large for a datagram")
+
+// Encode returns the datagram of a digest. The error is ErrTooLarge when it would
+// be over MaxBytes.
+func Encode(d *Digest) ([]byte, error) {
+	var buf bytes.Buffer
+	w := &writer{enc: msgpack.GetEncoder()}
+	defer msgpack.PutEncoder(w.enc)
+	w.enc.Reset(&buf)
+	w.enc.UseCompactInts(true)
+	w.digest(d)
+	if w.err != nil {
+		return nil, fmt.Errorf("encode digest: %w", w.err)
+	}
+	if buf.Len() > MaxBytes {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, buf.Len())
+	}
+	return buf.Bytes(), nil
+}
+
+// writer writes values until the first error.
+type writer struct {
+	enc *msgpack.Encoder
+	err error
+}
+
+func (w *writer) digest(d *Digest) {
+	w.array(digestFields)
+	w.int(format)
+	w.strings(d.Box, d.Addr, d.CallAddr, d.Domain)
+	w.int(d.Incarnation)
+	w.uint(d.Seq)
+	w.int(int64(d.IntervalMs))
+	w.bool(d.Join)
+	w.int(d.ConfigVersion)
+	w.int(d.ViewRevision)
+	w.bool(d.StoreTried)
+	w.bool(d.StoreReachable)
+	w.int(int64(d.StoreAgeMs))
+	w.bool(d.Leaving)
+	w.array(len(d.Loads))
+	for i := range d.Loads {
+		w.load(&d.Loads[i])
+	}
+	w.array(len(d.Troubles))
+	for _, t := range d.Troubles {
+		w.array(troubleFields)
+		w.strings(t.Server)
+		w.int(int64(t.AgeMs))
+		w.uint(uint64(t.Kind))
+	}
+	w.array(len(d.Members))
+	for _, m := range d.Members {
+		w.array(memberFields)
+		w.strings(m.Name, m.Addr, m.CallAddr, m.Domain)
+	}
+}
+
+func (w *writer) load(l *Load) {
+	w.array(loadFields)
+	w.strings(l.Server)
+	for _, v := range [...]int32{l.Streams, l.Tokens, l.Growth, l.Prefill, l.Copies} {
+		w.int(int64(v))
+	}
+}
+
+func (w *writer) array(n int) {
+	if w.err == nil {
+		w.err = w.enc.EncodeArrayLen(n)
+	}
+}
+
+func (w *writer) strings(list ...string) {
+	for _, s := range list {
+		if w.err == nil {
+			w.err = w.enc.EncodeString(s)
+		}
+	}
+}
+
+func (w *writer) int(v int64) {
+	if w.err == nil {
+		w.err = w.enc.EncodeInt(v)
+	}
+}
+
+func (w *writer) uint(v uint64) {
+	if w.err == nil {
+		w.err = w.enc.EncodeUint(v)
+	}
+}
+
+func (w *writer) bool(v bool) {
+	if w.err == nil {
+		w.err = w.enc.EncodeBool(v)
+	}
+}
