--- /dev/null
+++ b/internal/box/beliefs.go
@@ -0,0 +1,132 @@
+package box
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/routetable"
+)
+
+// troubleAge is how long a failure of a backend server is told to peers: two
+// rounds of heartbeats, so that a lost datagram does not hide it.
+const troubleAge = time.Second
+
+// follows reports whether this box follows the store now.
+func (b *Box) follows() bool { return b.duty.Active() }
+
+// configRead takes a configuration from the store.
+func (b *Box) configRead(doc []byte) { b.share.OfferConfig(doc) }
+
+// serversRead takes the entries of the backend servers from the store.
+func (b *Box) serversRead(v registry.View) { b.share.OfferView(v) }
+
+// tableInForce is told of a newer configuration.
+func (b *Box) tableInForce(t *routetable.Table) {
+	b.log(event.ConfigInForce, slog.Int64(event.KeyVersion, t.Version()))
+	b.node.Kick()
+}
+
+// viewInForce is told of newer entries of the backend servers.
+func (b *Box) viewInForce(v registry.View) {
+	if !b.duty.Recent() {
+		// Newer entries than before, and nobody known to be in contact: the store
+		// has just returned.
+		b.returnedAt.Store(b.Clock.Now().UnixNano())
+	}
+	b.noteContact()
+	draining := 0
+	for _, s := range v.Servers {
+		if s.State == registry.Draining {
+			draining++
+		}
+	}
+	b.log(event.ServersView, slog.Int64(event.KeyRevision, v.Revision),
+		slog.Int(event.KeyServers, len(v.Servers)), slog.Int(event.KeyDraining, draining))
+	b.node.Kick()
+	b.directory.Set(&v)
+	b.evidence.Retain(b.directory.Known)
+}
+
+// serversLeft is told of backend servers that have begun to leave or are gone.
+func (b *Box) serversLeft(ids []string) {
+	for _, id := range ids {
+		b.log(event.ServersView, slog.String(event.KeyGone, id))
+	}
+	b.streams.Left(ids)
+}
+
+// serverChanged is told of a backend server that was ejected or readmitted.
+func (b *Box) serverChanged(server string, ejected bool, cause string) {
+	name := event.ServerReadmitted
+	if ejected {
+		name = event.ServerEjected
+	}
+	b.log(name, slog.String(event.KeyServer, server), slog.String(event.KeyCause, cause))
+}
+
+// tell fills a digest with what this box tells its peers.
+func (b *Box) tell(d *digest.Digest) {
+	if t := b.share.Table(); t != nil {
+		d.ConfigVersion = t.Version()
+	}
+	if v := b.share.View(); v != nil {
+		d.ViewRevision = v.Revision
+	}
+	s := b.watcher.Status()
+	d.StoreReachable = s.Reachable
+	d.StoreTried = s.Reachable || b.duty.Refused()
+	d.StoreAgeMs = -1
+	if !s.LastContact.IsZero() {
+		d.StoreAgeMs = int32(b.Clock.Since(s.LastContact).Milliseconds())
+	}
+	d.Leaving = b.stopping.Load()
+	d.Loads = b.ledger.Own()
+	b.evidence.Failures(troubleAge, func(server string, age time.Duration) {
+		d.Troubles = append(d.Troubles, digest.Trouble{Server: server, AgeMs: int32(age.Milliseconds())})
+	})
+}
+
+// heard takes what a peer tells.
+func (b *Box) heard(d *digest.Digest) {
+	b.peers.Heard(d)
+	b.noteContact()
+	b.ledger.Heard(d.Box, d.Loads)
+	for _, t := range d.Troubles {
+		b.evidence.PeerSaw(t.Server, time.Duration(t.AgeMs)*time.Millisecond)
+	}
+	b.share.Heard(d)
+	b.watcher.Wake()
+}
+
+// peersChanged is told that a peer was lost or regained.
+func (b *Box) peersChanged() {
+	live := make(map[string]bool)
+	for _, m := range b.live() {
+		live[m.Name] = true
+	}
+	for _, gone := range b.peers.Retain(func(box string) bool { return live[box] }) {
+		b.ledger.Forget(gone)
+	}
+	b.watcher.Wake()
+}
+
+// noteContact notes when the store was found again: by this box or by a peer,
+// after none had been in contact with it.
+func (b *Box) noteContact() {
+	recent := b.duty.Recent()
+	if recent == b.lastContact.Swap(recent) {
+		return
+	}
+	if recent {
+		b.returnedAt.Store(b.Clock.Now().UnixNano())
+	}
+}
+
+// log writes one line of the decision log.
+func (b *Box) log(name event.Name, attrs ...slog.Attr) {
+	b.Logger.LogAttrs(context.Background(), name.Level(), string(name), attrs...)
+}
--- /dev/null
+++ b/internal/box/box.go
@@ -0,0 +1,123 @@
+// Package box is one box of dalebend on a platform of boxes without disks: it
+// serves callers, follows the platform's store or a peer that does, and shares
+// with its peers what it runs on the backend servers.
+//
+// Every box is alike and keeps nothing. What a box believes comes from the
+// store, directly or by way of a peer, and is replaced as a whole by something
+// newer.
+package box
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/boxsettings"
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/evidence"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/front"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/member"
+	"github.com/dalebend/dalebend/internal/peerstate"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/single"
+	"github.com/dalebend/dalebend/internal/spend"
+	"github.com/dalebend/dalebend/internal/storewatch"
+	"github.com/dalebend/dalebend/internal/streaming"
+	"github.com/dalebend/dalebend/internal/viewshare"
+	"github.com/dalebend/dalebend/internal/watchduty"
+)
+
+// Platform is what a box needs of the platform that it runs on.
+type Platform struct {
+	// Source reads the store; Boxes lists the boxes there.
+	Source storewatch.Source
+	Boxes  Boxes
+	// Decode reads a configuration document.
+	Decode func(doc []byte) (*routetable.Table, error)
+	// Wire and Codec read and write requests.
+	Wire  front.Wire
+	Codec hop.Codec
+	// Mover tells engines to copy memory.
+	Mover streaming.Mover
+}
+
+// Boxes lists the boxes of the fleet in the platform's store.
+type Boxes interface {
+	PutBox(ctx context.Context, b member.Box) error
+	Boxes(ctx context.Context) ([]member.Box, error)
+}
+
+// Box is one box. Set the exported fields before Run.
+type Box struct {
+	Clock  clockwork.Clock
+	Logger *slog.Logger
+
+	Settings *boxsettings.Settings
+	Platform Platform
+	// Exchange sends requests to backend servers.
+	Exchange *exchange.Client
+	// Seed draws ties and samples.
+	Seed uint64
+
+	listeners listeners
+	node      *member.Node
+	peers     *peerstate.Table
+	share     *viewshare.Share
+	watcher   *storewatch.Watcher
+	duty      *watchduty.Duty
+	directory *registry.Directory
+	evidence  *evidence.Book
+	ledger    *engineload.Ledger
+	chooser   *choose.Chooser
+	budget    *spend.Budget
+	streams   *streaming.Relay
+	front     *front.Server
+
+	started      time.Time
+	stopping     atomic.Bool
+	returnedAt   atomic.Int64
+	lastContact  atomic.Bool
+	mostBoxes    atomic.Int64
+	readyLogged  atomic.Bool
+	lastRevision atomic.Int64
+}
+
+// self returns this box as its peers know it.
+func (b *Box) self() member.Box {
+	s := b.Settings
+	return member.Box{Name: s.Box, Addr: s.Heartbeat, CallAddr: s.Calls, Domain: s.Domain}
+}
+
+// live returns the live boxes, this one among them.
+func (b *Box) live() []member.Box { return b.node.Live() }
+
+// boxes returns the number of boxes that share the retry budget: the most that
+// were seen live, since one that cannot be heard may still be at work.
+func (b *Box) boxes() int {
+	n := int64(len(b.live()))
+	for {
+		most := b.mostBoxes.Load()
+		if n <= most {
+			return int(most)
+		}
+		if b.mostBoxes.CompareAndSwap(most, n) {
+			return int(n)
+		}
+	}
+}
+
+// storeReturned returns when the store was last found again after an outage.
+func (b *Box) storeReturned() time.Time {
+	at := b.returnedAt.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
--- /dev/null
+++ b/internal/box/build.go
@@ -0,0 +1,91 @@
+package box
+
+import (
+	"math/rand/v2"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/evidence"
+	"github.com/dalebend/dalebend/internal/forecast"
+	"github.com/dalebend/dalebend/internal/front"
+	"github.com/dalebend/dalebend/internal/member"
+	"github.com/dalebend/dalebend/internal/peerstate"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/single"
+	"github.com/dalebend/dalebend/internal/spend"
+	"github.com/dalebend/dalebend/internal/storewatch"
+	"github.com/dalebend/dalebend/internal/streaming"
+	"github.com/dalebend/dalebend/internal/viewshare"
+	"github.com/dalebend/dalebend/internal/watchduty"
+)
+
+// build makes the parts of the box. The listeners must be open.
+func (b *Box) build() {
+	b.started = b.Clock.Now()
+	b.buildBeliefs()
+	b.buildPeers()
+	b.buildStore()
+	b.buildRequests()
+}
+
+// buildBeliefs makes what the box believes of backend servers.
+func (b *Box) buildBeliefs() {
+	b.ledger = engineload.New()
+	b.evidence = &evidence.Book{Clock: b.Clock, Changed: b.serverChanged}
+	b.directory = &registry.Directory{Clock: b.Clock, StoreReturned: b.storeReturned, Left: b.serversLeft}
+	b.chooser = &choose.Chooser{
+		Directory: b.directory, Evidence: b.evidence, Ledger: b.ledger,
+		Domain: b.Settings.Domain, Rand: b.random(0),
+	}
+}
+
+func (b *Box) buildPeers() {
+	b.peers = &peerstate.Table{Clock: b.Clock}
+	b.share = &viewshare.Share{
+		Decode: b.Platform.Decode, Clock: b.Clock, Logger: b.Logger,
+		OnTable: b.tableInForce, OnView: b.viewInForce,
+	}
+	b.node = &member.Node{
+		Self: b.self(), Seeds: b.Settings.Seeds, Conn: b.listeners.heartbeat,
+		Clock: b.Clock, Logger: b.Logger, Rand: b.random(1),
+		Local: b.tell, Heard: b.heard, Changed: b.peersChanged,
+	}
+}
+
+func (b *Box) buildStore() {
+	b.watcher = &storewatch.Watcher{
+		Source: b.Platform.Source, Clock: b.Clock, Logger: b.Logger,
+		Active: b.follows, OnConfig: b.configRead, OnServers: b.serversRead,
+	}
+	b.duty = &watchduty.Duty{
+		Clock: b.Clock, Self: b.self(), Live: b.live, Store: b.watcher.Status, Peers: b.peers,
+	}
+}
+
+// buildRequests makes the path of a request.
+func (b *Box) buildRequests() {
+	s := b.Settings
+	b.budget = &spend.Budget{
+		Clock: b.Clock, Boxes: b.boxes,
+		Terms: spend.Terms{Ratio: s.RetryRatio, Minimum: s.RetryFloor, Window: s.RetryWindow},
+	}
+	b.streams = &streaming.Relay{
+		Clock: b.Clock, Logger: b.Logger, Chooser: b.chooser, Directory: b.directory,
+		Evidence: b.evidence, Ledger: b.ledger, Lengths: &forecast.Book{},
+		Exchanger: b.Exchange, Codec: b.Platform.Codec, Mover: b.Platform.Mover,
+		Budget: b.budget, LoadChanged: b.node.Kick,
+	}
+	b.front = &front.Server{
+		Clock: b.Clock, Logger: b.Logger, Wire: b.Platform.Wire,
+		Singles: &single.Sender{
+			Clock: b.Clock, Logger: b.Logger, Chooser: b.chooser, Evidence: b.evidence,
+			Exchanger: b.Exchange, Codec: b.Platform.Codec, Budget: b.budget,
+		},
+		Streams: b.streams, Table: b.share.Table, Recent: b.duty.Recent,
+	}
+}
+
+// random returns a source of random numbers for one part of the box.
+func (b *Box) random(part uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(b.Seed, part))
+}
--- /dev/null
+++ b/internal/boxsettings/settings.go
@@ -0,0 +1,71 @@
+// Package boxsettings holds the settings of dalebend-box.
+package boxsettings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Settings are the settings of one box. They are read only; a change makes new ones.
+type Settings struct {
+	// Box and Domain name the box and its failure domain.
+	Box    string
+	Domain string
+	// Front is the address for callers, Ready the one that the balancer asks, HOST:PORT.
+	Front string
+	Ready string
+	// Heartbeat is the UDP address for other boxes, Calls the TCP one.
+	Heartbeat string
+	Calls     string
+	// Metrics is the address that metrics are read from.
+	Metrics string
+	// Seeds are heartbeat addresses of boxes that may be there.
+	Seeds []string
+	// Store is the address of the platform's store.
+	Store string
+	// MemoryBytes is the most memory that the process may use; 0 is not stated.
+	MemoryBytes int64
+	// Descriptors is the most open files; 0 is not stated.
+	Descriptors int
+	// StopGrace is the time between the order to stop and the kill.
+	StopGrace time.Duration
+	// RetryRatio, RetryFloor and RetryWindow are the retry budget of all boxes.
+	RetryRatio  float64
+	RetryFloor  int
+	RetryWindow time.Duration
+}
+
+// Check returns an error that names every setting that cannot be used.
+func (s *Settings) Check() error {
+	var faults []error
+	if s.Box == "" {
+		faults = append(faults, errors.New("name of the box is missing"))
+	}
+	if s.Domain == "" {
+		faults = append(faults, errors.New("failure domain is missing"))
+	}
+	for _, a := range s.addresses() {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			faults = append(faults, fmt.Errorf("%s address: %w", a.name, err))
+		}
+	}
+	if s.StopGrace <= 0 {
+		faults = append(faults, errors.New("time to stop must be above 0"))
+	}
+	if s.RetryWindow <= 0 {
+		faults = append(faults, errors.New("window of the retry budget must be above 0"))
+	}
+	return errors.Join(faults...)
+}
+
+// address is one address setting.
+type address struct{ name, value string }
+
+func (s *Settings) addresses() []address {
+	return []address{
+		{"front", s.Front}, {"ready", s.Ready}, {"heartbeat", s.Heartbeat},
+		{"calls", s.Calls}, {"metrics", s.Metrics}, {"store", s.Store},
+	}
+}
--- /dev/null
+++ b/internal/choose/chooser.go
@@ -0,0 +1,130 @@
+// Package choose picks the backend server for a request.
+//
+// Plain servers are picked by what this box has in flight there and by how they
+// behaved; model engines by what all boxes run there. Choices are deterministic
+// but for ties, which are drawn.
+package choose
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/evidence"
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+// Weights of a plain server's rank. One unit is a server whose every slot this
+// box itself has filled.
+const (
+	// otherDomain is worth a third of a server's slots: crossing to another
+	// failure domain costs bytes and a millisecond, and a server with a third of
+	// its slots taken still answers at once.
+	otherDomain = 0.33
+	// failing weighs the share of answers that said "failed": at 45 in 100, the
+	// usual degree of a server that fails while its health check is good, it
+	// outweighs a full server.
+	failing = 3.0
+	// doubted is the word of another box that could not reach the server.
+	doubted = 0.7
+	// lapsed is for an entry that vanished while the store was away.
+	lapsed = 0.5
+	// tie spreads equal servers.
+	tie = 0.02
+)
+
+// ejectedRank puts ejected servers behind all others, the one whose failure is
+// oldest first.
+const ejectedRank = 1e6
+
+// Chooser is safe for concurrent use. Set the exported fields before use.
+type Chooser struct {
+	Directory *registry.Directory
+	Evidence  *evidence.Book
+	Ledger    *engineload.Ledger
+	// Domain is the failure domain of this box.
+	Domain string
+	// Rand draws ties.
+	Rand *rand.Rand
+
+	mu       sync.Mutex
+	inFlight map[string]int
+}
+
+// Candidate is a server with what was believed when it was picked.
+type Candidate struct {
+	*registry.Server
+	// Rank is the lower the better.
+	Rank float64
+	// Load is what was believed to be on an engine.
+	Load engineload.Load
+	// Of is the number of servers that it was picked from.
+	Of int
+}
+
+// Plain returns the server for a plain request, or nil when none may take new
+// work. Avoid names servers that the request was sent to already.
+func (c *Chooser) Plain(service string, avoid []string) *Candidate {
+	members := c.Directory.Service(service)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *Candidate
+	for i := range members {
+		m := &members[i]
+		if contains(avoid, m.ID) {
+			continue
+		}
+		rank := float64(c.inFlight[m.ID])/float64(max(1, m.Slots)) + c.conduct(m)
+		if m.Domain != c.Domain {
+			rank += otherDomain
+		}
+		if best == nil || rank < best.Rank {
+			best = &Candidate{Server: m.Server, Rank: rank, Of: len(members)}
+		}
+	}
+	return best
+}
+
+// Begin counts a request in at a plain server; the returned function counts it out.
+func (c *Chooser) Begin(server string) (end func()) {
+	c.count(server, 1)
+	return func() { c.count(server, -1) }
+}
+
+func (c *Chooser) count(server string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inFlight == nil {
+		c.inFlight = make(map[string]int)
+	}
+	c.inFlight[server] += n
+	if c.inFlight[server] == 0 {
+		delete(c.inFlight, server)
+	}
+}
+
+// conduct returns the part of a rank that follows from a server's behaviour.
+func (c *Chooser) conduct(m *registry.Member) float64 {
+	o := c.Evidence.Opinion(m.ID)
+	rank := failing*o.Errors + tie*c.Rand.Float64()
+	if o.Doubted {
+		rank += doubted
+	}
+	if !m.Until.IsZero() {
+		rank += lapsed
+	}
+	if o.Ejected {
+		rank += ejectedRank + float64(o.FailedAt.UnixMilli()%int64(time.Hour/time.Millisecond))
+	}
+	return rank
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/choose/engine.go
@@ -0,0 +1,105 @@
+package choose
+
+import (
+	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/routetable"
+)
+
+// Weights of an engine's rank, in the time that they cost a new generation.
+const (
+	// prefillMs is the time that an engine takes to read a prompt token, in
+	// milliseconds: what stands before a new prompt delays it.
+	prefillMs = 1.0 / 14
+	// streamMs is what a generation that runs beside costs a new one: a longer
+	// step for each of its tokens, some 0.12 ms over a few hundred steps, and the
+	// risk that both leave with the engine.
+	streamMs = 60.0
+	// fullMs is the cost of an engine whose memory is expected to be full: work
+	// would be pushed out and read again.
+	fullMs = 20000.0
+	// comfortable is the expected fill up to which memory costs nothing.
+	comfortable = 0.75
+	// farMs is the cost of an engine in another failure domain: bytes between domains.
+	farMs = 25.0
+	// conductMs turns the rank of a server's behaviour into time.
+	conductMs = 300.0
+	// backupFill is the expected fill up to which an engine takes copies of
+	// generations that run elsewhere; the rest is for what runs.
+	backupFill = 0.7
+)
+
+// Need is what a generation takes.
+type Need struct {
+	// Prompt is the number of prompt tokens, Expected that of tokens to generate.
+	Prompt   int
+	Expected int
+	// Avoid names engines that it must not go to.
+	Avoid []string
+}
+
+// Engine returns the engine for a generation, or nil when none may take new work.
+func (c *Chooser) Engine(service *routetable.Service, need *Need) *Candidate {
+	members := c.Directory.Service(service.Name)
+	loads := c.Ledger.All()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *Candidate
+	for i := range members {
+		m := &members[i]
+		if contains(need.Avoid, m.ID) {
+			continue
+		}
+		load := loads[m.ID]
+		rank := c.engineRank(m, load, need, service.Engine)
+		if best == nil || rank < best.Rank {
+			best = &Candidate{Server: m.Server, Rank: rank, Load: load, Of: len(members)}
+		}
+	}
+	return best
+}
+
+func (c *Chooser) engineRank(m *registry.Member, load engineload.Load, need *Need, e *routetable.Engine) float64 {
+	rank := float64(load.Prefill)*prefillMs + float64(load.Streams)*streamMs
+	rank += overfull(load, need, e) * fullMs
+	if load.Streams >= e.Slots {
+		rank += fullMs
+	}
+	if m.Domain != c.Domain {
+		rank += farMs
+	}
+	return rank + conductMs*c.conduct(m)
+}
+
+// overfull returns the part of the memory that is expected to be missing.
+func overfull(load engineload.Load, need *Need, e *routetable.Engine) float64 {
+	return max(0, fill(load, need, e)-comfortable)
+}
+
+func fill(load engineload.Load, need *Need, e *routetable.Engine) float64 {
+	peak := load.Peak() + need.Prompt + need.Expected
+	return float64(peak) / float64(max(1, e.MemoryTokens))
+}
+
+// Backup returns the engine that gets a copy of a generation that runs on
+// engine, or nil when none has room to spare.
+func (c *Chooser) Backup(service *routetable.Service, engine *registry.Server, need *Need) *Candidate {
+	members := c.Directory.Service(service.Name)
+	loads := c.Ledger.All()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *Candidate
+	for i := range members {
+		m := &members[i]
+		load := loads[m.ID]
+		full := fill(load, need, service.Engine)
+		if m.ID == engine.ID || contains(need.Avoid, m.ID) || full > backupFill {
+			continue
+		}
+		rank := full + c.conduct(m)
+		if best == nil || rank < best.Rank {
+			best = &Candidate{Server: m.Server, Rank: rank, Load: load, Of: len(members)}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/engineload/ledger.go
@@ -0,0 +1,137 @@
+// Package engineload adds up what all boxes run on each model engine.
+//
+// A box knows its own generations exactly and hears those of the others with
+// their heartbeats, a few milliseconds after each change. Together that is
+// newer than an engine's own load report, and it costs the engine nothing.
+// What a box that fell silent last told is kept until the box is taken as gone.
+package engineload
+
+import (
+	"sync"
+
+	"github.com/dalebend/dalebend/internal/digest"
+)
+
+// Load is what is believed to be on one engine.
+type Load struct {
+	// Streams is the number of generations.
+	Streams int
+	// Tokens is the memory that they hold now, prompts that are still to be read included.
+	Tokens int
+	// Growth is the memory that they are expected to take yet.
+	Growth int
+	// Prefill is the number of prompt tokens that are still to be read.
+	Prefill int
+	// Copies is the memory held by copies of generations that run elsewhere.
+	Copies int
+}
+
+// Peak returns the memory that is expected to be held at most.
+func (l Load) Peak() int { return l.Tokens + l.Growth + l.Copies }
+
+func (l *Load) add(o Load, sign int) {
+	l.Streams += sign * o.Streams
+	l.Tokens += sign * o.Tokens
+	l.Growth += sign * o.Growth
+	l.Prefill += sign * o.Prefill
+	l.Copies += sign * o.Copies
+}
+
+// Ledger is safe for concurrent use. Get one from New.
+type Ledger struct {
+	mu     sync.Mutex
+	own    map[*Run]struct{}
+	peers  map[string][]digest.Load
+	others map[string]*Load
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{
+		own:    make(map[*Run]struct{}),
+		peers:  make(map[string][]digest.Load),
+		others: make(map[string]*Load),
+	}
+}
+
+// Heard replaces what a peer runs.
+func (l *Ledger) Heard(box string, loads []digest.Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.apply(l.peers[box], -1)
+	l.peers[box] = loads
+	l.apply(loads, 1)
+}
+
+// Forget drops what a peer ran that is gone.
+func (l *Ledger) Forget(box string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.apply(l.peers[box], -1)
+	delete(l.peers, box)
+}
+
+func (l *Ledger) apply(loads []digest.Load, sign int) {
+	for i := range loads {
+		d := &loads[i]
+		sum := l.others[d.Server]
+		if sum == nil {
+			sum = &Load{}
+			l.others[d.Server] = sum
+		}
+		sum.add(fromDigest(d), sign)
+		if *sum == (Load{}) {
+			delete(l.others, d.Server)
+		}
+	}
+}
+
+func fromDigest(d *digest.Load) Load {
+	return Load{
+		Streams: int(d.Streams), Tokens: int(d.Tokens), Growth: int(d.Growth),
+		Prefill: int(d.Prefill), Copies: int(d.Copies),
+	}
+}
+
+// All returns what is believed to be on every engine that has anything, by the
+// engine's id.
+func (l *Ledger) All() map[string]Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make(map[string]Load, len(l.others)+len(l.own))
+	for server, load := range l.others {
+		all[server] = *load
+	}
+	l.addOwn(all)
+	return all
+}
+
+// Own returns what this box itself runs, as it is told to its peers.
+func (l *Ledger) Own() []digest.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own := make(map[string]Load, len(l.own))
+	l.addOwn(own)
+	loads := make([]digest.Load, 0, len(own))
+	for server, load := range own {
+		loads = append(loads, digest.Load{
+			Server: server, Streams: int32(load.Streams), Tokens: int32(load.Tokens),
+			Growth: int32(load.Growth), Prefill: int32(load.Prefill), Copies: int32(load.Copies),
+		})
+	}
+	return loads
+}
+
+func (l *Ledger) addOwn(to map[string]Load) {
+	for r := range l.own {
+		load, copies := r.load()
+		sum := to[r.server]
+		sum.add(load, 1)
+		to[r.server] = sum
+		if r.backup != "" {
+			sum = to[r.backup]
+			sum.add(copies, 1)
+			to[r.backup] = sum
+		}
+	}
+}
--- /dev/null
+++ b/internal/engineload/run.go
@@ -0,0 +1,65 @@
+package engineload
+
+import "sync/atomic"
+
+// Run is one generation of this box as the ledger counts it.
+type Run struct {
+	ledger *Ledger
+	prompt int
+	// expected is the expected number of generated tokens when it was placed.
+	expected int
+	// server and backup are guarded by the ledger's lock.
+	server string
+	backup string
+	// made counts generated tokens; -1 until the first.
+	made atomic.Int64
+}
+
+// Place counts in a generation on an engine, with the engine that gets a copy
+// of its memory, or "".
+func (l *Ledger) Place(server, backup string, prompt, expected int) *Run {
+	r := &Run{ledger: l, prompt: prompt, expected: expected, server: server, backup: backup}
+	r.made.Store(-1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own[r] = struct{}{}
+	return r
+}
+
+// Move counts the generation on other engines from now on.
+func (r *Run) Move(server, backup string) {
+	r.ledger.mu.Lock()
+	defer r.ledger.mu.Unlock()
+	r.server = server
+	r.backup = backup
+}
+
+// Made notes the number of tokens generated so far. It takes no lock.
+func (r *Run) Made(tokens int) { r.made.Store(int64(tokens)) }
+
+// End counts the generation out.
+func (r *Run) End() {
+	r.ledger.mu.Lock()
+	defer r.ledger.mu.Unlock()
+	delete(r.ledger.own, r)
+}
+
+// load returns what the generation takes on its engine and on the one that
+// holds its copy.
+func (r *Run) load() (own, copies Load) {
+	made := int(r.made.Load())
+	prefill := 0
+	if made < 0 {
+		made = 0
+		prefill = r.prompt
+	}
+	held := r.prompt + made
+	growth := max(r.expected-made, r.expected/growthFloor)
+	own = Load{Streams: 1, Tokens: held, Growth: growth, Prefill: prefill}
+	return own, Load{Copies: held + growth}
+}
+
+// growthFloor is the part of the expected length that a generation is still
+// expected to grow by once it is longer than expected: lengths have a long tail,
+// and one that outlived its forecast is likely to go on.
+const growthFloor = 4
--- /dev/null
+++ b/internal/evidence/book.go
@@ -0,0 +1,167 @@
+// Package evidence holds what this box saw of the backend servers' behaviour.
+//
+// A server that cannot be reached, or that falls silent, is ejected for a while
+// that grows with each failure; a later success readmits it. Answers that say
+// "failed" don't eject: they lower a server's rank by how much more often it
+// fails than it succeeds. Ejection is advice: when every server is ejected, the
+// caller of this package may use any.
+package evidence
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// firstEjection is the time out of use after a first failure: longer than a
+	// lost opening packet takes to show, short against a restart of a server.
+	firstEjection = 600 * time.Millisecond
+	// longestEjection bounds the time out of use, so that a server that returns
+	// is found within about the time that it takes to warm up.
+	longestEjection = 3 * time.Second
+	// weight is the part that one answer has in a server's averages: the last
+	// twenty or so count.
+	weight = 0.05
+	// peerTrouble is how long another box's word of a failure lowers a server's rank.
+	peerTrouble = time.Second
+)
+
+// Book is safe for concurrent use. Set the exported fields before use.
+type Book struct {
+	Clock clockwork.Clock
+	// Changed, if set, is told of a server that was ejected or readmitted.
+	Changed func(server string, ejected bool, cause string)
+
+	mu      sync.Mutex
+	servers map[string]*record
+}
+
+// record is the evidence on one server.
+type record struct {
+	failures     int
+	ejectedUntil time.Time
+	failedAt     time.Time
+	peerUntil    time.Time
+	errors       float64
+	latency      float64
+}
+
+// Unreachable notes that the server could not be reached or fell silent.
+func (b *Book) Unreachable(server, cause string) {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	r := b.of(server)
+	fresh := now.After(r.ejectedUntil)
+	if fresh {
+		r.failures++
+		r.ejectedUntil = now.Add(min(longestEjection, firstEjection<<min(r.failures-1, 4)))
+	}
+	r.failedAt = now
+	b.mu.Unlock()
+	if fresh && b.Changed != nil {
+		b.Changed(server, true, cause)
+	}
+}
+
+// Answered notes an answer of the server: how long it took, and whether it said
+// that the request failed there.
+func (b *Book) Answered(server string, took time.Duration, failed bool) {
+	b.mu.Lock()
+	r := b.of(server)
+	readmitted := r.failures > 0
+	r.failures = 0
+	r.ejectedUntil = time.Time{}
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	r.errors += weight * (outcome - r.errors)
+	if r.latency == 0 {
+		r.latency = float64(took)
+	}
+	r.latency += weight * (float64(took) - r.latency)
+	b.mu.Unlock()
+	if readmitted && b.Changed != nil {
+		b.Changed(server, false, "answered")
+	}
+}
+
+// PeerSaw notes that another box could not reach the server.
+func (b *Book) PeerSaw(server string, age time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	until := b.Clock.Now().Add(peerTrouble - age)
+	if r := b.of(server); until.After(r.peerUntil) {
+		r.peerUntil = until
+	}
+}
+
+// Opinion is what is believed of one server.
+type Opinion struct {
+	// Ejected servers should get no work while others can take it.
+	Ejected bool
+	// Doubted servers failed for another box a moment ago.
+	Doubted bool
+	// Errors is the share of recent answers that said "failed", 0 to 1.
+	Errors float64
+	// Latency is the average time to an answer; 0 if none was seen.
+	Latency time.Duration
+	// FailedAt is when it was last unreachable; zero if never.
+	FailedAt time.Time
+}
+
+// Opinion returns what is believed of a server.
+func (b *Book) Opinion(server string) Opinion {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.servers[server]
+	if r == nil {
+		return Opinion{}
+	}
+	return Opinion{
+		Ejected:  now.Before(r.ejectedUntil),
+		Doubted:  now.Before(r.peerUntil),
+		Errors:   r.errors,
+		Latency:  time.Duration(r.latency),
+		FailedAt: r.failedAt,
+	}
+}
+
+// Failures visits the servers that were unreachable within the last while.
+func (b *Book) Failures(within time.Duration, visit func(server string, age time.Duration)) {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for server, r := range b.servers {
+		age := now.Sub(r.failedAt)
+		if !r.failedAt.IsZero() && age <= within {
+			visit(server, age)
+		}
+	}
+}
+
+// Retain forgets all servers but the known ones.
+func (b *Book) Retain(known func(server string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for server := range b.servers {
+		if !known(server) {
+			delete(b.servers, server)
+		}
+	}
+}
+
+func (b *Book) of(server string) *record {
+	if b.servers == nil {
+		b.servers = make(map[string]*record)
+	}
+	r := b.servers[server]
+	if r == nil {
+		r = &record{}
+		b.servers[server] = r
+	}
+	return r
+}
--- /dev/null
+++ b/internal/front/exchange.go
@@ -0,0 +1,203 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/request"
+	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/single"
+	"github.com/dalebend/dalebend/internal/streaming"
+)
+
+// exchange is one request and its answer.
+type exchange struct {
+	server  *Server
+	w       http.ResponseWriter
+	http    *http.Request
+	req     *request.Request
+	table   *routetable.Table
+	route   *routetable.Route
+	account routetable.Account
+}
+
+func (x *exchange) answer() {
+	if err := x.server.Wire.Parse(x.req); err != nil {
+		x.refuse(http.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	if !x.admit() {
+		return
+	}
+	if !x.readBody() {
+		return
+	}
+	deadline := x.deadline()
+	ctx, cancel := clockwork.WithDeadline(x.http.Context(), x.server.Clock, deadline)
+	defer cancel()
+	service := x.table.Service(x.route.Target(draw()))
+	if x.route.Stream && service.Engine != nil {
+		x.stream(ctx, service, deadline)
+		return
+	}
+	x.single(ctx, service, deadline)
+}
+
+// admit finds the route and the client account.
+func (x *exchange) admit() bool {
+	x.table = x.server.Table()
+	if x.table == nil {
+		x.refuse(http.StatusServiceUnavailable, "no configuration is known yet", unknownYet)
+		return false
+	}
+	route, ok := x.table.Match(x.req.Host, x.req.Path)
+	if !ok {
+		x.refuseUnknown(http.StatusNotFound, "no route for this host and path")
+		return false
+	}
+	x.route = route
+	if !x.table.HasAccounts() {
+		return true
+	}
+	account, ok := x.table.Account(x.req.Key)
+	if !ok && !route.Anonymous {
+		x.refuseUnknown(http.StatusUnauthorized, "the key is not known")
+		return false
+	}
+	x.account = account
+	return true
+}
+
+// refuseUnknown refuses what the configuration lacks: for good if the
+// configuration is recent, else for now.
+func (x *exchange) refuseUnknown(status int, reason string) {
+	if x.server.Recent() {
+		x.refuse(status, reason, 0)
+		return
+	}
+	x.refuse(http.StatusServiceUnavailable, reason+" in a configuration that may be old", unknownYet)
+}
+
+// readBody reads the whole body within the configuration's bounds.
+func (x *exchange) readBody() bool {
+	if !x.req.HasBody {
+		return true
+	}
+	limit := x.table.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	control := http.NewResponseController(x.w)
+	if err := control.SetReadDeadline(x.deadline()); err != nil {
+		x.server.Logger.Debug("no bound on reading a body", "error", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.http.Body, int64(limit)))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			x.refuse(http.StatusRequestEntityTooLarge, "the body is too large", 0)
+			return false
+		}
+		x.refuse(http.StatusRequestTimeout, "the body did not arrive: "+err.Error(), 0)
+		return false
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		x.server.Logger.Debug("bound on reading a body stays", "error", err)
+	}
+	x.req.Body = body
+	return true
+}
+
+// deadline returns when the caller must have its answer: the sooner of what it
+// and its route allow.
+func (x *exchange) deadline() time.Time {
+	wait := x.req.Wait
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if t := x.route.Timeout; t > 0 {
+		wait = min(wait, t)
+	}
+	return x.req.Arrived.Add(wait)
+}
+
+// priority returns the rank that the configuration gives the request.
+func (x *exchange) priority() int {
+	if x.account.HasPriority {
+		return x.account.Priority
+	}
+	return x.route.Priority
+}
+
+func (x *exchange) single(ctx context.Context, service *routetable.Service, deadline time.Time) {
+	answer, err := x.server.Singles.Do(ctx, &single.Job{
+		Request: x.req, Route: x.route, Service: service, Account: x.account.Name, Deadline: deadline,
+	})
+	if err != nil {
+		x.failed(ctx, err)
+		return
+	}
+	s := &sink{x: x}
+	s.Head(answer.Status, answer.Header)
+	if err := s.whole(answer.Body); err != nil {
+		x.callerLeft()
+		return
+	}
+	x.ended(answer.Status, 0)
+}
+
+func (x *exchange) stream(ctx context.Context, service *routetable.Service, deadline time.Time) {
+	s := &sink{x: x}
+	err := x.server.Streams.Serve(ctx, &streaming.Job{
+		Request: x.req, Route: x.route, Service: service, Account: x.account.Name,
+		Priority: x.priority(), Deadline: deadline,
+	}, s)
+	if err == nil {
+		err = s.finish()
+	}
+	if err == nil {
+		x.ended(s.status, s.events)
+		return
+	}
+	if s.begun {
+		x.brokenOff(err, s.events)
+		panic(http.ErrAbortHandler)
+	}
+	x.failed(ctx, err)
+}
+
+// failed answers a request that no backend server answered.
+func (x *exchange) failed(ctx context.Context, err error) {
+	if x.http.Context().Err() != nil {
+		x.callerLeft()
+		return
+	}
+	if retryAfter, ok := notRun(err); ok {
+		x.refuse(http.StatusServiceUnavailable, err.Error(), retryAfter)
+		return
+	}
+	status := http.StatusBadGateway
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	x.refuse(status, err.Error(), 0)
+}
+
+// notRun reports whether an error proves that the request has not run, and when
+// to come back.
+func notRun(err error) (retryAfter time.Duration, ok bool) {
+	var whole *single.NotRun
+	if errors.As(err, &whole) {
+		return whole.RetryAfter, true
+	}
+	var stream *streaming.NotRun
+	if errors.As(err, &stream) {
+		return stream.RetryAfter, true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,146 @@
+// Package front serves callers: it reads a request, finds its route and client
+// account in the configuration in force, and has it answered by a backend server.
+//
+// It uses net/http rather than fasthttp: the server must notice while it waits
+// for an answer that the caller has left, and break off an answer that has
+// begun, and fasthttp does neither.
+//
+// Invariants: every request that was read is answered, or its connection is
+// broken off because a part of the answer was passed on or the caller left; a
+// route or key that is unknown is refused for good only by a configuration that
+// is known to be recent.
+package front
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/request"
+	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/single"
+	"github.com/dalebend/dalebend/internal/streaming"
+)
+
+const (
+	// headerTime bounds how long a caller may take to send a request's head. The
+	// configuration's own bound is shorter; this one holds before any is known.
+	headerTime = 10 * time.Second
+	// idleTime bounds how long a connection may rest. It lies above the bounds
+	// that configurations set, since closing a connection that a caller still
+	// counts on costs it a request.
+	idleTime = 90 * time.Second
+	// maxHeader bounds a request's head, in bytes, before a configuration is known.
+	maxHeader = 64 << 10
+	// defaultBody bounds a request's body, in bytes, if the configuration does not.
+	defaultBody = 4 << 20
+	// defaultWait is the time for a request when neither the caller nor its route says.
+	defaultWait = 30 * time.Second
+	// unknownYet is the time to come back that a caller is told while this box
+	// does not know whether its route and key exist: about two rounds of heartbeats.
+	unknownYet = 400 * time.Millisecond
+)
+
+// Wire reads what a caller's request says of itself.
+type Wire interface {
+	// Parse reads the headers into the request.
+	Parse(r *request.Request) error
+	// Identify puts a request's id into the headers of an answer of our own.
+	Identify(h http.Header, id string)
+}
+
+// Singles answers requests with one whole answer.
+type Singles interface {
+	Do(ctx context.Context, j *single.Job) (*single.Answer, error)
+}
+
+// Streams answers requests with event streams.
+type Streams interface {
+	Serve(ctx context.Context, j *streaming.Job, sink streaming.Sink) error
+}
+
+// Server serves callers. Set the exported fields before Run.
+type Server struct {
+	Clock   clockwork.Clock
+	Logger  *slog.Logger
+	Wire    Wire
+	Singles Singles
+	Streams Streams
+	// Table returns the configuration in force, nil before the first.
+	Table func() *routetable.Table
+	// Recent reports whether the configuration in force is known to be the newest
+	// of a moment ago.
+	Recent func() bool
+
+	stopping atomic.Bool
+	open     atomic.Int64
+}
+
+// Run serves the listener until the context ends, then closes every connection.
+// Stop first and wait for Open to fall to 0 to cut no request.
+func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+	server := &http.Server{
+		Handler:           http.HandlerFunc(s.serve),
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelDebug),
+	}
+	ended := context.AfterFunc(ctx, func() { server.Close() })
+	defer ended()
+	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Stop asks callers to come back on other connections: every answer from now on
+// ends its connection. Connections that rest stay open, since a request may be
+// on its way on them.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Open returns the number of requests that are being answered.
+func (s *Server) Open() int { return int(s.open.Load()) }
+
+// serve answers one request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{
+		server: s, w: w, http: r,
+		req: &request.Request{
+			Method: r.Method, Host: hostOf(r.Host), URI: r.URL.RequestURI(), Path: pathOf(r),
+			Header: r.Header, HasBody: r.ContentLength != 0, Arrived: s.Clock.Now(),
+		},
+	}
+	x.answer()
+}
+
+// hostOf returns a host without its port.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// pathOf returns the path as sent, without its query.
+func pathOf(r *http.Request) string {
+	if r.URL.RawPath != "" {
+		return r.URL.RawPath
+	}
+	return r.URL.EscapedPath()
+}
+
+// draw returns a random number from 0 up to 1.
+func draw() float64 { return rand.Float64() }
--- /dev/null
+++ b/internal/hop/codec.go
@@ -0,0 +1,53 @@
+// Package hop describes one request on its way to a backend server and the
+// meaning of its answer, apart from how either is written on the wire.
+package hop
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/request"
+)
+
+// Send says how a request is sent to a backend server.
+type Send struct {
+	// Server gets the request; another start of a server at its address must not run it.
+	Server *registry.Server
+	// Account is the caller's client account, or empty.
+	Account string
+	// Left is the time that the server has for it.
+	Left time.Duration
+	// Priority is its rank at an engine, 0 the most urgent; below 0 is none.
+	Priority int
+	// Backup is the address of the engine that gets a copy of its memory as it grows, or empty.
+	Backup string
+	// Continue is set when the request goes on from a copy of its memory.
+	Continue *Continue
+}
+
+// Continue names a copy of a running generation's memory.
+type Continue struct {
+	// Holder is the address that the copy was named at.
+	Holder string
+	// Copy identifies the copy there.
+	Copy string
+	// LastEvent is the id of the last event that the caller has, or empty.
+	LastEvent string
+}
+
+// Codec writes requests to backend servers and reads what their answers mean.
+type Codec interface {
+	// Header returns the headers that the server gets.
+	Header(r *request.Request, s *Send) http.Header
+	// Owns returns whether an answer's headers are those of an answer to the request.
+	Owns(r *request.Request) func(http.Header) bool
+	// NotRun reports whether the answer says that the request has not run.
+	NotRun(status int, h http.Header) bool
+	// Moved reports whether the answer says that another server has the address.
+	Moved(status int) bool
+	// Proven reports whether a success carries the server's proof that it is its own.
+	Proven(h http.Header) bool
+	// Answer returns the headers that the caller gets.
+	Answer(h http.Header) http.Header
+}
--- /dev/null
+++ b/internal/program/box.go
@@ -0,0 +1,106 @@
+package program
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/box"
+	"github.com/dalebend/dalebend/internal/boxsettings"
+	"github.com/dalebend/dalebend/internal/decisionlog"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/settings"
+	"github.com/dalebend/dalebend/platform"
+)
+
+const (
+	// memoryShare is the part of the box's memory that the garbage collector aims
+	// to stay under; the rest is for sockets and stacks.
+	memoryShare = 0.7
+	// dialTimeout bounds a connection to a backend server: a hundred times the
+	// way between failure domains, a third of the shortest objective.
+	dialTimeout = 200 * time.Millisecond
+	// idlePerServer bounds the connections to one server that rest.
+	idlePerServer = 8
+)
+
+// Box runs dalebend-box.
+func Box(args []string, out, errOut io.Writer) int {
+	s := &settings.Box{}
+	if code, ok := settings.Parse(s, "dalebend-box", args, out, errOut); !ok {
+		return code
+	}
+	path := s.File
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	file, err := platform.ReadSettings(path)
+	if err != nil {
+		fmt.Fprintln(errOut, "dalebend-box:", err)
+		return exitUsage
+	}
+	file.Metrics = net.JoinHostPort(hostOf(file.Front), strconv.Itoa(s.MetricsPort))
+	if s.CheckOnly {
+		fmt.Fprintf(out, "%+v\n", *file)
+		return exitDone
+	}
+	if err := runBox(file, out); err != nil {
+		fmt.Fprintln(errOut, "dalebend-box:", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+func hostOf(addr string) string {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return addr
+	}
+	return host
+}
+
+func runBox(s *boxsettings.Settings, out io.Writer) error {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	clock := clockwork.NewRealClock()
+	log := decisionlog.New(out, clock, s.Box)
+	logCtx, logStop := context.WithCancel(context.Background())
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		log.Run(logCtx)
+	}()
+	defer func() {
+		logStop()
+		<-logged
+	}()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return newBox(s, clock, log).Run(ctx)
+}
+
+func newBox(s *boxsettings.Settings, clock clockwork.Clock, log *decisionlog.Log) *box.Box {
+	logger := log.Logger()
+	client := &exchange.Client{
+		Clock: clock, Logger: logger, DialTimeout: dialTimeout, MaxIdlePerServer: idlePerServer,
+	}
+	store := &platform.Store{Addr: s.Store, Clock: clock, Logger: logger}
+	return &box.Box{
+		Clock: clock, Logger: logger, Settings: s, Exchange: client,
+		Seed: uint64(clock.Now().UnixNano()),
+		Platform: box.Platform{
+			Source: store, Boxes: store, Decode: platform.DecodeTable,
+			Wire: platform.Requests{}, Codec: platform.Requests{}, Mover: &platform.Moves{Exchanger: client},
+		},
+	}
+}
--- /dev/null
+++ b/internal/registry/directory.go
@@ -0,0 +1,151 @@
+package registry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// lapseGrace is how long an entry that vanished while the store was away is
+// still used after the store's return. Servers that live write theirs again
+// within about two seconds; the rest of that time is left for a request to get
+// there.
+const lapseGrace = 1800 * time.Millisecond
+
+// Directory tells which backend servers may take new work. Reading takes no
+// lock. Set the exported fields before use.
+type Directory struct {
+	Clock clockwork.Clock
+	// StoreReturned returns when the store was last found again after an outage;
+	// zero if there was none.
+	StoreReturned func() time.Time
+	// Left, if set, is told of servers that have just begun to leave or are gone.
+	Left func(ids []string)
+
+	mu      sync.Mutex
+	current atomic.Pointer[listing]
+}
+
+// listing is what follows from one view.
+type listing struct {
+	view     *View
+	services map[string][]Member
+	members  map[string]Member
+}
+
+// Member is a server that may take new work.
+type Member struct {
+	*Server
+	// Until is when an entry that has vanished is given up; zero for one that stands.
+	Until time.Time
+}
+
+// Set takes a newer view.
+func (d *Directory) Set(v *View) {
+	d.mu.Lock()
+	old := d.current.Load()
+	next := &listing{view: v, services: make(map[string][]Member), members: make(map[string]Member)}
+	for id := range v.Servers {
+		s := v.Servers[id]
+		if s.State == Ready {
+			next.add(Member{Server: &s})
+		}
+	}
+	left := d.carryOver(old, next)
+	d.current.Store(next)
+	d.mu.Unlock()
+	if len(left) > 0 && d.Left != nil {
+		d.Left(left)
+	}
+}
+
+// carryOver keeps members whose entries lapsed while the store was away, and
+// returns the ids of those that leave.
+func (d *Directory) carryOver(old, next *listing) (left []string) {
+	if old == nil {
+		return nil
+	}
+	until := d.StoreReturned().Add(lapseGrace)
+	now := d.Clock.Now()
+	for id, m := range old.members {
+		if _, stays := next.members[id]; stays {
+			continue
+		}
+		_, draining := next.view.Servers[id]
+		if !draining && now.Before(until) {
+			next.add(Member{Server: m.Server, Until: until})
+			continue
+		}
+		left = append(left, id)
+	}
+	return left
+}
+
+func (l *listing) add(m Member) {
+	l.members[m.ID] = m
+	l.services[m.Service] = append(l.services[m.Service], m)
+}
+
+// Service returns the servers of a service that may take new work now. The
+// slice is read only.
+func (d *Directory) Service(name string) []Member {
+	l := d.current.Load()
+	if l == nil {
+		return nil
+	}
+	members := l.services[name]
+	now := d.Clock.Now()
+	for i := range members {
+		if members[i].over(now) {
+			return standing(members, now)
+		}
+	}
+	return members
+}
+
+func (m *Member) over(now time.Time) bool {
+	return !m.Until.IsZero() && !now.Before(m.Until)
+}
+
+func standing(members []Member, now time.Time) []Member {
+	var kept []Member
+	for i := range members {
+		if !members[i].over(now) {
+			kept = append(kept, members[i])
+		}
+	}
+	return kept
+}
+
+// Takes reports whether a server may take new work now.
+func (d *Directory) Takes(id string) bool {
+	l := d.current.Load()
+	if l == nil {
+		return false
+	}
+	m, ok := l.members[id]
+	return ok && !m.over(d.Clock.Now())
+}
+
+// Known reports whether the server stands in the newest view, in any state.
+func (d *Directory) Known(id string) bool {
+	l := d.current.Load()
+	if l == nil {
+		return false
+	}
+	if _, ok := l.view.Servers[id]; ok {
+		return true
+	}
+	_, ok := l.members[id]
+	return ok
+}
+
+// View returns the newest view, or nil.
+func (d *Directory) View() *View {
+	if l := d.current.Load(); l != nil {
+		return l.view
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/registry/view.go
@@ -0,0 +1,9 @@
+package registry
+
+// View is all entries as the store had them at one revision. It is read only.
+type View struct {
+	// Revision is the store's revision; a view with a higher one is newer.
+	Revision int64
+	// Servers holds the entries by id.
+	Servers map[string]Server
+}
--- /dev/null
+++ b/internal/routetable/doc.go
@@ -0,0 +1,7 @@
+// Package routetable holds one version of the routing configuration: which
+// service a request goes to, which client account a key belongs to, and how
+// long a request may take.
+//
+// A Table is immutable. A request keeps the table that it began with; a change
+// of the configuration makes a new one. Versions rise.
+package routetable
--- /dev/null
+++ b/internal/routetable/service.go
@@ -0,0 +1,47 @@
+package routetable
+
+import "time"
+
+// Service is a group of backend servers that serve the same requests. It is
+// read only.
+type Service struct {
+	// Name identifies the service.
+	Name string
+	// HealthPath answers health checks.
+	HealthPath string
+	// MaxConns is the number of connections that one server accepts from all callers together.
+	MaxConns int
+	// Engine is set when the servers are model engines.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests that run at once.
+	Slots int
+	// MemoryTokens is the memory for running requests and cached prompt parts, in tokens.
+	MemoryTokens int
+	// TokenBytes is the memory of one token, in bytes.
+	TokenBytes int64
+	// LinkMbps is the rate at which memory moves between engines, in Mbit/s.
+	LinkMbps float64
+	// Moves means that running requests can be moved to another engine.
+	Moves bool
+	// Backups means that an engine can copy a running request's memory to another as it grows.
+	Backups bool
+	// TokensPerEvent is the number of tokens in one event of a stream.
+	TokensPerEvent int
+	// CopyLife is how long an unused copy of a request's memory is kept.
+	CopyLife time.Duration
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	// HeaderBytes and BodyBytes are sizes.
+	HeaderBytes int
+	BodyBytes   int
+	// HeaderTime is how long a caller may take to send a request's head.
+	HeaderTime time.Duration
+	// IdleTime is how long a connection may rest between requests.
+	IdleTime time.Duration
+}
--- /dev/null
+++ b/internal/single/flight.go
@@ -0,0 +1,215 @@
+package single
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/routetable"
+)
+
+// flight is one request on its way.
+type flight struct {
+	sender *Sender
+	job    *Job
+
+	mu sync.Mutex
+	// open counts the sends under way.
+	open int
+	// arrived counts the ended sends that reached a server or may have.
+	arrived int
+	// ran counts the servers that ran the request or may have.
+	ran int
+	// tried names the servers that it was offered to.
+	tried []string
+}
+
+// verdict is how one send ended.
+type verdict struct {
+	answer *Answer
+	// final is set when the caller gets the answer; otherwise another server may be tried.
+	final bool
+	// arrived is set when the request reached the server or may have.
+	arrived bool
+	// ran is set when the server ran the request or may have.
+	ran bool
+	err error
+}
+
+// inTurn offers the request to one server after the other.
+func (f *flight) inTurn(ctx context.Context) (*Answer, error) {
+	var last verdict
+	for ctx.Err() == nil {
+		c, err := f.next()
+		if err != nil {
+			return f.ended(last, err)
+		}
+		last = f.send(ctx, c)
+		f.note(last)
+		if last.final {
+			return last.answer, nil
+		}
+	}
+	return f.ended(last, ctx.Err())
+}
+
+// next picks a server that the request was not offered to yet. From the second
+// arrival on it takes from the retry budget.
+func (f *flight) next() (*choose.Candidate, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open+f.ran >= f.maxRuns() {
+		return nil, errRanEnough
+	}
+	if len(f.tried) >= maxSends {
+		return nil, errOfferedEnough
+	}
+	c := f.sender.Chooser.Plain(f.job.Service.Name, f.tried)
+	if c == nil {
+		return nil, errNoServer
+	}
+	if f.open+f.arrived > 0 && !f.sender.Budget.Spend(f.job.Service.Name) {
+		return nil, errBudgetSpent
+	}
+	f.tried = append(f.tried, c.ID)
+	f.open++
+	f.logSend(len(f.tried), c)
+	return c, nil
+}
+
+// maxRuns returns how many servers may run the request.
+func (f *flight) maxRuns() int {
+	if f.job.Route.Repeat == routetable.Once {
+		return 1
+	}
+	return max(1, f.job.Route.MaxServers)
+}
+
+// note counts a send that ended.
+func (f *flight) note(v verdict) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open--
+	if v.arrived {
+		f.arrived++
+	}
+	if v.ran {
+		f.ran++
+	}
+}
+
+func (f *flight) logSend(n int, c *choose.Candidate) {
+	f.sender.Logger.LogAttrs(context.Background(), slog.LevelInfo, string(event.RequestSent),
+		slog.String("request", f.job.Request.ID), slog.String("server", c.ID), slog.Int("attempt", n),
+		slog.Int("candidates", c.Of), slog.Float64("rank", c.Rank))
+}
+
+// ended returns what the caller is told when no send gave a final answer.
+func (f *flight) ended(last verdict, cause error) (*Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if last.answer != nil {
+		return last.answer, nil
+	}
+	if last.err != nil {
+		cause = fmt.Errorf("%w, after: %w", cause, last.err)
+	}
+	if f.ran > 0 {
+		return nil, &PerhapsRun{cause: cause}
+	}
+	return nil, &NotRun{RetryAfter: comeBack, cause: cause}
+}
+
+// send offers the request to one server and waits for the whole answer.
+func (f *flight) send(ctx context.Context, c *choose.Candidate) verdict {
+	s := f.sender
+	defer s.Chooser.Begin(c.ID)()
+	start := s.Clock.Now()
+	resp, err := s.Exchanger.Do(ctx, f.target(c), f.exchangeRequest(c, start))
+	if err != nil {
+		return f.failed(ctx, c, err)
+	}
+	if s.Codec.NotRun(resp.Status, resp.Header) {
+		return f.turnedAway(c, resp)
+	}
+	body, err := readAll(resp)
+	if err != nil {
+		return f.failed(ctx, c, err)
+	}
+	took := s.Clock.Since(start)
+	good := resp.Status < 500
+	if resp.Status < 300 && !s.Codec.Proven(resp.Header) {
+		return f.failed(ctx, c, errors.New("success without the server's proof"))
+	}
+	s.Evidence.Answered(c.ID, took, !good)
+	answer := &Answer{Status: resp.Status, Header: s.Codec.Answer(resp.Header), Body: body}
+	final := good || f.job.Route.Repeat != routetable.Repeatable
+	return verdict{answer: answer, final: final, arrived: true, ran: true}
+}
+
+func (f *flight) target(c *choose.Candidate) exchange.Target {
+	return exchange.Target{Key: c.ID, Addr: c.Addr, MaxConns: f.job.Service.MaxConns}
+}
+
+func (f *flight) exchangeRequest(c *choose.Candidate, now time.Time) *exchange.Request {
+	r := f.job.Request
+	send := &hop.Send{
+		Server: c.Server, Account: f.job.Account, Priority: -1,
+		Left: f.job.Deadline.Sub(now),
+	}
+	x := &exchange.Request{
+		Method: r.Method, URI: r.URI, Host: r.Host,
+		Header: f.sender.Codec.Header(r, send),
+		Body:   r.Body, HasBody: r.HasBody, Owns: f.sender.Codec.Owns(r),
+	}
+	if f.job.Route.Repeat == routetable.Once {
+		x.Fresh = restLimit
+	}
+	return x
+}
+
+// turnedAway is a server's word that it did not run the request.
+func (f *flight) turnedAway(c *choose.Candidate, resp *exchange.Response) verdict {
+	if f.sender.Codec.Moved(resp.Status) {
+		f.sender.Evidence.Unreachable(c.ID, "another server has its address")
+	}
+	body, err := readAll(resp)
+	if err != nil {
+		f.sender.Logger.Debug("refusal could not be read to its end", "server", c.ID, "error", err)
+	}
+	f.logFailed(c, "turned-away", string(body))
+	return verdict{arrived: true, err: errors.New("turned away by " + c.ID)}
+}
+
+// failed is a send without a whole answer.
+func (f *flight) failed(ctx context.Context, c *choose.Candidate, err error) verdict {
+	stage := exchange.Unanswered
+	var failure *exchange.Failure
+	if errors.As(err, &failure) {
+		stage = failure.Stage()
+	}
+	f.logFailed(c, stage.String(), err.Error())
+	if stage == exchange.NotSent || stage == exchange.Full {
+		if ctx.Err() == nil && stage == exchange.NotSent {
+			f.sender.Evidence.Unreachable(c.ID, err.Error())
+		}
+		return verdict{err: err}
+	}
+	if ctx.Err() == nil {
+		f.sender.Evidence.Answered(c.ID, 0, true)
+	}
+	return verdict{arrived: true, ran: true, err: err}
+}
+
+func (f *flight) logFailed(c *choose.Candidate, stage, cause string) {
+	f.sender.Logger.LogAttrs(context.Background(), slog.LevelInfo, string(event.RequestFailed),
+		slog.String("request", f.job.Request.ID), slog.String("server", c.ID),
+		slog.String("stage", stage), slog.String("cause", cause))
+}
--- /dev/null
+++ b/internal/single/single.go
@@ -0,0 +1,130 @@
+// Package single carries requests whose answer is one whole: it picks a backend
+// server, sends, and decides whether a failure may be tried elsewhere.
+//
+// Invariants: a request that may not be repeated is sent to another server only
+// if it provably did not run; a caller is told "not run" only if that holds for
+// every send; second sends come out of the retry budget.
+package single
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/evidence"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/request"
+	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/spend"
+)
+
+const (
+	// maxAnswer bounds an answer that is kept until it is whole, in bytes: two
+	// hundred times the largest on the users' sheets.
+	maxAnswer = 1 << 20
+	// restLimit is how long a connection may have rested to carry a request that
+	// may not be repeated: a server may forget an idle one, and what is then
+	// sent on it counts as perhaps run.
+	restLimit = 300 * time.Millisecond
+	// maxSends bounds the servers that one request is offered to, those that
+	// turned it away or could not be reached included.
+	maxSends = 4
+)
+
+// Exchanger sends one request to one backend server.
+type Exchanger interface {
+	Do(ctx context.Context, t exchange.Target, r *exchange.Request) (*exchange.Response, error)
+}
+
+// Sender is safe for concurrent use. Set the exported fields before use.
+type Sender struct {
+	Clock     clockwork.Clock
+	Logger    *slog.Logger
+	Chooser   *choose.Chooser
+	Evidence  *evidence.Book
+	Exchanger Exchanger
+	Codec     hop.Codec
+	Budget    *spend.Budget
+}
+
+// Job is a request with what the configuration says of it.
+type Job struct {
+	Request *request.Request
+	Route   *routetable.Route
+	Service *routetable.Service
+	Account string
+	// Deadline is when the caller must have been answered.
+	Deadline time.Time
+}
+
+// Answer is what the caller gets.
+type Answer struct {
+	// Status and Header are the server's; Body is the whole body.
+	Status int
+	Header map[string][]string
+	Body   []byte
+}
+
+// Why a request was not offered to another server.
+var (
+	errNoServer      = errors.New("no backend server may take new work")
+	errBudgetSpent   = errors.New("retry budget is spent")
+	errRanEnough     = errors.New("it may not run on another backend server")
+	errOfferedEnough = errors.New("it was offered to enough backend servers")
+)
+
+// NotRun is a request that no server ran.
+type NotRun struct {
+	// RetryAfter is when to come back.
+	RetryAfter time.Duration
+	cause      error
+}
+
+// Error says why.
+func (e *NotRun) Error() string { return "not run: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotRun) Unwrap() error { return e.cause }
+
+// PerhapsRun is a request without an answer that a server may have run.
+type PerhapsRun struct{ cause error }
+
+// Error says why there is no answer.
+func (e *PerhapsRun) Error() string { return "perhaps run: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *PerhapsRun) Unwrap() error { return e.cause }
+
+// comeBack is the time to come back that a caller is told when no server took
+// its request: a connection that is shed finds room again within some steps of
+// the queue, tens of milliseconds on the users' sheets.
+const comeBack = 50 * time.Millisecond
+
+// Do returns the answer for the caller, or *NotRun or *PerhapsRun. The context
+// ends when the caller leaves or at the job's deadline.
+func (s *Sender) Do(ctx context.Context, j *Job) (*Answer, error) {
+	s.Budget.First(j.Service.Name)
+	f := &flight{sender: s, job: j}
+	if j.Route.Repeat == routetable.Repeatable && j.Route.MaxServers > 1 {
+		return f.hedged(ctx)
+	}
+	return f.inTurn(ctx)
+}
+
+func readAll(r *exchange.Response) ([]byte, error) {
+	defer r.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxAnswer {
+		return nil, errors.New("answer is too large to be kept whole")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/spend/budget.go
@@ -0,0 +1,115 @@
+// Package spend keeps this box's part of the retry budget that all boxes share.
+//
+// A service may get only so many second attempts in any window: a ratio of its
+// first attempts, plus a fixed number that the boxes divide. No box asks another
+// before it retries; each stays within its own part, so that all together stay
+// within the whole.
+package spend
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// slices is the number of counters that a window is kept in. Ten keep the
+	// error of the oldest one to a tenth of the window.
+	slices = 10
+	// caution is the part of the budget that is used. The rest covers boxes that
+	// were restarted within the window and forgot what they spent.
+	caution = 0.75
+)
+
+// Terms are the bounds of the budget.
+type Terms struct {
+	// Ratio is the number of second attempts for each first one.
+	Ratio float64
+	// Minimum is the number of second attempts in a window beyond the ratio, for all boxes.
+	Minimum int
+	// Window is the length of the sliding window.
+	Window time.Duration
+}
+
+// Budget is safe for concurrent use. Set the exported fields before use.
+type Budget struct {
+	Clock clockwork.Clock
+	Terms Terms
+	// Boxes returns the number of boxes that share the budget.
+	Boxes func() int
+
+	mu       sync.Mutex
+	services map[string]*window
+}
+
+// window counts the attempts for one service.
+type window struct {
+	slot   int64
+	first  [slices]int
+	second [slices]int
+}
+
+// First notes a first attempt for a service.
+func (b *Budget) First(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.at(service)
+	w.first[w.slot%slices]++
+}
+
+// Spend takes a second attempt and reports whether there was one left.
+func (b *Budget) Spend(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.at(service)
+	if float64(sum(w.second)+1) > b.allowed(w) {
+		return false
+	}
+	w.second[w.slot%slices]++
+	return true
+}
+
+// Left returns how many second attempts are left now.
+func (b *Budget) Left(service string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.at(service)
+	return int(b.allowed(w)) - sum(w.second)
+}
+
+func (b *Budget) allowed(w *window) float64 {
+	boxes := max(1, b.Boxes())
+	earned := b.Terms.Ratio * float64(sum(w.first))
+	return caution * (earned + float64(b.Terms.Minimum)/float64(boxes))
+}
+
+// at returns the window of a service with the counters that ran out cleared.
+func (b *Budget) at(service string) *window {
+	slot := b.Clock.Now().UnixNano() / int64(b.Terms.Window/slices)
+	if b.services == nil {
+		b.services = make(map[string]*window)
+	}
+	w := b.services[service]
+	if w == nil {
+		w = &window{slot: slot}
+		b.services[service] = w
+	}
+	for ; w.slot < slot; w.slot++ {
+		if slot-w.slot > slices {
+			w.slot = slot - slices
+		}
+		next := (w.slot + 1) % slices
+		w.first[next] = 0
+		w.second[next] = 0
+	}
+	return w
+}
+
+func sum(counters [slices]int) int {
+	total := 0
+	for _, n := range counters {
+		total += n
+	}
+	return total
+}
--- /dev/null
+++ b/internal/streaming/errors.go
@@ -0,0 +1,46 @@
+package streaming
+
+import (
+	"errors"
+	"time"
+)
+
+// Why a generation was not offered to another engine.
+var (
+	errNoEngine      = errors.New("no engine may take new work")
+	errBudgetSpent   = errors.New("retry budget is spent")
+	errOfferedEnough = errors.New("it was offered to enough engines")
+	errNoCopy        = errors.New("no engine holds a copy of its memory")
+	errSilent        = errors.New("the stream fell silent")
+)
+
+// NotRun is a generation that no engine started.
+type NotRun struct {
+	// RetryAfter is when to come back.
+	RetryAfter time.Duration
+	cause      error
+}
+
+// Error says why.
+func (e *NotRun) Error() string { return "not run: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotRun) Unwrap() error { return e.cause }
+
+// PerhapsRun is a generation without an answer that an engine may have started.
+type PerhapsRun struct{ cause error }
+
+// Error says why there is no answer.
+func (e *PerhapsRun) Error() string { return "perhaps run: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *PerhapsRun) Unwrap() error { return e.cause }
+
+// Broken is a stream that ended early after a part was passed on.
+type Broken struct{ cause error }
+
+// Error says why.
+func (e *Broken) Error() string { return "stream broke: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Broken) Unwrap() error { return e.cause }
--- /dev/null
+++ b/internal/streaming/goon.go
@@ -0,0 +1,100 @@
+package streaming
+
+import (
+	"context"
+	"errors"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/hop"
+)
+
+// goOn continues a stream that has ended early: at the target of a move, or at
+// the backup.
+func (x *run) goOn(ctx context.Context, cause error) error {
+	x.logBroke(cause)
+	at := x.movedCopy(ctx)
+	if at == nil {
+		at = x.backupCopy()
+	}
+	resp, err := x.continueAt(ctx, at)
+	if err != nil {
+		x.logLost(errors.Join(cause, err))
+		return errors.Join(cause, err)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.split.Drop()
+	x.body = resp.Body
+	return nil
+}
+
+// movedCopy returns where a move that stopped the generation has put its memory,
+// or nil. It waits for such a move to end.
+func (x *run) movedCopy(ctx context.Context) *copyAt {
+	x.mu.Lock()
+	m := x.move
+	if m == nil || !m.stopping {
+		x.mu.Unlock()
+		return nil
+	}
+	x.mu.Unlock()
+	select {
+	case <-m.done:
+	case <-ctx.Done():
+		return nil
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.move == m {
+		x.move = nil
+	}
+	return m.at
+}
+
+// backupCopy returns the copy at the backup engine, or nil.
+func (x *run) backupCopy() *copyAt {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.backup == nil {
+		return nil
+	}
+	return &copyAt{server: x.backup, holder: x.backup.Addr, name: x.job.Request.ID}
+}
+
+// continueAt sends the generation to the engine that holds a copy of its
+// memory, to go on after the last event that the caller has.
+func (x *run) continueAt(ctx context.Context, at *copyAt) (*exchange.Response, error) {
+	if at == nil {
+		return nil, errNoCopy
+	}
+	if !x.relay.Budget.Spend(x.job.Service.Name) {
+		return nil, errBudgetSpent
+	}
+	x.mu.Lock()
+	from := x.engine
+	last := x.split.LastID()
+	x.mu.Unlock()
+	start := x.relay.Clock.Now()
+	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Avoid: []string{from.ID}}
+	backup := x.chooseBackup(at.server, need)
+	cont := &hop.Continue{Holder: at.holder, Copy: at.name, LastEvent: last}
+	o := x.offer(ctx, at.server, backup, cont)
+	if o.err == nil && o.resp.Status != okStatus {
+		o.resp.Body.Close()
+		o.err = errNotContinued
+	}
+	if o.err != nil {
+		x.logMoveFailed(from, at.server, o.err)
+		return nil, o.err
+	}
+	x.count(at.server, backup)
+	x.moves.Add(1)
+	x.logMoved(from, at, x.relay.Clock.Since(start))
+	return o.resp, nil
+}
+
+// okStatus is the status of a stream that goes on.
+const okStatus = 200
+
+var errNotContinued = errors.New("the engine with the copy answered with a failure")
--- /dev/null
+++ b/internal/streaming/guard.go
@@ -0,0 +1,82 @@
+package streaming
+
+import (
+	"context"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+const (
+	// guardEvery is how often open streams are looked at.
+	guardEvery = 25 * time.Millisecond
+	// silence is how long a stream may be without an event before it is tried at
+	// the engine that holds its copy. Events of a healthy engine come 30 to 60 ms
+	// apart, a little more while prompts are read beside; callers count a pause
+	// of 180 ms as late.
+	silence = 140 * time.Millisecond
+	// silenceAgain is the pause before a switch that failed is tried again.
+	silenceAgain = 500 * time.Millisecond
+)
+
+// Guard looks after open streams until the context ends: one that falls silent
+// is switched to the engine that holds its copy.
+func (r *Relay) Guard(ctx context.Context) {
+	ticker := r.Clock.NewTicker(guardEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			now := r.Clock.Now()
+			for _, x := range r.all() {
+				x.watch(now)
+			}
+		}
+	}
+}
+
+// watch starts a switch if the stream has been silent for too long.
+func (x *run) watch(now time.Time) {
+	if x.silentFor(now) < silence {
+		return
+	}
+	// A caller that does not read holds the lock, and the stream is not silent then.
+	if !x.mu.TryLock() {
+		return
+	}
+	defer x.mu.Unlock()
+	if x.body == nil || x.change != nil || x.move != nil || now.Before(x.notBefore) {
+		return
+	}
+	if x.backup == nil || !x.usable(x.backup) {
+		return
+	}
+	x.notBefore = now.Add(silenceAgain)
+	c := &change{done: make(chan struct{})}
+	x.change = c
+	go x.switchOver(c, x.body)
+}
+
+// usable reports whether an engine may get the stream.
+func (x *run) usable(s *registry.Server) bool {
+	return x.relay.Directory.Takes(s.ID) && !x.relay.Evidence.Opinion(s.ID).Ejected
+}
+
+// switchOver continues a silent stream at the engine that holds its copy. Only
+// when that engine has taken it is the silent one given up.
+func (x *run) switchOver(c *change, old closer) {
+	defer close(c.done)
+	resp, err := x.continueAt(x.ctx, x.backupCopy())
+	if err != nil {
+		c.err = err
+		return
+	}
+	x.logBroke(errSilent)
+	c.body = resp.Body
+	old.Close()
+}
+
+// closer is a body that is given up.
+type closer interface{ Close() error }
--- /dev/null
+++ b/internal/streaming/place.go
@@ -0,0 +1,160 @@
+package streaming
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+const (
+	// maxOffers bounds the engines that a generation is offered to, those that
+	// turned it away or could not be reached included.
+	maxOffers = 4
+	// restLimit is how long a connection may have rested to carry a generation:
+	// it may not be repeated, and what is sent on a connection that the engine
+	// has forgotten counts as perhaps run.
+	restLimit = 300 * time.Millisecond
+	// comeBack is the time to come back that a caller is told when no engine took
+	// its generation: about the time in which one of an engine's slots becomes free.
+	comeBack = 300 * time.Millisecond
+	// worthCopying is the number of expected tokens from which a generation gets
+	// a copy on a second engine: shorter ones end within the notice that an
+	// engine gives before it leaves.
+	worthCopying = 120
+)
+
+// place finds an engine that takes the generation and returns its answer's head.
+func (x *run) place(ctx context.Context) (*exchange.Response, error) {
+	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected}
+	cause := errNoEngine
+	arrived := false
+	for n := range maxOffers {
+		c := x.relay.Chooser.Engine(x.job.Service, need)
+		if c == nil {
+			return nil, &NotRun{RetryAfter: comeBack, cause: cause}
+		}
+		if arrived && !x.relay.Budget.Spend(x.job.Service.Name) {
+			return nil, &NotRun{RetryAfter: comeBack, cause: errBudgetSpent}
+		}
+		backup := x.chooseBackup(c.Server, need)
+		x.count(c.Server, backup)
+		x.logSent(n+1, c, backup)
+		o := x.offer(ctx, c.Server, backup, nil)
+		if o.resp != nil {
+			return o.resp, nil
+		}
+		if o.perhapsRun {
+			return x.recover(ctx, o.err)
+		}
+		if ctx.Err() != nil {
+			return nil, &NotRun{RetryAfter: comeBack, cause: ctx.Err()}
+		}
+		arrived = arrived || o.arrived
+		cause = o.err
+		need.Avoid = append(need.Avoid, c.ID)
+	}
+	return nil, &NotRun{RetryAfter: comeBack, cause: errors.Join(errOfferedEnough, cause)}
+}
+
+// recover continues a generation that got no answer from the copy of what its
+// engine had done, if there is one.
+func (x *run) recover(ctx context.Context, cause error) (*exchange.Response, error) {
+	if ctx.Err() != nil {
+		return nil, &PerhapsRun{cause: cause}
+	}
+	x.logBroke(cause)
+	resp, err := x.continueAt(ctx, x.backupCopy())
+	if err != nil {
+		x.logLost(err)
+		return nil, &PerhapsRun{cause: errors.Join(cause, err)}
+	}
+	return resp, nil
+}
+
+// chooseBackup returns the engine that gets a copy of the generation, or nil.
+func (x *run) chooseBackup(engine *registry.Server, need *choose.Need) *registry.Server {
+	e := x.job.Service.Engine
+	if !e.Backups || x.expected < worthCopying {
+		return nil
+	}
+	c := x.relay.Chooser.Backup(x.job.Service, engine, need)
+	if c == nil {
+		return nil
+	}
+	return c.Server
+}
+
+// offered is how an offer to an engine ended.
+type offered struct {
+	resp *exchange.Response
+	// arrived is set when the request reached the engine or may have.
+	arrived bool
+	// perhapsRun is set when the engine may have started it.
+	perhapsRun bool
+	err        error
+}
+
+// offer sends the generation to an engine and waits for the answer's head.
+func (x *run) offer(ctx context.Context, engine, backup *registry.Server, from *hop.Continue) offered {
+	start := x.relay.Clock.Now()
+	target := exchange.Target{Key: engine.ID, Addr: engine.Addr, MaxConns: x.job.Service.MaxConns}
+	resp, err := x.relay.Exchanger.Do(ctx, target, x.exchangeRequest(start, engine, backup, from))
+	if err != nil {
+		return x.notAnswered(ctx, engine, err)
+	}
+	if x.relay.Codec.NotRun(resp.Status, resp.Header) {
+		resp.Body.Close()
+		x.logFailed(engine, "turned-away", errTurnedAway)
+		if x.relay.Codec.Moved(resp.Status) {
+			x.relay.Evidence.Unreachable(engine.ID, "another server has its address")
+		}
+		return offered{arrived: true, err: errTurnedAway}
+	}
+	if resp.Status < 300 && !x.relay.Codec.Proven(resp.Header) {
+		resp.Body.Close()
+		x.logFailed(engine, "foreign", errUnproven)
+		return offered{arrived: true, perhapsRun: true, err: errUnproven}
+	}
+	x.relay.Evidence.Answered(engine.ID, x.relay.Clock.Since(start), resp.Status >= 500)
+	return offered{resp: resp}
+}
+
+var (
+	errTurnedAway = errors.New("the engine turned it away")
+	errUnproven   = errors.New("success without the engine's proof")
+)
+
+func (x *run) notAnswered(ctx context.Context, engine *registry.Server, err error) offered {
+	stage := exchange.Unanswered
+	var failure *exchange.Failure
+	if errors.As(err, &failure) {
+		stage = failure.Stage()
+	}
+	x.logFailed(engine, stage.String(), err)
+	notSent := stage == exchange.NotSent || stage == exchange.Full
+	if ctx.Err() == nil && stage != exchange.Full {
+		x.relay.Evidence.Unreachable(engine.ID, err.Error())
+	}
+	return offered{arrived: !notSent, perhapsRun: !notSent, err: err}
+}
+
+func (x *run) exchangeRequest(now time.Time, engine, backup *registry.Server, from *hop.Continue) *exchange.Request {
+	r := x.job.Request
+	send := &hop.Send{
+		Server: engine, Account: x.job.Account, Priority: x.job.Priority,
+		Left: x.job.Deadline.Sub(now), Continue: from,
+	}
+	if backup != nil {
+		send.Backup = backup.Addr
+	}
+	return &exchange.Request{
+		Method: r.Method, URI: r.URI, Host: r.Host,
+		Header: x.relay.Codec.Header(r, send),
+		Body:   r.Body, HasBody: r.HasBody, Owns: x.relay.Codec.Owns(r), Fresh: restLimit,
+	}
+}
--- /dev/null
+++ b/internal/streaming/run.go
@@ -0,0 +1,254 @@
+package streaming
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/sse"
+)
+
+// readSize is the buffer of one read, in bytes: some ten events.
+const readSize = 4 << 10
+
+// run is one generation, wherever its engine is.
+type run struct {
+	relay    *Relay
+	job      *Job
+	sink     Sink
+	expected int
+	// ctx ends with the request.
+	ctx context.Context
+
+	// progress is when the last event came, in nanoseconds of the clock; 0 before the first.
+	progress atomic.Int64
+	moves    atomic.Int32
+
+	// mu guards what follows. It is held while events are passed on, so that a
+	// switch to another engine sees exactly what the caller has.
+	mu     sync.Mutex
+	split  sse.Splitter
+	load   *engineload.Run
+	engine *registry.Server
+	backup *registry.Server
+	body   io.ReadCloser
+	// change is a switch to another engine under way, or nil.
+	change *change
+	// move is a move of the generation's memory, or nil.
+	move *move
+	// notBefore is when the next switch away from a silent engine may be tried.
+	notBefore time.Time
+}
+
+// change is a switch of a running stream to another engine.
+type change struct {
+	// done is closed when the switch succeeded or failed.
+	done chan struct{}
+	// body is the stream at the new engine, nil if the switch failed.
+	body io.ReadCloser
+	err  error
+}
+
+// move is a move of a generation's memory to another engine.
+type move struct {
+	// done is closed when the move succeeded or failed.
+	done chan struct{}
+	// stopping is set once the engine may have stopped the generation.
+	stopping bool
+	// at is where the generation goes on, nil if the move failed.
+	at *copyAt
+}
+
+// copyAt is a copy of the generation's memory.
+type copyAt struct {
+	// server holds it; holder is the address that it was named at.
+	server *registry.Server
+	holder string
+	name   string
+}
+
+func (x *run) serve(ctx context.Context) error {
+	resp, err := x.place(ctx)
+	if err != nil {
+		return err
+	}
+	if resp.Status != http.StatusOK {
+		return x.passWhole(resp)
+	}
+	x.sink.Head(resp.Status, x.relay.Codec.Answer(resp.Header))
+	x.mu.Lock()
+	x.body = resp.Body
+	x.mu.Unlock()
+	return x.pump(ctx)
+}
+
+// passWhole passes on an answer that is no stream.
+func (x *run) passWhole(resp *exchange.Response) error {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWhole))
+	if err != nil {
+		return &PerhapsRun{cause: err}
+	}
+	x.sink.Head(resp.Status, x.relay.Codec.Answer(resp.Header))
+	if err := x.sink.Events(body); err != nil {
+		return &Broken{cause: err}
+	}
+	return nil
+}
+
+// maxWhole bounds an engine's answer that is no stream, in bytes.
+const maxWhole = 256 << 10
+
+// pump passes events on until the stream has ended, here or elsewhere.
+func (x *run) pump(ctx context.Context) error {
+	buf := make([]byte, readSize)
+	for {
+		body := x.current()
+		n, err := body.Read(buf)
+		if sinkErr := x.pass(ctx, buf[:n]); sinkErr != nil {
+			body.Close()
+			return &Broken{cause: sinkErr}
+		}
+		if err == nil {
+			continue
+		}
+		body.Close()
+		if ctx.Err() != nil {
+			return &Broken{cause: ctx.Err()}
+		}
+		if x.switched(ctx) {
+			continue
+		}
+		if errors.Is(err, io.EOF) && x.endedWhole() {
+			x.finished()
+			return nil
+		}
+		if err := x.goOn(ctx, err); err != nil {
+			return &Broken{cause: err}
+		}
+	}
+}
+
+func (x *run) current() io.ReadCloser {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.body
+}
+
+// pass hands whole events to the sink. While a switch is under way it waits for
+// its outcome: after a success these events come again from the new engine.
+func (x *run) pass(ctx context.Context, p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	x.progress.Store(x.relay.Clock.Now().UnixNano())
+	if x.switched(ctx) {
+		return nil
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	events, ok := x.split.Add(p)
+	if !ok {
+		return errors.New("an event is too large")
+	}
+	if events == nil {
+		return nil
+	}
+	if err := x.sink.Events(events); err != nil {
+		return err
+	}
+	x.split.Take(events)
+	x.load.Made(x.split.Events() * x.job.Service.Engine.TokensPerEvent)
+	return nil
+}
+
+// switched waits for a switch under way and reports whether the stream is now
+// at another engine.
+func (x *run) switched(ctx context.Context) bool {
+	x.mu.Lock()
+	c := x.change
+	x.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.change == c {
+		x.change = nil
+		if c.body != nil {
+			x.split.Drop()
+			x.body = c.body
+		}
+	}
+	return c.body != nil
+}
+
+// endedWhole reports whether a clean end of a body ends the whole answer: not
+// if the engine stopped the generation for a move, or an event is incomplete.
+func (x *run) endedWhole() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	stopped := x.move != nil && x.move.stopping
+	return !stopped && !x.split.Partial()
+}
+
+// finished learns from a stream that ended by itself.
+func (x *run) finished() {
+	x.mu.Lock()
+	tokens := x.split.Events() * x.job.Service.Engine.TokensPerEvent
+	x.mu.Unlock()
+	x.relay.Lengths.Observe(lengthKey(x.job), tokens)
+}
+
+// count counts the generation at an engine and its copy at another.
+func (x *run) count(engine, backup *registry.Server) {
+	x.mu.Lock()
+	x.engine = engine
+	x.backup = backup
+	if x.load == nil {
+		x.load = x.relay.Ledger.Place(engine.ID, idOf(backup), x.job.Request.PromptTokens, x.expected)
+	} else {
+		x.load.Move(engine.ID, idOf(backup))
+	}
+	x.mu.Unlock()
+	x.relay.loadChanged()
+}
+
+func (x *run) uncount() {
+	x.mu.Lock()
+	load := x.load
+	x.load = nil
+	x.mu.Unlock()
+	if load != nil {
+		load.End()
+		x.relay.loadChanged()
+	}
+}
+
+func idOf(s *registry.Server) string {
+	if s == nil {
+		return ""
+	}
+	return s.ID
+}
+
+// silentFor returns how long no event came, 0 before the first.
+func (x *run) silentFor(now time.Time) time.Duration {
+	last := x.progress.Load()
+	if last == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, last))
+}
