platform, storewatch: client of the metadata store and its watcher

The store's objects are decoded into the product's configuration table and view of servers; a watcher keeps both current.

--- /dev/null
+++ b/internal/storewatch/feed.go
@@ -0,0 +1,103 @@
+package storewatch
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+// feed is the copy of one kind of state. A feed is used by one goroutine at a
+// time.
+type feed interface {
+	// read reads the whole state and delivers it.
+	read(ctx context.Context) error
+	// watch waits for changes and delivers them. It reports whether there were any.
+	watch(ctx context.Context) (bool, error)
+}
+
+// staleError is an answer that is older than an earlier one.
+type staleError struct {
+	what      string
+	got, have int64
+}
+
+func (e *staleError) Error() string {
+	return fmt.Sprintf("store answered with %s of revision %d after revision %d", e.what, e.got, e.have)
+}
+
+// configFeed is the copy of the configuration document.
+type configFeed struct {
+	source  Source
+	deliver func(doc []byte)
+	doc     []byte
+	at      int64
+}
+
+func (f *configFeed) read(ctx context.Context) error {
+	doc, at, err := f.source.Config(ctx)
+	if err != nil {
+		return err
+	}
+	return f.take(doc, at)
+}
+
+func (f *configFeed) watch(ctx context.Context) (bool, error) {
+	doc, at, err := f.source.WatchConfig(ctx, f.at, watchWait)
+	if err != nil {
+		return false, err
+	}
+	return doc != nil, f.take(doc, at)
+}
+
+// take keeps the last document if there is none any more: requests are still to
+// be served.
+func (f *configFeed) take(doc []byte, at int64) error {
+	if at < f.at {
+		return &staleError{what: "the configuration", got: at, have: f.at}
+	}
+	f.at = at
+	if doc != nil && !bytes.Equal(doc, f.doc) {
+		f.doc = doc
+		f.deliver(doc)
+	}
+	return nil
+}
+
+// serversFeed is the copy of the backend servers' entries.
+type serversFeed struct {
+	source  Source
+	deliver func(registry.View)
+	view    registry.View
+}
+
+func (f *serversFeed) read(ctx context.Context) error {
+	view, err := f.source.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	if view.Revision < f.view.Revision {
+		return &staleError{what: "the servers", got: view.Revision, have: f.view.Revision}
+	}
+	f.view = view
+	f.deliver(view)
+	return nil
+}
+
+func (f *serversFeed) watch(ctx context.Context) (bool, error) {
+	changes, at, err := f.source.WatchServers(ctx, f.view.Revision, watchWait)
+	if err != nil {
+		return false, err
+	}
+	if at < f.view.Revision {
+		return false, &staleError{what: "changes of servers", got: at, have: f.view.Revision}
+	}
+	if len(changes) == 0 {
+		f.view.Revision = at
+		return false, nil
+	}
+	f.view = f.view.With(changes, at)
+	f.deliver(f.view)
+	return true, nil
+}
--- /dev/null
+++ b/internal/storewatch/watcher.go
@@ -0,0 +1,189 @@
+package storewatch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. A watch that waits says
+	// nothing about a store that went silent, and a box must know of that well
+	// within the 3 s after which it counts as being in touch with the store.
+	watchWait = 2 * time.Second
+	// leastCycle is the least time between two calls of one kind that bring no
+	// change, so that a store that cuts every watch is not called in a loop.
+	leastCycle = 100 * time.Millisecond
+	// firstPause and longestPause are the means of the pauses after failures.
+	// With jitter a pause is between 100 and 600 ms, so that a box finds the
+	// store within a second of its return.
+	firstPause   = 200 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+	// pauseJitter is the greatest part of a pause that is added or taken away.
+	pauseJitter = 0.5
+)
+
+// errInactive ends the watches of a watcher that is told to stop watching.
+var errInactive = errors.New("watcher is inactive")
+
+// Watcher follows the store. Set the exported fields before Run.
+type Watcher struct {
+	// Source reads the store.
+	Source Source
+	// Clock gives the time.
+	Clock clockwork.Clock
+	// Logger gets a line when the store is lost, and when it is reached again.
+	Logger *slog.Logger
+	// Active says whether to watch. While it is false no call is made. It is
+	// asked at least after every watch, and after Wake.
+	Active func() bool
+	// OnConfig gets every new configuration document. The document is read only.
+	OnConfig func(doc []byte)
+	// OnServers gets every new view, and one each time that the servers are read
+	// anew, also if nothing has changed. It may be called while OnConfig runs.
+	OnServers func(registry.View)
+
+	once    sync.Once
+	wake    chan struct{}
+	contact contact
+	config  configFeed
+	servers serversFeed
+	// answered is set when a watch has been answered since the last failure.
+	answered atomic.Bool
+}
+
+func (w *Watcher) prepare() {
+	w.wake = make(chan struct{}, 1)
+	w.contact.clock = w.Clock
+	w.contact.logger = w.Logger
+	w.config = configFeed{source: w.Source, deliver: w.OnConfig}
+	w.servers = serversFeed{source: w.Source, deliver: w.OnServers}
+}
+
+// Wake makes the watcher ask Active now.
+func (w *Watcher) Wake() {
+	w.once.Do(w.prepare)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Status says whether the store can be reached. It does not block.
+func (w *Watcher) Status() Status { return w.contact.load() }
+
+// Run follows the store until ctx ends, and returns the context's error.
+func (w *Watcher) Run(ctx context.Context) error {
+	w.once.Do(w.prepare)
+	pause := newPause()
+	for ctx.Err() == nil {
+		if !w.Active() {
+			w.contact.unwatched()
+			w.awaitWake(ctx)
+			continue
+		}
+		err := w.session(ctx)
+		if ctx.Err() != nil || errors.Is(err, errInactive) {
+			continue
+		}
+		w.contact.lost(err)
+		if w.answered.Swap(false) {
+			pause.Reset()
+		}
+		w.sleep(ctx, pause.NextBackOff())
+	}
+	return ctx.Err()
+}
+
+func newPause() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstPause
+	b.MaxInterval = longestPause
+	b.RandomizationFactor = pauseJitter
+	b.Reset()
+	return b
+}
+
+// session reads the state and follows it until something fails.
+func (w *Watcher) session(ctx context.Context) error {
+	// One after the other: while the store is away, one call finds that out.
+	for _, f := range []feed{&w.config, &w.servers} {
+		if err := f.read(ctx); err != nil {
+			return err
+		}
+		w.contact.answered()
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return w.follow(ctx, &w.config) })
+	g.Go(func() error { return w.follow(ctx, &w.servers) })
+	g.Go(func() error { return w.awaitInactive(ctx) })
+	return g.Wait()
+}
+
+// follow watches one kind of state until a call fails.
+func (w *Watcher) follow(ctx context.Context, f feed) error {
+	for w.Active() {
+		began := w.Clock.Now()
+		changed, err := f.watch(ctx)
+		switch {
+		case err == nil:
+			w.answered.Store(true)
+			w.contact.answered()
+		case errors.Is(err, ErrHistoryGone), errors.Is(err, ErrWatchCut):
+			w.Logger.Info("watch of the store starts anew", slog.Any("cause", err))
+			if err := f.read(ctx); err != nil {
+				return err
+			}
+			w.contact.answered()
+		default:
+			return err
+		}
+		if !changed {
+			w.sleep(ctx, leastCycle-w.Clock.Since(began))
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return errInactive
+}
+
+// awaitInactive returns when the watcher is told to stop watching.
+func (w *Watcher) awaitInactive(ctx context.Context) error {
+	for w.Active() {
+		w.awaitWake(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return errInactive
+}
+
+func (w *Watcher) awaitWake(ctx context.Context) {
+	select {
+	case <-w.wake:
+	case <-ctx.Done():
+	}
+}
+
+// sleep returns after d, or when ctx ends.
+func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := w.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
