member: heartbeats find the boxes and tell which are live

Boxes need to know of each other without a controller. Each sends a digest to its live peers every 400 ms, at most 24 a round; a digest says how long its sender's turn takes, so that a large fleet does not lose peers that wait for theirs. Members travel in answers and in one heartbeat of each round, and seeds that are not live are asked again, so parts of a split fleet come together. Run: go test -race on a network in memory (loss, one-way cut, restart, old digests, 101 boxes, silence, split, a process that stood still).

--- /dev/null
+++ b/internal/member/node_test.go
@@ -0,0 +1,434 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/member"
+)
+
+// The tests run in bubbles of synctest: the clock of the processes, and all waiting,
+// is virtual there, and time passes only when every goroutine waits.
+
+// fleet is boxes on one network.
+type fleet struct {
+	*network
+
+	t *testing.T
+}
+
+// running is one box.
+type running struct {
+	*member.Node
+
+	cancel context.CancelFunc
+	done   chan error
+
+	mu    sync.Mutex
+	lines []string
+	heard []*digest.Digest
+	stall time.Duration
+}
+
+// Write takes lines of the log.
+func (r *running) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, string(p))
+	return len(p), nil
+}
+
+// logged returns how many lines hold all the words.
+func (r *running) logged(words ...string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, line := range r.lines {
+		all := true
+		for _, w := range words {
+			all = all && strings.Contains(line, w)
+		}
+		if all {
+			count++
+		}
+	}
+	return count
+}
+
+// digests returns what was heard from a box.
+func (r *running) digests(box string) []*digest.Digest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*digest.Digest
+	for _, d := range r.heard {
+		if d.Box == box {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// standStill keeps the box from running once, for a time.
+func (r *running) standStill(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stall = d
+}
+
+func (r *running) local(*digest.Digest) {
+	r.mu.Lock()
+	stall := r.stall
+	r.stall = 0
+	r.mu.Unlock()
+	if stall > 0 {
+		time.Sleep(stall)
+	}
+}
+
+func (r *running) hear(d *digest.Digest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heard = append(r.heard, d)
+}
+
+// names returns the live boxes.
+func (r *running) names() []string {
+	var out []string
+	for _, b := range r.Live() {
+		out = append(out, b.Name)
+	}
+	return out
+}
+
+func (r *running) stop(t *testing.T) {
+	r.cancel()
+	require.NoError(t, <-r.done)
+}
+
+func name(i int) string { return fmt.Sprintf("box-%03d", i) }
+func addr(i int) string { return fmt.Sprintf("10.0.%d.%d:7200", i/200, 1+i%200) }
+
+func box(i int) member.Box {
+	return member.Box{
+		Name: name(i), Addr: addr(i),
+		CallAddr: strings.Replace(addr(i), "7200", "7201", 1), Domain: fmt.Sprintf("hall-%d", i%3),
+	}
+}
+
+func names(from, to int) []string {
+	var out []string
+	for i := from; i < to; i++ {
+		out = append(out, name(i))
+	}
+	return out
+}
+
+// start runs a box.
+func (f *fleet) start(b member.Box, seeds ...string) *running {
+	f.t.Helper()
+	r := &running{done: make(chan error, 1)}
+	r.Node = &member.Node{
+		Self: b, Seeds: seeds, Conn: f.listen(b.Addr), Clock: clockwork.NewRealClock(),
+		Logger: slog.New(slog.NewTextHandler(r, nil)), Rand: rand.New(rand.NewPCG(1, uint64(len(f.sockets)))),
+		Local: r.local, Heard: r.hear,
+	}
+	ctx, cancel := context.WithCancel(f.t.Context())
+	r.cancel = cancel
+	go func() { r.done <- r.Run(ctx) }()
+	return r
+}
+
+// startAll runs boxes from 0 on, which all have the same seeds.
+func (f *fleet) startAll(count int, seeds ...string) []*running {
+	f.t.Helper()
+	var out []*running
+	for i := range count {
+		out = append(out, f.start(box(i), seeds...))
+	}
+	return out
+}
+
+func (f *fleet) requireAll(boxes []*running, want []string) {
+	f.t.Helper()
+	synctest.Wait()
+	for _, r := range boxes {
+		require.Equal(f.t, want, r.names(), "at %s", r.Self.Name)
+	}
+}
+
+// bubble runs a test in virtual time and ends its boxes.
+func bubble(t *testing.T, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		test(t, &fleet{network: newNetwork(), t: t})
+	})
+}
+
+// TestSeeds: boxes that know one running seed and two that are gone find each other.
+func TestSeeds(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		boxes := f.startAll(9, addr(100), addr(4), "10.9.9.9:1")
+		time.Sleep(time.Second)
+		f.requireAll(boxes, names(0, 9))
+		require.Equal(t, box(7), boxes[2].Live()[7])
+		require.Equal(t, 1, boxes[0].logged("new peer", name(5)))
+	})
+}
+
+// TestStoreList: a list from the store is enough, also one that lacks some boxes.
+func TestStoreList(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		boxes := f.startAll(9)
+		time.Sleep(time.Second)
+		require.Equal(t, names(3, 4), boxes[3].names())
+		for i, r := range boxes {
+			r.AddBoxes([]member.Box{box(i), box((i + 1) % 9), box(50)})
+		}
+		time.Sleep(2 * time.Second)
+		f.requireAll(boxes, names(0, 9))
+	})
+}
+
+// TestLargeFleet: boxes of a large fleet all find each other and stay live, and a
+// round costs each of them the same as in a small one.
+func TestLargeFleet(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		const count, seconds = 101, 20
+		boxes := f.startAll(count, addr(0), addr(1), addr(2))
+		time.Sleep(10 * time.Second)
+		f.requireAll(boxes, names(0, count))
+		before := f.sentBy(addr(50))
+		time.Sleep(seconds * time.Second)
+		f.requireAll(boxes, names(0, count))
+		for _, r := range boxes {
+			require.Zero(t, r.logged("lost peer"))
+		}
+		perRound := float64(f.sentBy(addr(50))-before) / (seconds / 0.4)
+		require.InDelta(t, 24, perRound, 1)
+	})
+}
+
+// TestLoss: two of three heartbeats may be lost on each link.
+func TestLoss(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		f.setDrop(func(_, _ string, count int) bool { return count%3 != 0 })
+		boxes := f.startAll(6, addr(0), addr(1))
+		time.Sleep(5 * time.Second)
+		f.requireAll(boxes, names(0, 6))
+		time.Sleep(time.Minute)
+		f.requireAll(boxes, names(0, 6))
+		for _, r := range boxes {
+			require.Zero(t, r.logged("lost peer"))
+		}
+	})
+}
+
+// TestOneWayCut: the box that hears nothing loses its peer, in time, and regains it.
+func TestOneWayCut(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		boxes := f.startAll(3, addr(0))
+		time.Sleep(time.Second)
+		f.setDrop(func(from, to string, _ int) bool { return from == addr(1) && to == addr(2) })
+		time.Sleep(time.Second)
+		f.requireAll(boxes, names(0, 3))
+		time.Sleep(time.Second)
+		f.requireAll(boxes[:2], names(0, 3))
+		require.Equal(t, []string{name(0), name(2)}, boxes[2].names())
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, boxes[2].logged("lost peer", name(1)))
+		f.setDrop(nil)
+		time.Sleep(500 * time.Millisecond)
+		f.requireAll(boxes, names(0, 3))
+		require.Equal(t, 1, boxes[2].logged("regained peer", name(1)))
+	})
+}
+
+// TestRestart: a new start of a box is taken at once, also at another address.
+func TestRestart(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		boxes := f.startAll(3, addr(0))
+		time.Sleep(time.Second)
+		boxes[2].stop(t)
+		moved := box(2)
+		moved.Addr = "10.0.7.7:7200"
+		f.start(moved, addr(0))
+		time.Sleep(500 * time.Millisecond)
+		f.requireAll(boxes[:2], names(0, 3))
+		for _, r := range boxes[:2] {
+			require.Equal(t, moved, r.Live()[2])
+			require.Zero(t, r.logged("lost peer"))
+			require.Equal(t, 1, r.logged("peer restarted", name(2)))
+		}
+	})
+}
+
+// script sends digests of box 9 to a box that runs.
+type script struct {
+	t    *testing.T
+	conn *socket
+}
+
+func (s *script) send(incarnation int64, seq uint64) {
+	s.t.Helper()
+	data, err := digest.Encode(&digest.Digest{Box: name(9), Addr: addr(9), Incarnation: incarnation, Seq: seq})
+	require.NoError(s.t, err)
+	_, err = s.conn.WriteTo(data, net.UDPAddrFromAddrPort(netip.MustParseAddrPort(addr(0))))
+	require.NoError(s.t, err)
+	synctest.Wait()
+}
+
+// TestOldDigests: a digest counts once, and only if it is newer than the last.
+func TestOldDigests(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		r := f.start(box(0))
+		s := &script{t: t, conn: f.listen(addr(9))}
+		for _, step := range []struct {
+			incarnation int64
+			seq         uint64
+			heard       int
+		}{{5, 3, 1}, {5, 3, 1}, {5, 2, 1}, {5, 4, 2}, {4, 9, 2}, {6, 1, 3}, {5, 5, 3}, {6, 2, 4}} {
+			s.send(step.incarnation, step.seq)
+			require.Len(t, r.digests(name(9)), step.heard, "incarnation %d seq %d", step.incarnation, step.seq)
+		}
+		// A box whose clock was set back comes in once its last start is lost.
+		time.Sleep(2 * time.Second)
+		require.Equal(t, names(0, 1), r.names())
+		s.send(5, 1)
+		require.Len(t, r.digests(name(9)), 5)
+		require.Equal(t, []string{name(0), name(9)}, r.names())
+	})
+}
+
+// TestSilentPeers: a silent peer gets a heartbeat each second for 30 s; afterwards
+// one every 5 s if the store lists it, and none otherwise.
+func TestSilentPeers(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		boxes := f.startAll(3, addr(0))
+		time.Sleep(time.Second)
+		boxes[0].AddBoxes([]member.Box{box(1)})
+		boxes[1].stop(t)
+		boxes[2].stop(t)
+		time.Sleep(2 * time.Second)
+		sent := func(to int, during time.Duration) int {
+			before := f.between(addr(0), addr(to))
+			time.Sleep(during)
+			return f.between(addr(0), addr(to)) - before
+		}
+		require.Equal(t, 10, sent(2, 10*time.Second))
+		time.Sleep(25 * time.Second)
+		require.Zero(t, sent(2, 20*time.Second))
+		// The only box left also sends joins to what the store lists, each 200 ms.
+		require.Equal(t, 104, sent(1, 20*time.Second))
+	})
+}
+
+// TestKick: changes reach all peers soon, and many at once cost one round.
+func TestKick(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		boxes := f.startAll(5, addr(0))
+		time.Sleep(1010 * time.Millisecond)
+		rounds := func(during time.Duration) int {
+			before := f.between(addr(0), addr(3))
+			time.Sleep(during)
+			synctest.Wait()
+			return f.between(addr(0), addr(3)) - before
+		}
+		boxes[0].Kick()
+		require.Equal(t, 1, rounds(0))
+		for range 10 {
+			boxes[0].Kick()
+			synctest.Wait()
+		}
+		require.Zero(t, rounds(15*time.Millisecond))
+		require.Equal(t, 1, rounds(10*time.Millisecond))
+		require.Zero(t, rounds(350*time.Millisecond))
+	})
+}
+
+// TestStandStill: a box that stood still does not take its own pause for the silence
+// of the others.
+func TestStandStill(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		boxes := f.startAll(4, addr(0))
+		time.Sleep(time.Second)
+		boxes[1].standStill(10 * time.Second)
+		time.Sleep(5 * time.Second)
+		require.NotContains(t, boxes[0].names(), name(1))
+		time.Sleep(7 * time.Second)
+		f.requireAll(boxes, names(0, 4))
+		require.Zero(t, boxes[1].logged("lost peer"))
+		require.Equal(t, 1, boxes[1].logged("stood still"))
+	})
+}
+
+// TestSplit: two halves of a fleet that lost each other come together by the seeds.
+func TestSplit(t *testing.T) {
+	bubble(t, func(_ *testing.T, f *fleet) {
+		boxes := f.startAll(6, addr(0), addr(3))
+		time.Sleep(time.Second)
+		half := func(a string) bool { return a < addr(3) }
+		f.setDrop(func(from, to string, _ int) bool { return half(from) != half(to) })
+		time.Sleep(time.Minute)
+		f.requireAll(boxes[:3], names(0, 3))
+		f.requireAll(boxes[3:], names(3, 6))
+		f.setDrop(nil)
+		time.Sleep(6 * time.Second)
+		f.requireAll(boxes, names(0, 6))
+	})
+}
+
+// TestLargeDigest: a box that tells too much is still heard.
+func TestLargeDigest(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		a := f.start(box(0), addr(1))
+		b := &running{done: make(chan error, 1)}
+		ctx, cancel := context.WithCancel(t.Context())
+		b.Node = &member.Node{
+			Self: box(1), Conn: f.listen(addr(1)), Clock: clockwork.NewRealClock(),
+			Logger: slog.New(slog.NewTextHandler(b, nil)), Rand: rand.New(rand.NewPCG(1, 1)), Heard: b.hear,
+			Local: func(d *digest.Digest) { d.Loads = make([]digest.Load, 5000) },
+		}
+		go func() { b.done <- b.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		require.Equal(t, names(0, 2), a.names())
+		require.NotEmpty(t, a.digests(name(1))[0].Loads)
+		require.Equal(t, 1, b.logged("leaves out"))
+		cancel()
+		require.NoError(t, <-b.done)
+	})
+}
+
+// TestRubbish: what is no digest is logged and does no harm.
+func TestRubbish(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		r := f.start(box(0))
+		conn := f.listen(addr(9))
+		_, err := conn.WriteTo([]byte("rubbish"), net.UDPAddrFromAddrPort(netip.MustParseAddrPort(addr(0))))
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Equal(t, 1, r.logged("heartbeat refused", addr(9)))
+		require.Equal(t, names(0, 1), r.names())
+	})
+}
+
+// TestClosed: a socket that was closed from outside ends the run with an error.
+func TestClosed(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		r := f.start(box(0))
+		synctest.Wait()
+		require.NoError(t, r.Conn.Close())
+		require.ErrorIs(t, <-r.done, net.ErrClosed)
+	})
+}
