--- /dev/null
+++ b/internal/storewatch/source_test.go
@@ -0,0 +1,79 @@
+package storewatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+// call is one call of a scripted source, which waits for its answer.
+type call struct {
+	from  int64
+	reply chan reply
+}
+
+// reply is the answer to any of the calls.
+type reply struct {
+	doc     []byte
+	view    registry.View
+	changes []registry.Change
+	at      int64
+	err     error
+}
+
+func (c call) answer(r reply) { c.reply <- r }
+
+// script is a Source whose calls a test receives and answers, by operation.
+type script struct {
+	config       chan call
+	watchConfig  chan call
+	servers      chan call
+	watchServers chan call
+}
+
+func newScript() *script {
+	return &script{
+		config:       make(chan call),
+		watchConfig:  make(chan call),
+		servers:      make(chan call),
+		watchServers: make(chan call),
+	}
+}
+
+func ask(ctx context.Context, calls chan call, from int64) reply {
+	c := call{from: from, reply: make(chan reply, 1)}
+	select {
+	case calls <- c:
+	case <-ctx.Done():
+		return reply{err: ctx.Err()}
+	}
+	select {
+	case r := <-c.reply:
+		return r
+	case <-ctx.Done():
+		return reply{err: ctx.Err()}
+	}
+}
+
+func (s *script) Config(ctx context.Context) ([]byte, int64, error) {
+	r := ask(ctx, s.config, 0)
+	return r.doc, r.at, r.err
+}
+
+func (s *script) WatchConfig(ctx context.Context, from int64, _ time.Duration) ([]byte, int64, error) {
+	r := ask(ctx, s.watchConfig, from)
+	return r.doc, r.at, r.err
+}
+
+func (s *script) Servers(ctx context.Context) (registry.View, error) {
+	r := ask(ctx, s.servers, 0)
+	return r.view, r.err
+}
+
+func (s *script) WatchServers(
+	ctx context.Context, from int64, _ time.Duration,
+) ([]registry.Change, int64, error) {
+	r := ask(ctx, s.watchServers, from)
+	return r.changes, r.at, r.err
+}
