settings: the box's settings in the document and the faults test

dalebend-box had settings that docs/SETTINGS.md did not list and that no test started with faults. Ran go test ./internal/settings: ok.

--- a/internal/settings/doc.go
+++ b/internal/settings/doc.go
@@ -16,6 +16,7 @@
 		name  string
 		value any
 	}{
+		{"dalebend-box", Box{}},
 		{"dalebend-router", Router{}},
 		{"dalebend-controller", Controller{}},
 		{"dalebendctl", Ctl{}},
