spend: every sliding window stays within the budget

The counters covered nine tenths of a window up to a whole one, so a burst at the end of the oldest and another just after it was cleared gave 150 second attempts in a window that allows 100. One more counter of second attempts is kept. Left could also go below 0 once first attempts were forgotten.

--- a/internal/spend/budget.go
+++ b/internal/spend/budget.go
@@ -45,9 +45,10 @@
 
 // window counts the attempts for one service.
 type window struct {
-	slot   int64
-	first  [slices]int
-	second [slices]int
+	slot  int64
+	first [slices]int
+	// second has one counter more: a sliding window that ends now began within it.
+	second [slices + 1]int
 }
 
 // First notes a first attempt for a service.
@@ -63,10 +64,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.at(service)
-	if float64(sum(w.second)+1) > b.allowed(w) {
+	if float64(sum(w.second[:])+1) > b.allowed(w) {
 		return false
 	}
-	w.second[w.slot%slices]++
+	w.second[w.slot%int64(len(w.second))]++
 	return true
 }
 
@@ -75,12 +76,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.at(service)
-	return int(b.allowed(w)) - sum(w.second)
+	return max(0, int(b.allowed(w))-sum(w.second[:]))
 }
 
 func (b *Budget) allowed(w *window) float64 {
 	boxes := max(1, b.Boxes())
-	earned := b.Terms.Ratio * float64(sum(w.first))
+	earned := b.Terms.Ratio * float64(sum(w.first[:]))
 	return caution * (earned + float64(b.Terms.Minimum)/float64(boxes))
 }
 
@@ -96,17 +97,15 @@
 		b.services[service] = w
 	}
 	for ; w.slot < slot; w.slot++ {
-		if slot-w.slot > slices {
-			w.slot = slot - slices
-		}
-		next := (w.slot + 1) % slices
-		w.first[next] = 0
-		w.second[next] = 0
+		w.slot = max(w.slot, slot-int64(len(w.second)))
+		next := w.slot + 1
+		w.first[next%slices] = 0
+		w.second[next%int64(len(w.second))] = 0
 	}
 	return w
 }
 
-func sum(counters [slices]int) int {
+func sum(counters []int) int {
 	total := 0
 	for _, n := range counters {
 		total += n
--- /dev/null
+++ b/internal/spend/budget_test.go
@@ -0,0 +1,179 @@
+package spend_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dalebend/dalebend/internal/spend"
+)
+
+const window = 10 * time.Second
+
+// fleet is the budgets of several boxes on one clock.
+func fleet(clock clockwork.Clock, boxes int, terms spend.Terms) []*spend.Budget {
+	all := make([]*spend.Budget, boxes)
+	for i := range all {
+		all[i] = &spend.Budget{Clock: clock, Terms: terms, Boxes: func() int { return boxes }}
+	}
+	return all
+}
+
+// TestScripts runs the scripts in testdata: first attempts, second ones and time.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+		var budget *spend.Budget
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			service, n := "chat", 1
+			if td.HasArg("service") {
+				td.ScanArgs(t, "service", &service)
+			}
+			if td.HasArg("n") {
+				td.ScanArgs(t, "n", &n)
+			}
+			switch td.Cmd {
+			case "new":
+				var boxes, minimum int
+				var ratio string
+				td.ScanArgs(t, "boxes", &boxes)
+				td.ScanArgs(t, "minimum", &minimum)
+				td.ScanArgs(t, "ratio", &ratio)
+				terms := spend.Terms{Minimum: minimum, Window: window}
+				_, err := fmt.Sscan(ratio, &terms.Ratio)
+				require.NoError(t, err)
+				budget = fleet(clock, boxes, terms)[0]
+			case "first":
+				for range n {
+					budget.First(service)
+				}
+			case "spend":
+				spent := 0
+				for range n {
+					if budget.Spend(service) {
+						spent++
+					}
+				}
+				return fmt.Sprintf("spent=%d left=%d\n", spent, budget.Left(service))
+			case "advance":
+				d, err := time.ParseDuration(strings.TrimSpace(td.Input))
+				require.NoError(t, err)
+				clock.Advance(d)
+			default:
+				td.Fatalf(t, "unknown command %s", td.Cmd)
+			}
+			return fmt.Sprintf("left=%d\n", budget.Left(service))
+		})
+	})
+}
+
+// attempt is one that some box made, in the test's own account.
+type attempt struct {
+	at     time.Time
+	second bool
+}
+
+// count returns how many attempts of a kind lie in the window that begins at from.
+func count(attempts []attempt, from time.Time, second bool) int {
+	n := 0
+	for _, a := range attempts {
+		if a.second == second && !a.at.Before(from) && a.at.Before(from.Add(window)) {
+			n++
+		}
+	}
+	return n
+}
+
+// requireWithin checks every sliding window. First attempts are those of the
+// window that has the most of: it, the one before it, and the one half before it.
+func requireWithin(t require.TestingT, attempts []attempt, terms spend.Terms) {
+	for _, a := range attempts {
+		if !a.second {
+			continue
+		}
+		seconds := count(attempts, a.at, true)
+		firsts := max(count(attempts, a.at, false),
+			count(attempts, a.at.Add(-window/2), false), count(attempts, a.at.Add(-window), false))
+		most := terms.Ratio*float64(firsts) + float64(terms.Minimum)
+		require.LessOrEqual(t, float64(seconds), most, "window from %v", a.at)
+	}
+}
+
+// TestSlidingWindow: whatever the boxes ask for, all of them together stay
+// within the whole budget in every window, not only in those that the counters
+// happen to stand for.
+func TestSlidingWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+		terms := spend.Terms{
+			Ratio:   rapid.SampledFrom([]float64{0, 0.1, 0.2, 0.5}).Draw(t, "ratio"),
+			Minimum: rapid.IntRange(0, 60).Draw(t, "minimum"),
+			Window:  window,
+		}
+		boxes := fleet(clock, rapid.IntRange(1, 6).Draw(t, "boxes"), terms)
+		var attempts []attempt
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			box := rapid.SampledFrom(boxes).Draw(t, "box")
+			for range rapid.IntRange(0, 20).Draw(t, "firsts") {
+				box.First("chat")
+				attempts = append(attempts, attempt{at: clock.Now()})
+			}
+			for range rapid.IntRange(0, 60).Draw(t, "seconds") {
+				if box.Spend("chat") {
+					attempts = append(attempts, attempt{at: clock.Now(), second: true})
+				}
+			}
+		}
+		requireWithin(t, attempts, terms)
+	})
+}
+
+// TestTwoBursts: a burst just before the oldest counter runs out and one just
+// after it lie within one window.
+func TestTwoBursts(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	terms := spend.Terms{Minimum: 100, Window: window}
+	budget := fleet(clock, 1, terms)[0]
+	var attempts []attempt
+	burst := func() {
+		for range terms.Minimum {
+			if budget.Spend("chat") {
+				attempts = append(attempts, attempt{at: clock.Now(), second: true})
+			}
+		}
+	}
+	clock.Advance(999 * time.Millisecond)
+	burst()
+	clock.Advance(window - 999*time.Millisecond)
+	burst()
+	requireWithin(t, attempts, terms)
+	require.NotEmpty(t, attempts)
+}
+
+// TestLeft: as many can be spent as are said to be left, and none below 0.
+func TestLeft(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+		terms := spend.Terms{Ratio: 0.5, Minimum: 8, Window: window}
+		budget := fleet(clock, 2, terms)[0]
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 12000).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 20).Draw(t, "firsts") {
+				budget.First("chat")
+			}
+			left := budget.Left("chat")
+			require.GreaterOrEqual(t, left, 0)
+			wanted := rapid.IntRange(0, 20).Draw(t, "wanted")
+			for i := range wanted {
+				require.Equal(t, i < left, budget.Spend("chat"))
+			}
+		}
+	})
+}
