registry: a server that was given up is not taken back by the next outage

The listing kept a lapsed entry after its grace until the next view, and a view that came after a second outage gave it a new grace: a server gone for good got work again for 1.8 s. An entry whose grace is over is now dropped.

--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		_, draining := next.view.Servers[id]
-		if !draining && now.Before(until) {
+		if !draining && !m.over(now) && now.Before(until) {
 			next.add(Member{Server: m.Server, Until: until})
 			continue
 		}
--- /dev/null
+++ b/internal/registry/directory_test.go
@@ -0,0 +1,137 @@
+package registry_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+// script is a directory with a store that a test data file moves.
+type script struct {
+	clock    *clockwork.FakeClock
+	began    time.Time
+	returned time.Time
+	left     []string
+	dir      *registry.Directory
+}
+
+func newScript() *script {
+	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	s := &script{clock: clock, began: clock.Now()}
+	s.dir = &registry.Directory{
+		Clock:         clock,
+		StoreReturned: func() time.Time { return s.returned },
+		Left:          func(ids []string) { s.left = append(s.left, ids...) },
+	}
+	return s
+}
+
+// parseServer reads "ID SERVICE STATE".
+func parseServer(t *testing.T, line string) registry.Server {
+	f := strings.Fields(line)
+	require.Len(t, f, 3, line)
+	states := map[string]registry.State{"ready": registry.Ready, "draining": registry.Draining}
+	state, ok := states[f[2]]
+	require.True(t, ok, line)
+	return registry.Server{ID: f[0], Service: f[1], State: state}
+}
+
+func (s *script) set(t *testing.T, input string) {
+	v := &registry.View{Servers: make(map[string]registry.Server)}
+	for line := range strings.Lines(input) {
+		server := parseServer(t, line)
+		v.Servers[server.ID] = server
+	}
+	s.dir.Set(v)
+}
+
+// show prints who left, and for each service the servers that take work; a
+// server whose entry lapsed with the time since the script began until it is
+// given up.
+func (s *script) show() string {
+	var b strings.Builder
+	slices.Sort(s.left)
+	if len(s.left) > 0 {
+		fmt.Fprintf(&b, "left: %s\n", strings.Join(s.left, " "))
+	}
+	s.left = nil
+	for _, service := range []string{"chat", "plain"} {
+		var names []string
+		for _, m := range s.dir.Service(service) {
+			name := m.ID
+			if !m.Until.IsZero() {
+				name += "@" + m.Until.Sub(s.began).String()
+			}
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		fmt.Fprintf(&b, "%s: %s\n", service, strings.Join(names, " "))
+	}
+	return b.String()
+}
+
+// TestScripts runs the scripts in testdata: views, time, and a store that returns.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newScript()
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			switch td.Cmd {
+			case "new":
+				s = newScript()
+			case "view":
+				s.set(t, td.Input)
+			case "returned":
+				s.returned = s.clock.Now()
+			case "advance":
+				d, err := time.ParseDuration(strings.TrimSpace(td.Input))
+				require.NoError(t, err)
+				s.clock.Advance(d)
+			case "takes":
+				return fmt.Sprintf("takes=%t known=%t\n", s.dir.Takes(td.Input), s.dir.Known(td.Input))
+			default:
+				td.Fatalf(t, "unknown command %s", td.Cmd)
+			}
+			return s.show()
+		})
+	})
+}
+
+// TestEmpty: a directory without a view knows no server.
+func TestEmpty(t *testing.T) {
+	s := newScript()
+	require.Empty(t, s.dir.Service("chat"))
+	require.False(t, s.dir.Takes("a"))
+	require.False(t, s.dir.Known("a"))
+	require.Nil(t, s.dir.View())
+}
+
+// TestWith: a view with changes is a new one, and the old one stays as it was.
+func TestWith(t *testing.T) {
+	old := registry.View{Revision: 3, Servers: map[string]registry.Server{
+		"a": {ID: "a", Slots: 1}, "b": {ID: "b"},
+	}}
+	next := old.With([]registry.Change{
+		{Server: registry.Server{ID: "a", Slots: 2}},
+		{Server: registry.Server{ID: "b"}, Gone: true},
+		{Server: registry.Server{ID: "c"}, Gone: true},
+		{Server: registry.Server{ID: "d"}},
+	}, 9)
+	require.Equal(t, registry.View{Revision: 9, Servers: map[string]registry.Server{
+		"a": {ID: "a", Slots: 2}, "d": {ID: "d"},
+	}}, next)
+	require.Equal(t, int64(3), old.Revision)
+	require.Equal(t, 1, old.Servers["a"].Slots)
+	require.Contains(t, old.Servers, "b")
+
+	var empty registry.View
+	require.Len(t, empty.With([]registry.Change{{Server: registry.Server{ID: "a"}}}, 1).Servers, 1)
+	require.Nil(t, empty.Servers)
+}
