--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -26,7 +26,6 @@
 	"github.com/dalebend/dalebend/internal/peerstate"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
-	"github.com/dalebend/dalebend/internal/single"
 	"github.com/dalebend/dalebend/internal/spend"
 	"github.com/dalebend/dalebend/internal/storewatch"
 	"github.com/dalebend/dalebend/internal/streaming"
