engineload: tests against plain lists

A property holds the sums to a model that adds up lists for each question; further tests cover what a box tells, lengths that outlive their forecast, and a second end.

--- /dev/null
+++ b/internal/engineload/ledger_test.go
@@ -0,0 +1,206 @@
+package engineload_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/engineload"
+)
+
+// generation is a run in the model's account.
+type generation struct {
+	run              *engineload.Run
+	server, backup   string
+	prompt, expected int
+	made             int
+	began            bool
+}
+
+// model is a ledger as plain lists that are summed anew for each question.
+type model struct {
+	ledger *engineload.Ledger
+	runs   []*generation
+	peers  map[string][]digest.Load
+}
+
+// own sums this box's runs.
+func (m *model) own() map[string]engineload.Load {
+	sums := make(map[string]engineload.Load)
+	for _, g := range m.runs {
+		held := g.prompt + g.made
+		growth := max(g.expected-g.made, g.expected/4)
+		s := sums[g.server]
+		s.Streams++
+		s.Tokens += held
+		s.Growth += growth
+		if !g.began {
+			s.Prefill += g.prompt
+		}
+		sums[g.server] = s
+		if g.backup != "" {
+			b := sums[g.backup]
+			b.Copies += held + growth
+			sums[g.backup] = b
+		}
+	}
+	return sums
+}
+
+func (m *model) all() map[string]engineload.Load {
+	sums := m.own()
+	for _, loads := range m.peers {
+		for _, d := range loads {
+			s := sums[d.Server]
+			s.Streams += int(d.Streams)
+			s.Tokens += int(d.Tokens)
+			s.Growth += int(d.Growth)
+			s.Prefill += int(d.Prefill)
+			s.Copies += int(d.Copies)
+			sums[d.Server] = s
+		}
+	}
+	return sums
+}
+
+var (
+	engines = rapid.SampledFrom([]string{"e1", "e2", "e3"})
+	backups = rapid.SampledFrom([]string{"", "e1", "e2", "e3"})
+	boxes   = rapid.SampledFrom([]string{"box-a", "box-b"})
+)
+
+// pick draws one of the runs, or nil when there is none.
+func (m *model) pick(t *rapid.T) *generation {
+	if len(m.runs) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(m.runs).Draw(t, "run")
+}
+
+func (m *model) place(t *rapid.T) {
+	g := &generation{
+		server: engines.Draw(t, "server"), backup: backups.Draw(t, "backup"),
+		prompt: rapid.IntRange(1, 3000).Draw(t, "prompt"), expected: rapid.IntRange(0, 500).Draw(t, "expected"),
+	}
+	g.run = m.ledger.Place(g.server, g.backup, g.prompt, g.expected)
+	m.runs = append(m.runs, g)
+}
+
+func (m *model) made(t *rapid.T) {
+	if g := m.pick(t); g != nil {
+		g.made += rapid.IntRange(0, 300).Draw(t, "tokens")
+		g.began = true
+		g.run.Made(g.made)
+	}
+}
+
+func (m *model) move(t *rapid.T) {
+	if g := m.pick(t); g != nil {
+		g.server, g.backup = engines.Draw(t, "server"), backups.Draw(t, "backup")
+		g.run.Move(g.server, g.backup)
+	}
+}
+
+func (m *model) end(t *rapid.T) {
+	if g := m.pick(t); g != nil {
+		g.run.End()
+		m.runs = slices.DeleteFunc(m.runs, func(o *generation) bool { return o == g })
+	}
+}
+
+func (m *model) heard(t *rapid.T) {
+	box := boxes.Draw(t, "box")
+	var loads []digest.Load
+	for range rapid.IntRange(0, 4).Draw(t, "loads") {
+		n := rapid.Int32Range(0, 1000)
+		loads = append(loads, digest.Load{
+			Server: engines.Draw(t, "server"), Streams: n.Draw(t, "streams"), Tokens: n.Draw(t, "tokens"),
+			Growth: n.Draw(t, "growth"), Prefill: n.Draw(t, "prefill"), Copies: n.Draw(t, "copies"),
+		})
+	}
+	m.ledger.Heard(box, loads)
+	m.peers[box] = loads
+}
+
+func (m *model) forget(t *rapid.T) {
+	box := boxes.Draw(t, "box")
+	m.ledger.Forget(box)
+	delete(m.peers, box)
+}
+
+// check compares the ledger with the model. Engines with nothing are left out of both.
+func (m *model) check(t *rapid.T) {
+	want := m.all()
+	for server, load := range want {
+		if load == (engineload.Load{}) {
+			delete(want, server)
+		}
+	}
+	require.Equal(t, want, m.ledger.All())
+
+	own := m.own()
+	told := m.ledger.Own()
+	require.Len(t, told, len(own))
+	for _, d := range told {
+		require.Equal(t, own[d.Server], engineload.Load{
+			Streams: int(d.Streams), Tokens: int(d.Tokens), Growth: int(d.Growth),
+			Prefill: int(d.Prefill), Copies: int(d.Copies),
+		})
+	}
+}
+
+// TestModel: after any series of changes the sums are those of plain lists.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{ledger: engineload.New(), peers: make(map[string][]digest.Load)}
+		t.Repeat(map[string]func(*rapid.T){
+			"place": m.place, "made": m.made, "move": m.move, "end": m.end,
+			"heard": m.heard, "forget": m.forget, "": m.check,
+		})
+	})
+}
+
+// TestTold: what one box tells of its runs, another one adds up to the same.
+func TestTold(t *testing.T) {
+	a, b := engineload.New(), engineload.New()
+	a.Place("e1", "e2", 1000, 80).Made(10)
+	a.Place("e1", "", 500, 40)
+	b.Heard("box-a", a.Own())
+	require.Equal(t, a.All(), b.All())
+	require.Equal(t, map[string]engineload.Load{
+		"e1": {Streams: 2, Tokens: 1510, Growth: 110, Prefill: 500},
+		"e2": {Copies: 1080},
+	}, b.All())
+	require.Equal(t, 1620, b.All()["e1"].Peak())
+
+	told := b.Own()
+	require.Empty(t, told, "what others run is not told on")
+	b.Forget("box-a")
+	b.Forget("box-a")
+	require.Empty(t, b.All())
+}
+
+// TestOutlived: a generation that is longer than expected is expected to go on.
+func TestOutlived(t *testing.T) {
+	l := engineload.New()
+	r := l.Place("e1", "", 100, 40)
+	for made, growth := range map[int]int{0: 40, 10: 30, 30: 10, 39: 10, 4000: 10} {
+		r.Made(made)
+		require.Equal(t, growth, l.All()["e1"].Growth, "made %d", made)
+	}
+}
+
+// TestEndTwice: a generation is counted out once.
+func TestEndTwice(t *testing.T) {
+	l := engineload.New()
+	r := l.Place("e1", "", 100, 40)
+	l.Place("e1", "", 100, 40)
+	r.End()
+	r.End()
+	r.Move("e2", "")
+	require.Equal(t, 1, l.All()["e1"].Streams)
+	require.NotContains(t, l.All(), "e2")
+}
