evidence: a failure at the end of an ejection ejects again

At the very moment at which an ejection ends, the server was usable and yet a failure there was passed over. Tests: scripts of failures, answers and peers' word; the case failed before the change.

--- a/internal/evidence/book.go
+++ b/internal/evidence/book.go
@@ -53,7 +53,7 @@
 	now := b.Clock.Now()
 	b.mu.Lock()
 	r := b.of(server)
-	fresh := now.After(r.ejectedUntil)
+	fresh := !now.Before(r.ejectedUntil)
 	if fresh {
 		r.failures++
 		r.ejectedUntil = now.Add(min(longestEjection, firstEjection<<min(r.failures-1, 4)))
--- /dev/null
+++ b/internal/evidence/book_test.go
@@ -0,0 +1,134 @@
+package evidence_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/evidence"
+)
+
+// script is a book that a test data file writes in.
+type script struct {
+	clock  *clockwork.FakeClock
+	book   *evidence.Book
+	events []string
+}
+
+func newScript() *script {
+	s := &script{clock: clockwork.NewFakeClockAt(time.Unix(1000, 0))}
+	s.book = &evidence.Book{Clock: s.clock, Changed: func(server string, ejected bool, cause string) {
+		s.events = append(s.events, fmt.Sprintf("%s ejected=%t cause=%s", server, ejected, cause))
+	}}
+	return s
+}
+
+// opinion prints what is believed of a server, and what Changed was told.
+func (s *script) opinion(server string) string {
+	var b strings.Builder
+	for _, e := range s.events {
+		fmt.Fprintln(&b, e)
+	}
+	s.events = nil
+	o := s.book.Opinion(server)
+	fmt.Fprintf(&b, "ejected=%t doubted=%t errors=%.3f latency=%v", o.Ejected, o.Doubted, o.Errors, o.Latency)
+	if !o.FailedAt.IsZero() {
+		fmt.Fprintf(&b, " failed=%v ago", s.clock.Since(o.FailedAt))
+	}
+	return b.String() + "\n"
+}
+
+// duration reads a duration argument.
+func duration(t *testing.T, td *datadriven.TestData, name string) time.Duration {
+	if !td.HasArg(name) {
+		return 0
+	}
+	var text string
+	td.ScanArgs(t, name, &text)
+	d, err := time.ParseDuration(text)
+	require.NoError(t, err)
+	return d
+}
+
+// TestScripts runs the scripts in testdata.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newScript()
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			server, n := "a", 1
+			if td.HasArg("server") {
+				td.ScanArgs(t, "server", &server)
+			}
+			if td.HasArg("n") {
+				td.ScanArgs(t, "n", &n)
+			}
+			switch td.Cmd {
+			case "new":
+				s = newScript()
+			case "unreachable":
+				for range n {
+					s.book.Unreachable(server, "no route")
+				}
+			case "answered":
+				for range n {
+					s.book.Answered(server, duration(t, td, "took"), td.HasArg("failed"))
+				}
+			case "peer":
+				s.book.PeerSaw(server, duration(t, td, "age"))
+			case "retain":
+				known := strings.Fields(td.Input)
+				s.book.Retain(func(server string) bool { return slices.Contains(known, server) })
+			case "failures":
+				return s.failures(duration(t, td, "within"))
+			case "advance":
+				s.clock.Advance(duration(t, td, "by"))
+			case "opinion":
+			default:
+				td.Fatalf(t, "unknown command %s", td.Cmd)
+			}
+			return s.opinion(server)
+		})
+	})
+}
+
+// failures prints the servers that were unreachable lately.
+func (s *script) failures(within time.Duration) string {
+	var lines []string
+	s.book.Failures(within, func(server string, age time.Duration) {
+		lines = append(lines, fmt.Sprintf("%s %v ago\n", server, age))
+	})
+	slices.Sort(lines)
+	return strings.Join(lines, "")
+}
+
+// TestWithoutChanged: a book that tells nobody works.
+func TestWithoutChanged(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	book := &evidence.Book{Clock: clock}
+	book.Unreachable("a", "no route")
+	require.True(t, book.Opinion("a").Ejected)
+	book.Answered("a", time.Millisecond, false)
+	require.False(t, book.Opinion("a").Ejected)
+}
+
+// TestErrorsMove: the error share follows how often the server fails, and comes
+// back when it is sound again.
+func TestErrorsMove(t *testing.T) {
+	book := &evidence.Book{Clock: clockwork.NewFakeClockAt(time.Unix(1000, 0))}
+	for i := range 400 {
+		book.Answered("half", time.Millisecond, i%2 == 0)
+		book.Answered("never", time.Millisecond, true)
+	}
+	require.InDelta(t, 0.5, book.Opinion("half").Errors, 0.05)
+	require.InDelta(t, 1, book.Opinion("never").Errors, 0.01)
+	for range 100 {
+		book.Answered("never", time.Millisecond, false)
+	}
+	require.Less(t, book.Opinion("never").Errors, 0.01)
+}
