--- a/internal/boxsettings/settings.go
+++ b/internal/boxsettings/settings.go
@@ -4,7 +4,9 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
+	"strconv"
 	"time"
 )
 
@@ -47,19 +49,53 @@
 		faults = append(faults, errors.New("failure domain is missing"))
 	}
 	for _, a := range s.addresses() {
-		if _, _, err := net.SplitHostPort(a.value); err != nil {
+		if err := checkAddr(a.value); err != nil {
 			faults = append(faults, fmt.Errorf("%s address: %w", a.name, err))
 		}
 	}
+	if s.MemoryBytes < 0 || s.Descriptors < 0 {
+		faults = append(faults, errors.New("limits of memory and descriptors must not be below 0"))
+	}
 	if s.StopGrace <= 0 {
 		faults = append(faults, errors.New("time to stop must be above 0"))
 	}
-	if s.RetryWindow <= 0 {
-		faults = append(faults, errors.New("window of the retry budget must be above 0"))
+	return errors.Join(append(faults, s.checkRetry())...)
+}
+
+// leastRetryWindow is the shortest window that the retry budget can divide into
+// its counters.
+const leastRetryWindow = time.Millisecond
+
+func (s *Settings) checkRetry() error {
+	var faults []error
+	if math.IsNaN(s.RetryRatio) || math.IsInf(s.RetryRatio, 0) || s.RetryRatio < 0 {
+		faults = append(faults, fmt.Errorf("ratio of the retry budget: %v is not a number at least 0", s.RetryRatio))
+	}
+	if s.RetryFloor < 0 {
+		faults = append(faults, errors.New("fixed part of the retry budget must not be below 0"))
+	}
+	if s.RetryWindow < leastRetryWindow {
+		faults = append(faults, fmt.Errorf("window of the retry budget must be at least %v", leastRetryWindow))
 	}
 	return errors.Join(faults...)
 }
 
+// checkAddr checks HOST:PORT. The host must be there, as other boxes are told of
+// the address.
+func checkAddr(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if host == "" {
+		return fmt.Errorf("%q has no host", addr)
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
+		return fmt.Errorf("%q has no port from 0 to 65535", addr)
+	}
+	return nil
+}
+
 // address is one address setting.
 type address struct{ name, value string }
 
