--- /dev/null
+++ b/internal/peerstate/table_test.go
@@ -0,0 +1,85 @@
+package peerstate_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/peerstate"
+)
+
+func newTable() (*peerstate.Table, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	return &peerstate.Table{Clock: clock}, clock
+}
+
+// TestInContact: the age of a contact is what the box told and the time since.
+func TestInContact(t *testing.T) {
+	table, clock := newTable()
+	require.False(t, table.InContact(time.Hour), "nobody told")
+
+	table.Heard(&digest.Digest{Box: "a", StoreReachable: true, StoreAgeMs: 500})
+	require.True(t, table.InContact(500*time.Millisecond))
+	require.False(t, table.InContact(499*time.Millisecond))
+	clock.Advance(time.Second)
+	require.True(t, table.InContact(1500*time.Millisecond))
+	require.False(t, table.InContact(1499*time.Millisecond))
+
+	table.Heard(&digest.Digest{Box: "b", StoreReachable: true, StoreAgeMs: 100})
+	require.True(t, table.InContact(100*time.Millisecond), "the newest counts")
+}
+
+// TestNoContact: only a box that reaches the store now counts.
+func TestNoContact(t *testing.T) {
+	table, _ := newTable()
+	table.Heard(&digest.Digest{Box: "a", StoreReachable: false, StoreAgeMs: 10})
+	table.Heard(&digest.Digest{Box: "b", StoreReachable: true, StoreAgeMs: -1})
+	require.False(t, table.InContact(time.Hour))
+	table.Heard(&digest.Digest{Box: "a", StoreReachable: true, StoreAgeMs: 10})
+	require.True(t, table.InContact(time.Second))
+	table.Heard(&digest.Digest{Box: "a", StoreTried: true, StoreAgeMs: 10})
+	require.False(t, table.InContact(time.Hour), "a newer word replaces the older one")
+}
+
+// TestRefused: a box is refused when it tried and did not reach the store.
+func TestRefused(t *testing.T) {
+	table, _ := newTable()
+	for _, c := range []struct{ tried, reachable, refused bool }{
+		{false, false, false}, {true, false, true}, {true, true, false}, {false, true, false},
+	} {
+		table.Heard(&digest.Digest{Box: "a", StoreTried: c.tried, StoreReachable: c.reachable})
+		require.Equal(t, c.refused, table.Refused("a"), "%+v", c)
+	}
+	require.False(t, table.Refused("unknown"))
+}
+
+// TestLeaving: a box leaves when it says so.
+func TestLeaving(t *testing.T) {
+	table, _ := newTable()
+	table.Heard(&digest.Digest{Box: "a", Leaving: true})
+	require.True(t, table.Leaving("a"))
+	require.False(t, table.Leaving("b"))
+	table.Heard(&digest.Digest{Box: "a"})
+	require.False(t, table.Leaving("a"))
+}
+
+// TestRetain: boxes that are gone are forgotten and named once.
+func TestRetain(t *testing.T) {
+	table, _ := newTable()
+	for _, box := range []string{"a", "b", "c"} {
+		table.Heard(&digest.Digest{Box: box, Leaving: true, StoreReachable: true})
+	}
+	gone := table.Retain(func(box string) bool { return box == "b" })
+	slices.Sort(gone)
+	require.Equal(t, []string{"a", "c"}, gone)
+	require.False(t, table.Leaving("a"))
+	require.True(t, table.Leaving("b"))
+	require.Empty(t, table.Retain(func(box string) bool { return box == "b" }))
+	require.True(t, table.InContact(time.Second))
+	table.Retain(func(string) bool { return false })
+	require.False(t, table.InContact(time.Second))
+}
