watchduty: tests

A property over boxes that all believe the same: one of each failure domain follows the store, none that was refused; further tests cover a fleet without contact and the ages. Ran go test -race ./internal/watchduty: ok.

--- /dev/null
+++ b/internal/watchduty/duty_test.go
@@ -0,0 +1,151 @@
+package watchduty_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dalebend/dalebend/internal/member"
+	"github.com/dalebend/dalebend/internal/storewatch"
+	"github.com/dalebend/dalebend/internal/watchduty"
+)
+
+// peers is what other boxes told.
+type peers struct {
+	contact          bool
+	refused, leaving map[string]bool
+}
+
+func (p *peers) InContact(time.Duration) bool { return p.contact }
+func (p *peers) Refused(box string) bool      { return p.refused[box] }
+func (p *peers) Leaving(box string) bool      { return p.leaving[box] }
+
+// rig is one box's duty with everything that it asks.
+type rig struct {
+	clock *clockwork.FakeClock
+	live  []member.Box
+	store storewatch.Status
+	peers peers
+	duty  *watchduty.Duty
+}
+
+func newRig(self member.Box, live ...member.Box) *rig {
+	r := &rig{
+		clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)), live: live,
+		peers: peers{contact: true, refused: make(map[string]bool), leaving: make(map[string]bool)},
+	}
+	r.duty = &watchduty.Duty{
+		Clock: r.clock, Self: self, Peers: &r.peers,
+		Live:  func() []member.Box { return r.live },
+		Store: func() storewatch.Status { return r.store },
+	}
+	return r
+}
+
+// active returns which of the boxes follow the store, all believing the same.
+func active(live []member.Box, prepare func(*rig)) []string {
+	var names []string
+	for _, box := range live {
+		r := newRig(box, live...)
+		prepare(r)
+		if r.peers.refused[box.Name] {
+			r.store = storewatch.Status{LastFailure: r.clock.Now()}
+		}
+		if r.duty.Active() {
+			names = append(names, box.Name)
+		}
+	}
+	return names
+}
+
+// TestOneForEachDomain: while somebody is in contact, one box of each failure
+// domain follows the store, none that is passed over, and the next takes over.
+func TestOneForEachDomain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.IntRange(1, 3).Draw(t, "domains")
+		refused, leaving := make(map[string]bool), make(map[string]bool)
+		able := make(map[string]int)
+		var live []member.Box
+		for i := range rapid.IntRange(1, 12).Draw(t, "boxes") {
+			box := member.Box{Name: fmt.Sprintf("box-%d", i), Domain: fmt.Sprintf("hall-%d", i%domains)}
+			live = append(live, box)
+			refused[box.Name] = rapid.Bool().Draw(t, "refused")
+			leaving[box.Name] = !refused[box.Name] && rapid.Bool().Draw(t, "leaving")
+			if !refused[box.Name] && !leaving[box.Name] {
+				able[box.Domain]++
+			}
+		}
+		byDomain := make(map[string]int)
+		for _, name := range active(live, func(r *rig) { r.peers.refused, r.peers.leaving = refused, leaving }) {
+			require.False(t, refused[name], "%s was refused", name)
+			if leaving[name] {
+				// A leaving box may go on until another one has taken over.
+				continue
+			}
+			for _, box := range live {
+				if box.Name == name {
+					byDomain[box.Domain]++
+				}
+			}
+		}
+		for domain, n := range able {
+			require.Equal(t, 1, byDomain[domain], "%s with %d able boxes", domain, n)
+		}
+	})
+}
+
+// TestNobodyInContact: every box tries, also one that was refused.
+func TestNobodyInContact(t *testing.T) {
+	live := []member.Box{{Name: "a", Domain: "x"}, {Name: "b", Domain: "x"}, {Name: "c", Domain: "y"}}
+	got := active(live, func(r *rig) {
+		r.peers.contact = false
+		r.peers.refused["a"] = true
+	})
+	require.Equal(t, []string{"a", "b", "c"}, got)
+}
+
+// TestOrderDoesNotMatter: the choice is the same in whatever order boxes are listed.
+func TestOrderDoesNotMatter(t *testing.T) {
+	boxes := []member.Box{{Name: "a", Domain: "x"}, {Name: "b", Domain: "x"}, {Name: "c", Domain: "x"}}
+	want := active(boxes, func(*rig) {})
+	require.Len(t, want, 1)
+	got := active([]member.Box{boxes[2], boxes[0], boxes[1]}, func(*rig) {})
+	require.Equal(t, want, got)
+}
+
+// TestRefused: a failure counts against this box for three seconds, unless it
+// reached the store since.
+func TestRefused(t *testing.T) {
+	r := newRig(member.Box{Name: "a"})
+	require.False(t, r.duty.Refused())
+	r.store = storewatch.Status{LastFailure: r.clock.Now()}
+	require.True(t, r.duty.Refused())
+	r.clock.Advance(watchduty.RefusedFor - 1)
+	require.True(t, r.duty.Refused())
+	r.store.Reachable = true
+	require.False(t, r.duty.Refused())
+	r.store.Reachable = false
+	r.clock.Advance(1)
+	require.False(t, r.duty.Refused())
+}
+
+// TestRecent: what is known is recent while this box or a peer is in contact.
+func TestRecent(t *testing.T) {
+	r := newRig(member.Box{Name: "a"})
+	require.True(t, r.duty.Recent(), "a peer is in contact")
+	r.peers.contact = false
+	require.False(t, r.duty.Recent())
+	r.store = storewatch.Status{Reachable: true, LastContact: r.clock.Now()}
+	require.True(t, r.duty.Recent())
+	r.clock.Advance(watchduty.ContactAge - 1)
+	require.True(t, r.duty.Recent())
+	r.clock.Advance(1)
+	require.False(t, r.duty.Recent())
+	r.store.LastContact = r.clock.Now()
+	r.store.Reachable = false
+	require.False(t, r.duty.Recent(), "a store that was lost is not in contact")
+}
