registry: servers are listed in the order of their ids

The order was that of a map, so a choice with drawn ties could not be repeated from its seed. TestOrder failed before the change. Ran go test -race -count=20 ./internal/registry: ok.

--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,7 +49,7 @@
 	d.mu.Lock()
 	old := d.current.Load()
 	next := &listing{view: v, services: make(map[string][]Member), members: make(map[string]Member)}
-	for id := range v.Servers {
+	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
 		s := v.Servers[id]
 		if s.State == Ready {
 			next.add(Member{Server: &s})
@@ -69,7 +71,8 @@
 	}
 	until := d.StoreReturned().Add(lapseGrace)
 	now := d.Clock.Now()
-	for id, m := range old.members {
+	for _, id := range slices.Sorted(maps.Keys(old.members)) {
+		m := old.members[id]
 		if _, stays := next.members[id]; stays {
 			continue
 		}
@@ -88,8 +91,8 @@
 	l.services[m.Service] = append(l.services[m.Service], m)
 }
 
-// Service returns the servers of a service that may take new work now. The
-// slice is read only.
+// Service returns the servers of a service that may take new work now, by their
+// ids and those whose entries lapsed last. The slice is read only.
 func (d *Directory) Service(name string) []Member {
 	l := d.current.Load()
 	if l == nil {
--- a/internal/registry/directory_test.go
+++ b/internal/registry/directory_test.go
@@ -135,3 +135,25 @@
 	require.Len(t, empty.With([]registry.Change{{Server: registry.Server{ID: "a"}}}, 1).Servers, 1)
 	require.Nil(t, empty.Servers)
 }
+
+// TestOrder: servers are listed by their ids, so that a choice among them can be
+// repeated; lapsed ones come last.
+func TestOrder(t *testing.T) {
+	s := newScript()
+	s.set(t, "d chat ready\nb chat ready\na chat ready\nf chat ready\nc chat ready\ne chat ready\n")
+	require.Equal(t, []string{"a", "b", "c", "d", "e", "f"}, s.listed())
+	s.returned = s.clock.Now()
+	s.set(t, "f chat ready\nc chat ready\n")
+	require.Equal(t, []string{"c", "f", "a", "b", "d", "e"}, s.listed())
+	s.clock.Advance(time.Minute)
+	s.set(t, "")
+	require.Equal(t, []string{"a", "b", "c", "d", "e", "f"}, s.left)
+}
+
+func (s *script) listed() []string {
+	var ids []string
+	for _, m := range s.dir.Service("chat") {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
