--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -33,7 +33,7 @@
 func TestFaults(t *testing.T) {
 	datadriven.RunTest(t, "testdata/faults.txt", func(_ *testing.T, td *datadriven.TestData) string {
 		programs := map[string]checked{
-			"box": &settings.Box{},
+			"box":    &settings.Box{},
 			"router": &settings.Router{}, "controller": &settings.Controller{}, "ctl": &settings.Ctl{},
 			"local": &settings.Local{}, "load": &settings.Load{}, "standin": &settings.Standin{},
 		}
