choose: the oldest failure goes first across a full hour

The rank of ejected servers took the failure's time within its hour, so one that failed just before the hour ranked behind one that failed just after it. Tests of both choices; TestEjected failed before the change.

--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -8,7 +8,6 @@
 import (
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
@@ -115,7 +114,7 @@
 		rank += lapsed
 	}
 	if o.Ejected {
-		rank += ejectedRank + float64(o.FailedAt.UnixMilli()%int64(time.Hour/time.Millisecond))
+		rank += ejectedRank + float64(o.FailedAt.UnixMilli())
 	}
 	return rank
 }
--- /dev/null
+++ b/internal/choose/chooser_test.go
@@ -0,0 +1,219 @@
+package choose_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/evidence"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/routetable"
+)
+
+// rig is a chooser with what it reads.
+type rig struct {
+	*choose.Chooser
+	clock    *clockwork.FakeClock
+	returned time.Time
+}
+
+// newRig begins 50 ms before a full hour.
+func newRig(servers ...registry.Server) *rig {
+	r := &rig{clock: clockwork.NewFakeClockAt(time.Unix(3600, 0).Add(-50 * time.Millisecond))}
+	r.Chooser = &choose.Chooser{
+		Directory: &registry.Directory{Clock: r.clock, StoreReturned: func() time.Time { return r.returned }},
+		Evidence:  &evidence.Book{Clock: r.clock},
+		Ledger:    engineload.New(),
+		Domain:    "hall-1",
+		Rand:      rand.New(rand.NewPCG(1, 2)),
+	}
+	r.set(servers...)
+	return r
+}
+
+func (r *rig) set(servers ...registry.Server) {
+	v := &registry.View{Servers: make(map[string]registry.Server)}
+	for _, s := range servers {
+		v.Servers[s.ID] = s
+	}
+	r.Directory.Set(v)
+}
+
+func plain(id string) registry.Server {
+	return registry.Server{ID: id, Service: "plain", Domain: "hall-1", Slots: 4}
+}
+
+// picks returns how often each server is picked while the state stays as it is.
+func (r *rig) picks(n int, avoid ...string) map[string]int {
+	got := make(map[string]int)
+	for range n {
+		if c := r.Plain("plain", avoid); c != nil {
+			got[c.ID]++
+		}
+	}
+	return got
+}
+
+// TestPlainNone: without a server that takes work there is no candidate.
+func TestPlainNone(t *testing.T) {
+	r := newRig()
+	require.Nil(t, r.Plain("plain", nil))
+	r.set(plain("a"))
+	require.Nil(t, r.Plain("other", nil))
+	require.Nil(t, r.Plain("plain", []string{"a"}))
+	draining := plain("a")
+	draining.State = registry.Draining
+	r.set(draining)
+	require.Nil(t, r.Plain("plain", nil))
+}
+
+// TestPlainSpreads: equal servers get equal shares, and the one with fewer
+// requests in flight, for its slots, goes first.
+func TestPlainSpreads(t *testing.T) {
+	r := newRig(plain("a"), plain("b"), plain("c"))
+	got := r.picks(3000)
+	for _, id := range []string{"a", "b", "c"} {
+		require.InDelta(t, 1000, got[id], 150, id)
+	}
+	endA := r.Begin("a")
+	endB := r.Begin("b")
+	require.Equal(t, map[string]int{"c": 20}, r.picks(20))
+	endB()
+	require.Equal(t, map[string]int{"b": 20}, r.picks(20, "c"))
+	endA()
+	require.Len(t, r.picks(200), 3)
+
+	large := plain("d")
+	large.Slots = 40
+	r.set(plain("a"), large)
+	r.Begin("d")
+	r.Begin("a")
+	require.Equal(t, map[string]int{"d": 20}, r.picks(20))
+}
+
+// TestSeed: the same seed gives the same choices.
+func TestSeed(t *testing.T) {
+	var first []string
+	for i := range 5 {
+		r := newRig(plain("a"), plain("b"), plain("c"), plain("d"), plain("e"))
+		var got []string
+		for range 30 {
+			got = append(got, r.Plain("plain", nil).ID)
+		}
+		if i == 0 {
+			first = got
+		}
+		require.Equal(t, first, got)
+	}
+}
+
+// TestPlainConduct: what speaks against a server puts it behind a sound one.
+func TestPlainConduct(t *testing.T) {
+	for name, spoil := range map[string]func(r *rig){
+		"unreachable":   func(r *rig) { r.Evidence.Unreachable("a", "no route") },
+		"a peer's word": func(r *rig) { r.Evidence.PeerSaw("a", 0) },
+		"failing": func(r *rig) {
+			for range 5 {
+				r.Evidence.Answered("a", time.Millisecond, true)
+			}
+		},
+		"in another failure domain": func(r *rig) {
+			far := plain("a")
+			far.Domain = "hall-2"
+			r.set(far, plain("b"))
+		},
+		"lapsed": func(r *rig) {
+			r.returned = r.clock.Now()
+			r.set(plain("b"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(plain("a"), plain("b"))
+			spoil(r)
+			require.Equal(t, map[string]int{"b": 50}, r.picks(50))
+			require.Equal(t, map[string]int{"a": 50}, r.picks(50, "b"), "still better than none")
+		})
+	}
+}
+
+// TestEjected: of ejected servers the one whose failure is oldest goes first, and
+// any sound one before them, however full.
+func TestEjected(t *testing.T) {
+	r := newRig(plain("a"), plain("b"), plain("c"))
+	r.Evidence.Unreachable("a", "no route")
+	r.clock.Advance(100 * time.Millisecond)
+	r.Evidence.Unreachable("b", "no route")
+	for range 8 {
+		r.Begin("c")
+	}
+	require.Equal(t, map[string]int{"c": 20}, r.picks(20))
+	require.Equal(t, map[string]int{"a": 20}, r.picks(20, "c"), "the older failure")
+}
+
+// engineService has two slots and room for 10,000 tokens.
+var engineService = &routetable.Service{
+	Name: "chat", Engine: &routetable.Engine{Slots: 2, MemoryTokens: 10000},
+}
+
+func engineServer(id string) registry.Server {
+	return registry.Server{ID: id, Service: "chat", Domain: "hall-1"}
+}
+
+// TestEngine: what runs on an engine, for whichever box, puts it behind one with less.
+func TestEngine(t *testing.T) {
+	need := &choose.Need{Prompt: 500, Expected: 100}
+	for name, load := range map[string]digest.Load{
+		"a stream":         {Server: "a", Streams: 1},
+		"all slots":        {Server: "a", Streams: 2, Tokens: 10},
+		"prompts to read":  {Server: "a", Prefill: 4000},
+		"memory":           {Server: "a", Tokens: 9000},
+		"memory to come":   {Server: "a", Growth: 9000},
+		"copies of others": {Server: "a", Copies: 9000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(engineServer("a"), engineServer("b"))
+			r.Ledger.Heard("box-2", []digest.Load{load})
+			for range 20 {
+				require.Equal(t, "b", r.Engine(engineService, need).ID)
+			}
+			r.Ledger.Forget("box-2")
+			r.Ledger.Place("b", "", 4000, 400)
+			require.Equal(t, "a", r.Engine(engineService, need).ID)
+		})
+	}
+}
+
+// TestEngineNone: engines that are to be avoided or drain are no candidates, and
+// full ones are better than none.
+func TestEngineNone(t *testing.T) {
+	r := newRig(engineServer("a"))
+	require.Nil(t, r.Engine(engineService, &choose.Need{Avoid: []string{"a"}}))
+	r.Ledger.Heard("box-2", []digest.Load{{Server: "a", Streams: 9, Tokens: 20000}})
+	require.Equal(t, "a", r.Engine(engineService, &choose.Need{Prompt: 1}).ID)
+	draining := engineServer("a")
+	draining.State = registry.Draining
+	r.set(draining)
+	require.Nil(t, r.Engine(engineService, &choose.Need{Prompt: 1}))
+}
+
+// TestBackup: a copy goes to another engine that has room to spare, and to none
+// when there is none.
+func TestBackup(t *testing.T) {
+	r := newRig(engineServer("a"), engineServer("b"), engineServer("c"))
+	a := engineServer("a")
+	need := &choose.Need{Prompt: 500, Expected: 100}
+	r.Ledger.Heard("box-2", []digest.Load{{Server: "b", Tokens: 3000}})
+	for range 20 {
+		require.Equal(t, "c", r.Backup(engineService, &a, need).ID)
+	}
+	r.Ledger.Heard("box-3", []digest.Load{{Server: "c", Tokens: 9000}})
+	require.Equal(t, "b", r.Backup(engineService, &a, need).ID)
+	require.Nil(t, r.Backup(engineService, &a, &choose.Need{Prompt: 5000, Expected: 100}))
+	require.Nil(t, r.Backup(engineService, &a, &choose.Need{Prompt: 500, Avoid: []string{"b"}}))
+}
