--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -27,6 +27,9 @@
 	// backupFill is the expected fill up to which an engine takes copies of
 	// generations that run elsewhere; the rest is for what runs.
 	backupFill = 0.7
+	// farCopy is the fill that an engine in another failure domain than the one
+	// that is left must be below: a copy takes twice as long to get there.
+	farCopy = 0.15
 )
 
 // Need is what a generation takes.
@@ -103,3 +106,28 @@
 	}
 	return best
 }
+
+// Refuge returns the engine that a generation of a leaving engine is moved to,
+// or nil when none may take new work.
+func (c *Chooser) Refuge(service *routetable.Service, leaving *registry.Server, need *Need) *Candidate {
+	members := c.Directory.Service(service.Name)
+	loads := c.Ledger.All()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *Candidate
+	for i := range members {
+		m := &members[i]
+		if m.ID == leaving.ID || contains(need.Avoid, m.ID) {
+			continue
+		}
+		load := loads[m.ID]
+		rank := fill(load, need, service.Engine) + c.conduct(m)
+		if m.Domain != leaving.Domain {
+			rank += farCopy
+		}
+		if best == nil || rank < best.Rank {
+			best = &Candidate{Server: m.Server, Rank: rank, Load: load, Of: len(members)}
+		}
+	}
+	return best
+}
--- a/internal/hop/codec.go
+++ b/internal/hop/codec.go
@@ -3,6 +3,7 @@
 package hop
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -10,6 +11,14 @@
 	"github.com/dalebend/dalebend/internal/request"
 )
 
+// Why an engine did not copy a generation's memory.
+var (
+	// ErrNotRunning means that the engine does not run the generation, or not yet.
+	ErrNotRunning = errors.New("the engine does not run the generation")
+	// ErrNoRoom means that the target has no room, or cannot be reached.
+	ErrNoRoom = errors.New("no room at the target, or no way there")
+)
+
 // Send says how a request is sent to a backend server.
 type Send struct {
 	// Server gets the request; another start of a server at its address must not run it.
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/registry"
 )
 
@@ -16,6 +20,9 @@
 	// is left to end on its leaving engine: at some 9 ms a token it ends within
 	// the shortest notice.
 	nearlyDone = 100
+	// notYet is the pause before a generation whose prompt is still being read is
+	// tried again: about a quarter of the reading.
+	notYet = 60 * time.Millisecond
 )
 
 // Left is told of servers that have begun to leave or are gone. Generations on
@@ -57,16 +64,11 @@
 // copies the rest, so that the pause is short.
 func (x *run) evacuate(m *move, source *registry.Server) {
 	defer close(m.done)
-	ctx, cancel := context.WithTimeout(x.ctx, moveTime)
+	ctx, cancel := clockwork.WithTimeout(x.ctx, x.relay.Clock, moveTime)
 	defer cancel()
-	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Avoid: []string{source.ID}}
-	target := x.relay.Chooser.Engine(x.job.Service, need)
-	if target == nil {
-		x.moveOver(m, source, source, errNoEngine)
-		return
-	}
-	if _, err := x.relay.Mover.Copy(ctx, source, x.job.Request.ID, target.Addr, false); err != nil {
-		x.moveOver(m, source, target.Server, err)
+	target, err := x.copyAhead(ctx, source)
+	if err != nil {
+		x.moveOver(m, source, target, err)
 		return
 	}
 	x.mu.Lock()
@@ -74,21 +76,68 @@
 	x.mu.Unlock()
 	name, err := x.relay.Mover.Copy(ctx, source, x.job.Request.ID, target.Addr, true)
 	if name == "" {
-		x.moveOver(m, source, target.Server, err)
+		x.moveOver(m, source, target, err)
 		return
 	}
-	server := target.Server
 	if err != nil {
 		// The engine stopped the generation but could not copy the rest: it keeps
 		// the memory, and the generation can go on there.
-		x.logMoveFailed(source, server, err)
-		server = source
+		x.logMoveFailed(source, target, err)
+		target = source
 	}
 	x.mu.Lock()
-	m.at = &copyAt{server: server, holder: source.Addr, name: name}
+	m.at = &copyAt{server: target, holder: source.Addr, name: name}
 	x.mu.Unlock()
 }
 
+// copyAhead copies what there is of the memory to an engine that stays, while
+// the generation runs. It returns the engine that was tried last.
+func (x *run) copyAhead(ctx context.Context, source *registry.Server) (*registry.Server, error) {
+	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Avoid: []string{source.ID}}
+	target := source
+	for {
+		c := x.relay.Chooser.Refuge(x.job.Service, source, need)
+		if c == nil {
+			return target, errNoEngine
+		}
+		target = c.Server
+		x.reserve(source, target)
+		_, err := x.relay.Mover.Copy(ctx, source, x.job.Request.ID, target.Addr, false)
+		switch {
+		case err == nil:
+			return target, nil
+		case errors.Is(err, hop.ErrNoRoom):
+			need.Avoid = append(need.Avoid, target.ID)
+		case errors.Is(err, hop.ErrNotRunning) && x.progress.Load() == 0:
+			// Its prompt is still being read.
+			x.wait(ctx, notYet)
+		default:
+			return target, err
+		}
+		if ctx.Err() != nil {
+			return target, ctx.Err()
+		}
+	}
+}
+
+// reserve counts the copy at the target from now on, so that not every
+// generation of a leaving engine goes to the same one.
+func (x *run) reserve(source, target *registry.Server) {
+	x.mu.Lock()
+	if x.load != nil {
+		x.load.Move(source.ID, target.ID)
+	}
+	x.mu.Unlock()
+	x.relay.loadChanged()
+}
+
+func (x *run) wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-x.relay.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // moveOver notes a move that failed. The generation runs on, unless it was
 // being stopped.
 func (x *run) moveOver(m *move, source, target *registry.Server, err error) {
