--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -47,7 +47,7 @@
 	if err := r.validate(); err != nil {
 		return nil, newFailure(NotSent, t.Addr, err)
 	}
-	if ctx.Err() != nil {
+	if isOver(ctx) {
 		return nil, newFailure(NotSent, t.Addr, contextError(ctx))
 	}
 	conn, err := c.connect(ctx, t, r.Fresh)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -151,8 +151,8 @@
 	if x.ended {
 		return contextError(x.ctx)
 	}
-	endOfFile := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-	if endOfFile && x.sent.err != nil && !errors.Is(x.sent.err, net.ErrClosed) {
+	vague := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errClosedEarly)
+	if vague && x.sent.err != nil && !errors.Is(x.sent.err, net.ErrClosed) {
 		return x.sent.err
 	}
 	return err
@@ -179,6 +179,17 @@
 	x.client.release(x.conn.own)
 }
 
+// isOver reports whether ctx ended. Err can't tell: that of a context with a fake
+// clock waits for the end.
+func isOver(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // contextError returns why ctx ended, wrapping ctx.Err() and its cause.
 func contextError(ctx context.Context) error {
 	err, cause := ctx.Err(), context.Cause(ctx)
--- a/internal/exchange/framing.go
+++ b/internal/exchange/framing.go
@@ -36,6 +36,8 @@
 	switch {
 	case coded && length != unknownLength:
 		return framing{}, &malformedError{what: "both Content-Length and Transfer-Encoding"}
+	case coded && h.minor == '0':
+		return framing{}, &malformedError{what: "Transfer-Encoding in HTTP/1.0"}
 	case coded && (len(coding) != 1 || !strings.EqualFold(coding[0], "chunked")):
 		return framing{}, &malformedError{what: "Transfer-Encoding"}
 	case hasNoBody(method, h.status):
--- /dev/null
+++ b/internal/exchange/internal_test.go
@@ -0,0 +1,241 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+	"pgregory.net/rapid"
+)
+
+// connect returns both ends of a connection.
+func connectPair(t testing.TB) (client, server *net.TCPConn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	s, err := l.Accept()
+	require.NoError(t, err)
+	return c.(*net.TCPConn), s.(*net.TCPConn)
+}
+
+// A reset between the check of an idle connection and the write takes no byte.
+func TestWriteTakesNothing(t *testing.T) {
+	near, far := connectPair(t)
+	c := &Client{Clock: clockwork.NewFakeClock()}
+	p := c.poolOf("s1")
+	p.open = 1
+	conn, err := newConn(near, p)
+	require.NoError(t, err)
+	require.True(t, conn.reusable())
+	require.NoError(t, far.SetLinger(0))
+	require.NoError(t, far.Close())
+	x := start(context.Background(), c, conn, "s1.example")
+	_, err = x.run(&Request{Method: "GET", URI: "/", Host: "h"})
+	var f *Failure
+	require.ErrorAs(t, err, &f)
+	require.Equal(t, NotSent, f.Stage())
+	require.True(t, f.Reset())
+	require.Empty(t, c.pools)
+}
+
+// The kernel watches a connection for a silent peer.
+func TestSocketOptions(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	c := &Client{Clock: clockwork.NewFakeClock(), DialTimeout: time.Second}
+	nc, err := c.dial(context.Background(), l.Addr().String())
+	require.NoError(t, err)
+	defer nc.Close()
+	raw, err := nc.SyscallConn()
+	require.NoError(t, err)
+	options := map[int]int{
+		unix.TCP_USER_TIMEOUT: userTimeoutMS,
+		unix.TCP_KEEPIDLE:     int(keepAliveIdle / time.Second),
+		unix.TCP_KEEPINTVL:    int(keepAliveInterval / time.Second),
+		unix.TCP_KEEPCNT:      keepAliveCount,
+		unix.TCP_NODELAY:      1,
+	}
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		for option, want := range options {
+			got, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+			require.NoError(t, err)
+			require.Equal(t, want, got, option)
+		}
+	}))
+}
+
+// Header fields that this package sets aren't taken from the caller.
+func TestRequestHead(t *testing.T) {
+	r := &Request{
+		Method: "POST", URI: "/a?b", Host: "h.example", Body: []byte("xyz"),
+		Header: http.Header{
+			"Host":              {"other"},
+			"content-length":    {"5"},
+			"Transfer-Encoding": {"chunked"},
+			"A":                 {"1", "2"},
+		},
+	}
+	require.NoError(t, r.validate())
+	require.Equal(t, "POST /a?b HTTP/1.1\r\nHost: h.example\r\nA: 1\r\nA: 2\r\nContent-Length: 3\r\n\r\n",
+		string(r.appendHead(nil)))
+}
+
+// errWouldWait stands for a read that waits for the server.
+var errWouldWait = errors.New("would wait")
+
+// pieces returns one piece of data per read, as packets arrive.
+type pieces struct {
+	data  [][]byte
+	reads int
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	p.reads++
+	if len(p.data) == 0 {
+		return 0, errWouldWait
+	}
+	n := copy(b, p.data[0])
+	p.data[0] = p.data[0][n:]
+	if len(p.data[0]) == 0 {
+		p.data = p.data[1:]
+	}
+	return n, nil
+}
+
+// However a chunked body is cut into packets, all data that has arrived is returned
+// before the reader waits for more.
+func TestChunksNeverWaitWithData(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var encoded, plain []byte
+		for range rapid.IntRange(0, 6).Draw(t, "chunks") {
+			chunk := rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "chunk")
+			encoded = fmt.Appendf(encoded, "%x\r\n%s\r\n", len(chunk), chunk)
+			plain = append(plain, chunk...)
+		}
+		encoded = append(encoded, "0\r\n\r\n"...)
+		cut := rapid.IntRange(0, len(encoded)).Draw(t, "cut")
+		in := &pieces{}
+		for rest := encoded[:cut]; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "packet")
+			in.data = append(in.data, rest[:n])
+			rest = rest[n:]
+		}
+		c := &chunkReader{br: bufio.NewReader(in)}
+		buf := make([]byte, rapid.IntRange(1, 50).Draw(t, "buffer"))
+		var got []byte
+		for {
+			n, err := c.Read(buf)
+			got = append(got, buf[:n]...)
+			if err != nil {
+				require.False(t, n > 0 && errors.Is(err, errWouldWait), "data held back")
+				break
+			}
+			require.Positive(t, n)
+		}
+		require.Equal(t, cut == len(encoded), c.clean())
+		require.True(t, bytes.HasPrefix(plain, got))
+		if cut == len(encoded) {
+			require.Len(t, got, len(plain))
+		}
+	})
+}
+
+// An event that arrives in one packet costs one read of the connection.
+func TestEventCostsOneRead(t *testing.T) {
+	const events = 20
+	in := &pieces{}
+	for range events {
+		in.data = append(in.data, []byte("a\r\ndata: abc\n\r\n"))
+	}
+	c := &chunkReader{br: bufio.NewReader(in)}
+	buf := make([]byte, 1000)
+	for i := range events {
+		n, err := c.Read(buf)
+		require.NoError(t, err)
+		require.Equal(t, "data: abc\n", string(buf[:n]))
+		require.Equal(t, i+1, in.reads)
+	}
+}
+
+// Many callers, some of whom leave at any time, get their own answers, stay within the
+// limit, and leave nothing behind.
+func TestManyCallers(t *testing.T) {
+	const callers, rounds, limit = 16, 40, 8
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err == nil {
+			_, _ = w.Write(body)
+		}
+	})}
+	go func() { _ = srv.Serve(l) }()
+	c := &Client{Clock: clockwork.NewRealClock(), DialTimeout: time.Minute, MaxIdlePerServer: 2}
+	target := Target{Key: "s1", Addr: l.Addr().String(), MaxConns: limit}
+	var served atomic.Int64
+	var wg sync.WaitGroup
+	for caller := range callers {
+		wg.Go(func() {
+			for round := range rounds {
+				text := strings.Repeat(fmt.Sprintf("%d.%d,", caller, round), 1+(caller*round)%20000)
+				if callOnce(t, c, target, text, (caller+round)%3 == 0) {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	require.Positive(t, served.Load())
+	c.CloseIdle()
+	require.Empty(t, c.pools)
+	require.NoError(t, srv.Close())
+}
+
+// callOnce sends the text and compares the answer. It reports whether there was one.
+func callOnce(t *testing.T, c *Client, target Target, text string, leaves bool) bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if leaves {
+		go cancel()
+	}
+	resp, err := c.Do(ctx, target, &Request{Method: "POST", URI: "/", Host: "h", Body: []byte(text)})
+	c.mu.Lock()
+	for _, p := range c.pools {
+		if p.open > target.MaxConns {
+			t.Errorf("%d open connections", p.open)
+		}
+	}
+	c.mu.Unlock()
+	var f *Failure
+	if errors.As(err, &f) {
+		if f.Stage() != Full && !(leaves && errors.Is(err, context.Canceled)) {
+			t.Errorf("call failed: %v", err)
+		}
+		return false
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err == nil && string(got) != text {
+		t.Error("answer differs")
+	}
+	if err != nil && !leaves {
+		t.Errorf("body failed: %v", err)
+	}
+	return err == nil
+}
