front: a stopping box refuses what it cannot be expected to finish

A stopping box now refuses, as not run, a request that is not expected to end before it does; another box takes it.

--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -112,7 +112,8 @@
 func (b *Box) stop(ctx context.Context) {
 	began := b.Clock.Now()
 	b.stopping.Store(true)
-	b.front.Stop()
+	by := began.Add(b.Settings.StopGrace - stopMargin)
+	b.front.Stop(by)
 	b.node.Kick()
 	b.log(event.StopBegins, slog.Int(event.KeyOpen, b.front.Open()))
 	ticker := b.Clock.NewTicker(stopCheck)
@@ -123,11 +124,10 @@
 			return
 		case <-ticker.Chan():
 		}
-		gone := b.Clock.Since(began)
-		if gone >= b.Settings.StopGrace-stopMargin {
+		if !b.Clock.Now().Before(by) {
 			return
 		}
-		if gone >= stopLeast && b.front.Open() == 0 {
+		if b.Clock.Since(began) >= stopLeast && b.front.Open() == 0 {
 			return
 		}
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -34,7 +34,7 @@
 	if !x.admit() {
 		return
 	}
-	if !x.readBody() {
+	if !x.readBody() || !x.endsInTime() {
 		return
 	}
 	deadline := x.deadline()
@@ -113,6 +113,38 @@
 	return true
 }
 
+const (
+	// tokenTime is the time that a stopping box allows for each token of a
+	// generation: a healthy engine takes 8 to 10 ms.
+	tokenTime = 11 * time.Millisecond
+	// elsewhere is the time to come back that a caller of a stopping box is told:
+	// another box takes the request at once.
+	elsewhere = 5 * time.Millisecond
+)
+
+// endsInTime refuses a request that a stopping box cannot be expected to answer
+// before it ends; another box can.
+func (x *exchange) endsInTime() bool {
+	left, stopping := x.server.left()
+	if !stopping || x.expected() <= left {
+		return true
+	}
+	x.refuse(http.StatusServiceUnavailable, "this box is stopping", elsewhere)
+	return false
+}
+
+// expected returns how long the answer is expected to take at most.
+func (x *exchange) expected() time.Duration {
+	if !x.route.Stream {
+		return x.deadline().Sub(x.req.Arrived)
+	}
+	tokens := x.req.HintTokens
+	if tokens == 0 {
+		tokens = x.req.MaxTokens
+	}
+	return x.route.Objective + time.Duration(tokens)*tokenTime
+}
+
 // deadline returns when the caller must have its answer: the sooner of what it
 // and its route allow.
 func (x *exchange) deadline() time.Time {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -79,8 +79,10 @@
 	// of a moment ago.
 	Recent func() bool
 
-	stopping atomic.Bool
-	open     atomic.Int64
+	// stopAt is when the process ends, in nanoseconds of the clock; 0 while it
+	// does not stop.
+	stopAt atomic.Int64
+	open   atomic.Int64
 }
 
 // Run serves the listener until the context ends, then closes every connection.
@@ -102,9 +104,19 @@
 }
 
 // Stop asks callers to come back on other connections: every answer from now on
-// ends its connection. Connections that rest stay open, since a request may be
-// on its way on them.
-func (s *Server) Stop() { s.stopping.Store(true) }
+// ends its connection, and requests that are not expected to end by then are
+// refused. Connections that rest stay open, since a request may be on its way
+// on them.
+func (s *Server) Stop(by time.Time) { s.stopAt.Store(by.UnixNano()) }
+
+// left returns the time until the process ends; ok is false while it does not stop.
+func (s *Server) left() (left time.Duration, ok bool) {
+	at := s.stopAt.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return time.Unix(0, at).Sub(s.Clock.Now()), true
+}
 
 // Open returns the number of requests that are being answered.
 func (s *Server) Open() int { return int(s.open.Load()) }
@@ -113,7 +125,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.open.Add(1)
 	defer s.open.Add(-1)
-	if s.stopping.Load() {
+	if _, stopping := s.left(); stopping {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{
