decisionlog: a bounded log of decisions, and the table of its events

On-call engineers have only logs. Each event is declared once; lines are rendered by the caller and written by the log's own goroutine, with a budget for each event, so that a slow reader stalls no request.

--- /dev/null
+++ b/internal/decisionlog/event/declarations.go
@@ -0,0 +1,109 @@
+package event
+
+import (
+	"log/slog"
+	"slices"
+)
+
+// Declarations returns every event, in the order of docs/LOGS.md.
+func Declarations() []Declaration {
+	return slices.Concat(processEvents(), beliefEvents(), requestEvents(), streamEvents())
+}
+
+func info(n Name, meaning string, keys ...string) Declaration {
+	return Declaration{Name: n, Level: slog.LevelInfo, Meaning: meaning, Keys: keys}
+}
+
+func warn(n Name, meaning string, keys ...string) Declaration {
+	return Declaration{Name: n, Level: slog.LevelWarn, Meaning: meaning, Keys: keys}
+}
+
+func processEvents() []Declaration {
+	return []Declaration{
+		info(Start, "the process has read its settings and begins to listen",
+			KeyVersion, KeyRole, KeyDomain, KeyAddress),
+		info(Ready, "the box takes requests: it has a configuration and a view of the servers",
+			KeyConfigVersion, KeyViewRevision, KeyElapsed),
+		warn(NotReady, "the box asks the balancer to leave it out",
+			KeyReason, KeyConfigVersion, KeyConfigAge),
+		info(StopBegins, "a stop was asked for; running requests go on",
+			KeyCause, KeyOpen),
+		info(StopEnds, "the process ends; open counts what was still running",
+			KeyElapsed, KeyOpen),
+		info(SettingsReloaded, "the settings file changed and is in force",
+			KeySource),
+		warn(SettingsRefused, "the settings file changed and cannot be used; the old settings stay",
+			KeySource, KeyCause),
+		warn(LinesDropped, "lines are missing since the last such line: the reader was slow, or an event came more often than its budget",
+			KeyQueueFull, KeyOverBudget, KeyByEvent),
+	}
+}
+
+func beliefEvents() []Declaration {
+	return []Declaration{
+		warn(StoreLost, "the object API does not answer; the box serves with what it knows",
+			KeyCause, KeyFailures, KeyConfigVersion, KeyViewRevision),
+		info(StoreRegained, "the object API answers again",
+			KeyAway, KeyConfigVersion, KeyViewRevision),
+		warn(PeerLost, "a peer's heartbeats stopped",
+			KeyPeer, KeyAway, KeyCause, KeyLive),
+		info(PeerRegained, "a peer's heartbeats came back, or it is new",
+			KeyPeer, KeyAway, KeyLive),
+		info(BoxesView, "the list of boxes changed",
+			KeyRevision, KeyAdded, KeyGone, KeyLive),
+		info(WatchTaken, "this box watches the object API for the others",
+			KeyKind, KeyReason, KeyLive),
+		info(WatchGivenUp, "another box watches instead",
+			KeyKind, KeyReason, KeyLive),
+		info(ConfigInForce, "a configuration version is in force on this box",
+			KeyVersion, KeySource, KeyConfigAge),
+		warn(ConfigRefused, "a configuration version cannot be used; the one in force stays",
+			KeyVersion, KeySource, KeyCause),
+		info(ServersView, "what the box believes of the backend servers changed",
+			KeyRevision, KeySource, KeyViewAge, KeyAdded, KeyGone, KeyDraining, KeyServers),
+		warn(ServerEjected, "a server gets no new requests for a time, for failures of its own",
+			KeyServer, KeyCause, KeyFailures, KeyAway),
+		info(ServerReadmitted, "an ejected server gets requests again",
+			KeyServer, KeyAway, KeyCause),
+	}
+}
+
+func requestEvents() []Declaration {
+	return []Declaration{
+		warn(RequestRefused, "the box answered without sending the request to a server",
+			KeyRequest, KeyRoute, KeyAccount, KeyStatus, KeyReason, KeyNotRun, KeyRetryAfter, KeyCandidates,
+			KeyConfigVersion, KeyConfigAge, KeyViewRevision, KeyViewAge, KeyElapsed),
+		info(RequestQueued, "no server had room; the request waits",
+			KeyRequest, KeyRoute, KeyAccount, KeyCandidates, KeyLoad, KeyDeadline, KeyViewRevision, KeyViewAge),
+		info(RequestSent, "a server was chosen among candidates and the request goes there",
+			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyAttempt, KeyCause, KeyCandidates, KeyLoad, KeyExpectedTokens, KeyBackup,
+			KeyDeadline, KeyConfigVersion, KeyViewRevision, KeyViewAge, KeyElapsed),
+		info(RequestAnswered, "a server's answer goes to the caller",
+			KeyRequest, KeyServer, KeyStatus, KeyElapsed),
+		warn(RequestFailed, "an attempt failed; perhaps_run says whether the server may have run it",
+			KeyRequest, KeyServer, KeyAttempt, KeyStatus, KeyStage, KeyPerhapsRun, KeyCause, KeyElapsed),
+		info(RequestResent, "a failed attempt is tried on another server",
+			KeyRequest, KeyFrom, KeyTo, KeyAttempt, KeyCause, KeyBudgetLeft),
+		warn(RequestEnded, "the caller got a failure of this box's own; perhaps_run says whether a server may have run the request",
+			KeyRequest, KeyRoute, KeyAccount, KeyStatus, KeyReason, KeyStage, KeyServer, KeyPerhapsRun, KeyAttempt, KeyBudgetLeft, KeyElapsed),
+		info(CallerLeft, "the caller closed its connection before the answer was complete; the attempt is cancelled",
+			KeyRequest, KeyServer, KeyEvents, KeyElapsed),
+	}
+}
+
+func streamEvents() []Declaration {
+	return []Declaration{
+		info(StreamBackupChosen, "a second server is to keep a copy of the stream's KV cache",
+			KeyRequest, KeyServer, KeyBackup, KeyCandidates, KeyLoad, KeyReason, KeyViewRevision, KeyViewAge),
+		warn(StreamBroke, "a running stream's connection to its server ended early",
+			KeyRequest, KeyServer, KeyEvents, KeyBackup, KeyCause, KeyElapsed),
+		info(StreamMoved, "a stream goes on from another server",
+			KeyRequest, KeyFrom, KeyTo, KeyWay, KeyPause, KeyEvents, KeyReason),
+		warn(StreamMoveFailed, "a stream could not be taken over by a server",
+			KeyRequest, KeyFrom, KeyTo, KeyWay, KeyCause, KeyStatus, KeyEvents),
+		warn(StreamLost, "a stream was cut at the caller; causes lists what was tried",
+			KeyRequest, KeyServer, KeyEvents, KeyBackup, KeyCauses, KeyViewRevision, KeyViewAge, KeyElapsed),
+		info(StreamEnded, "a stream ended with its server's own end",
+			KeyRequest, KeyServer, KeyEvents, KeyElapsed, KeyMoves),
+	}
+}
--- /dev/null
+++ b/internal/decisionlog/event/event.go
@@ -0,0 +1,83 @@
+// Package event declares every line of the decision log: its name, what it says
+// and which attributes it carries.
+//
+// docs/LOGS.md is written from these declarations; a test holds them together.
+package event
+
+import "log/slog"
+
+// Name identifies the decision or change that a line reports.
+type Name string
+
+// A box's own life.
+const (
+	Start            Name = "start"
+	Ready            Name = "ready"
+	NotReady         Name = "not-ready"
+	StopBegins       Name = "stop-begins"
+	StopEnds         Name = "stop-ends"
+	SettingsReloaded Name = "settings-reloaded"
+	SettingsRefused  Name = "settings-refused"
+	LinesDropped     Name = "log-lines-dropped"
+)
+
+// What a box depends on and what it believes.
+const (
+	StoreLost        Name = "store-lost"
+	StoreRegained    Name = "store-regained"
+	PeerLost         Name = "peer-lost"
+	PeerRegained     Name = "peer-regained"
+	BoxesView        Name = "boxes-view"
+	WatchTaken       Name = "watch-taken"
+	WatchGivenUp     Name = "watch-given-up"
+	ConfigInForce    Name = "config-in-force"
+	ConfigRefused    Name = "config-refused"
+	ServersView      Name = "servers-view"
+	ServerEjected    Name = "server-ejected"
+	ServerReadmitted Name = "server-readmitted"
+)
+
+// A request on its way.
+const (
+	RequestRefused  Name = "request-refused"
+	RequestQueued   Name = "request-queued"
+	RequestSent     Name = "request-sent"
+	RequestAnswered Name = "request-answered"
+	RequestFailed   Name = "request-failed"
+	RequestResent   Name = "request-resent"
+	RequestEnded    Name = "request-ended"
+	CallerLeft      Name = "caller-left"
+)
+
+// A stream after its first byte.
+const (
+	StreamBackupChosen Name = "stream-backup-chosen"
+	StreamBroke        Name = "stream-broke"
+	StreamMoved        Name = "stream-moved"
+	StreamMoveFailed   Name = "stream-move-failed"
+	StreamLost         Name = "stream-lost"
+	StreamEnded        Name = "stream-ended"
+)
+
+// Declaration describes one event.
+type Declaration struct {
+	Name    Name
+	Level   slog.Level
+	Meaning string
+	// Keys are the attributes that a line may carry besides time, level, event and box.
+	Keys []string
+}
+
+// Level returns the declared level of an event, Info for one that is not declared.
+func (n Name) Level() slog.Level {
+	return levels[n]
+}
+
+// levels is read-only after package initialisation.
+var levels = func() map[Name]slog.Level {
+	byName := make(map[Name]slog.Level)
+	for _, d := range Declarations() {
+		byName[d.Name] = d.Level
+	}
+	return byName
+}()
--- /dev/null
+++ b/internal/decisionlog/event/keys.go
@@ -0,0 +1,89 @@
+package event
+
+// Attribute keys. Durations are whole milliseconds and their keys end in _ms.
+const (
+	// KeyEvent holds the event's name, which slog calls the message.
+	KeyEvent = "event"
+	// KeyBox names the box that wrote the line.
+	KeyBox = "box"
+	// KeyTime is the time of day of the box, UTC.
+	KeyTime = "time"
+	// KeyLevel is INFO, or WARN where something was lost or refused.
+	KeyLevel = "level"
+
+	KeyRequest = "request"
+	KeyRoute   = "route"
+	KeyAccount = "account"
+	KeyAttempt = "attempt"
+	KeyStatus  = "status"
+	KeyReason  = "reason"
+	KeyCause   = "cause"
+	KeyCauses  = "causes"
+	KeyStage   = "stage"
+	KeyWay     = "way"
+	KeyElapsed = "ms"
+
+	KeyNotRun     = "not_run"
+	KeyPerhapsRun = "perhaps_run"
+	KeyRetryAfter = "retry_after_ms"
+	KeyDeadline   = "deadline_ms"
+	KeyBudgetLeft = "budget_left"
+
+	KeyServer         = "server"
+	KeyFrom           = "from"
+	KeyTo             = "to"
+	KeyBackup         = "backup"
+	KeyCandidates     = "candidates"
+	KeyLoad           = "load"
+	KeyExpectedTokens = "expected_tokens"
+
+	KeyEvents = "events"
+	KeyMoves  = "moves"
+	KeyPause  = "pause_ms"
+
+	KeyConfigVersion = "config_version"
+	KeyConfigAge     = "config_age_ms"
+	KeyViewRevision  = "view_revision"
+	KeyViewAge       = "view_age_ms"
+
+	KeyVersion  = "version"
+	KeySource   = "source"
+	KeyRevision = "revision"
+	KeyAdded    = "added"
+	KeyGone     = "gone"
+	KeyDraining = "draining"
+	KeyServers  = "servers"
+	KeyPeer     = "peer"
+	KeyLive     = "live"
+	KeyFailures = "failures"
+	KeyAway     = "away_ms"
+	KeyOpen     = "open"
+	KeyRole     = "role"
+	KeyDomain   = "failure_domain"
+	KeyAddress  = "address"
+	KeyKind     = "kind"
+
+	KeyQueueFull  = "queue_full"
+	KeyOverBudget = "over_budget"
+	KeyByEvent    = "by_event"
+)
+
+// Values of KeyStage: how far an attempt came before it failed.
+const (
+	// StageNotSent means that no byte of the request was written.
+	StageNotSent = "not-sent"
+	// StageUnanswered means that the request was sent and nothing came back.
+	StageUnanswered = "unanswered"
+	// StageTorn means that the answer broke off.
+	StageTorn = "torn"
+	// StageForeign means that the answer belonged to another request or instance.
+	StageForeign = "foreign"
+)
+
+// Values of KeyWay: how a stream came to another server.
+const (
+	// WayBackup continues from the copy that a second server kept.
+	WayBackup = "backup"
+	// WayMove transfers the KV cache first, then continues.
+	WayMove = "move"
+)
--- /dev/null
+++ b/internal/decisionlog/log.go
@@ -0,0 +1,222 @@
+// Package decisionlog writes the lines from which operators explain a failure
+// afterwards: one JSON object for each decision about a request and each change of
+// what the process believes.
+//
+// Lines are rendered by the caller and written by a goroutine of the log, so that a
+// slow reader delays nobody. The queue between the two is bounded, and each event
+// has a budget of its own; lines that do not fit are counted and reported.
+package decisionlog
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+)
+
+const (
+	// batchDelay gathers lines into one write; a system call for each line would
+	// cost more than rendering it. It is also what a killed process loses.
+	batchDelay = 20 * time.Millisecond
+	// flushLimit bounds the writing of what is left at a stop: a reader that takes
+	// nothing for so long does not hold the stop up.
+	flushLimit = 200 * time.Millisecond
+	// reportEvery spaces reports of dropped lines, so that they stay a small part
+	// of what is written.
+	reportEvery = time.Second
+)
+
+// Log is the decision log of a process. A nil *Log drops every line uncounted.
+type Log struct {
+	clock   clockwork.Clock
+	out     io.Writer
+	queue   *queue
+	budgets *budgets
+	render  slog.Handler
+
+	dropped atomic.Uint64
+	// unreported tells that lines were dropped since the last report.
+	unreported atomic.Bool
+
+	// Used by the writing goroutine only: when the last report was queued, and
+	// whether a timer for the next one runs.
+	reported time.Time
+	deferred bool
+}
+
+// New returns the log of a box that writes to w once Run is called. Lines are
+// accepted at once.
+func New(w io.Writer, clock clockwork.Clock, box string) *Log {
+	q := newQueue()
+	options := &slog.HandlerOptions{ReplaceAttr: nameEvent}
+	return &Log{
+		clock:   clock,
+		out:     w,
+		queue:   q,
+		budgets: newBudgets(),
+		render:  slog.NewJSONHandler(q, options).WithAttrs([]slog.Attr{slog.String(event.KeyBox, box)}),
+	}
+}
+
+// Emit writes the line of an event. It never blocks on the reader.
+func (l *Log) Emit(name event.Name, attrs ...slog.Attr) {
+	if l == nil {
+		return
+	}
+	r := slog.NewRecord(l.clock.Now(), name.Level(), string(name), 0)
+	r.AddAttrs(attrs...)
+	l.write(l.render, r)
+}
+
+// Logger returns a logger whose message is the event's name.
+func (l *Log) Logger() *slog.Logger {
+	if l == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return slog.New(&handler{log: l, render: l.render})
+}
+
+// Dropped returns how many lines were left out since the start.
+func (l *Log) Dropped() uint64 {
+	if l == nil {
+		return 0
+	}
+	return l.dropped.Load()
+}
+
+// Run writes lines until ctx ends, then what is left, for at most flushLimit. A
+// write that still hangs then is left behind; the process is about to end.
+func (l *Log) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.writeLines(ctx)
+	}()
+	<-ctx.Done()
+	select {
+	case <-done:
+	case <-l.clock.After(flushLimit):
+	}
+}
+
+func (l *Log) writeLines(ctx context.Context) {
+	for l.awaitBatch(ctx) {
+		l.writeBatch()
+		l.reportDropped()
+	}
+	l.writeBatch()
+	l.reportNow(l.clock.Now())
+	l.writeBatch()
+}
+
+// awaitBatch returns when a batch is due, false when ctx ended.
+func (l *Log) awaitBatch(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-l.queue.filled:
+	}
+	timer := l.clock.NewTimer(batchDelay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-l.queue.crowded:
+	case <-timer.Chan():
+	}
+	return true
+}
+
+// writeBatch writes all queued lines at once. A failed write loses them: there is no
+// other place where the process could tell so.
+func (l *Log) writeBatch() {
+	batch, lines := l.queue.take()
+	if lines == 0 {
+		return
+	}
+	if _, err := l.out.Write(batch); err != nil {
+		l.dropped.Add(uint64(lines))
+	}
+	l.queue.recycle(batch)
+}
+
+// write renders a record into the queue, or counts it as dropped.
+func (l *Log) write(render slog.Handler, r slog.Record) {
+	r.Time = r.Time.UTC().Truncate(time.Microsecond)
+	if !l.budgets.take(r.Message, r.Time) {
+		l.drop()
+		return
+	}
+	if l.queue.routineFull() && r.Level < slog.LevelWarn {
+		l.dropQueueFull(r.Message)
+		return
+	}
+	// The queue's Write is all that can fail.
+	if err := render.Handle(context.Background(), r); err != nil {
+		l.dropQueueFull(r.Message)
+	}
+}
+
+func (l *Log) dropQueueFull(name string) {
+	l.budgets.countQueueFull(name)
+	l.drop()
+}
+
+func (l *Log) drop() {
+	l.dropped.Add(1)
+	l.unreported.Store(true)
+	l.queue.wake()
+}
+
+// reportDropped queues a line that counts what was left out since the last such
+// line. It waits until reportEvery is over or, without room, for the next batch.
+func (l *Log) reportDropped() {
+	now := l.clock.Now()
+	if !l.unreported.Load() {
+		return
+	}
+	if wait := reportEvery - now.Sub(l.reported); wait > 0 {
+		l.reportLater(wait)
+		return
+	}
+	l.reportNow(now)
+}
+
+// reportLater wakes the writing goroutine once when the next report is due.
+func (l *Log) reportLater(wait time.Duration) {
+	if l.deferred {
+		return
+	}
+	l.deferred = true
+	l.clock.AfterFunc(wait, l.queue.wake)
+}
+
+func (l *Log) reportNow(now time.Time) {
+	l.unreported.Store(false)
+	l.deferred = false
+	counts := l.budgets.takeCounts()
+	if len(counts) == 0 {
+		return
+	}
+	r := slog.NewRecord(now.UTC().Truncate(time.Microsecond), event.LinesDropped.Level(), string(event.LinesDropped), 0)
+	r.AddAttrs(counts.attrs()...)
+	if err := l.render.Handle(context.Background(), r); err != nil {
+		l.budgets.putBack(counts)
+		l.unreported.Store(true)
+		return
+	}
+	l.reported = now
+}
+
+// nameEvent gives the message its key.
+func nameEvent(groups []string, a slog.Attr) slog.Attr {
+	if len(groups) == 0 && a.Key == slog.MessageKey {
+		a.Key = event.KeyEvent
+	}
+	return a
+}
