telemetry: metrics of a box as Prometheus text

Counters, latency histograms and gauges are fields declared once, served at any path; docs/METRICS.md is held to them. What parts count in the go-metrics registry follows.

--- a/internal/decisionlog/log.go
+++ b/internal/decisionlog/log.go
@@ -213,10 +213,19 @@
 	l.reported = now
 }
 
-// nameEvent gives the message its key.
+// nameEvent gives the message its key. The level is turned to text here, since slog
+// would render it by reflection, which takes as long as half of a line.
 func nameEvent(groups []string, a slog.Attr) slog.Attr {
-	if len(groups) == 0 && a.Key == slog.MessageKey {
+	if len(groups) > 0 {
+		return a
+	}
+	switch a.Key {
+	case slog.MessageKey:
 		a.Key = event.KeyEvent
+	case slog.LevelKey:
+		if level, ok := a.Value.Any().(slog.Level); ok {
+			a.Value = slog.StringValue(level.String())
+		}
 	}
 	return a
 }
--- a/internal/decisionlog/log_test.go
+++ b/internal/decisionlog/log_test.go
@@ -267,26 +267,42 @@
 	require.Len(t, out.lines(t), 4*4*50)
 }
 
+// notice is a reader that tells of each write.
+type notice chan struct{}
+
+func (n notice) Write(p []byte) (int, error) {
+	n <- struct{}{}
+	return len(p), nil
+}
+
+// BenchmarkEmit writes lines and lets them be read, in batches of 100.
 func BenchmarkEmit(b *testing.B) {
 	clock := clockwork.NewFakeClockAt(start)
-	log := decisionlog.New(io.Discard, clock, "box-1")
+	written := make(notice)
+	log := decisionlog.New(written, clock, "box-1")
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
 	go log.Run(ctx)
 	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
+	for i := 1; b.Loop(); i++ {
+		emitRequestSent(log)
 		if i%100 == 0 {
+			require.NoError(b, clock.BlockUntilContext(ctx, 1))
 			clock.Advance(time.Second)
+			<-written
 		}
-		log.Emit(event.RequestSent,
-			slog.String(event.KeyRequest, "0123456789abcdef"),
-			slog.String(event.KeyServer, "engine-12"),
-			slog.Int(event.KeyAttempt, 1),
-			slog.String(event.KeyCause, "least-load"),
-			slog.Int(event.KeyCandidates, 14),
-			slog.Float64(event.KeyLoad, 0.5),
-			slog.Uint64(event.KeyViewRevision, 812),
-			slog.Int64(event.KeyViewAge, 40))
 	}
-	b.ReportMetric(float64(log.Dropped())/float64(b.N), "dropped/op")
+	require.Zero(b, log.Dropped())
+}
+
+func emitRequestSent(log *decisionlog.Log) {
+	log.Emit(event.RequestSent,
+		slog.String(event.KeyRequest, "0123456789abcdef"),
+		slog.String(event.KeyServer, "engine-12"),
+		slog.Int(event.KeyAttempt, 1),
+		slog.String(event.KeyCause, "least-load"),
+		slog.Int(event.KeyCandidates, 14),
+		slog.Int(event.KeyLoad, 50),
+		slog.Uint64(event.KeyViewRevision, 812),
+		slog.Int64(event.KeyViewAge, 40))
 }
--- /dev/null
+++ b/internal/telemetry/family.go
@@ -0,0 +1,96 @@
+package telemetry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// family is a metric with all its series.
+type family interface {
+	declaration() head
+	kind() string
+	write(t *text)
+}
+
+func (h head) declaration() head { return h }
+
+// counters counts events by label values.
+type counters struct {
+	vector[metrics.Counter]
+}
+
+// Inc adds one to the series of the label values.
+func (c *counters) Inc(values ...string) { c.of(values).Inc(1) }
+
+func (c *counters) kind() string { return "counter" }
+
+func (c *counters) write(t *text) {
+	c.each(func(labels string, one metrics.Counter) {
+		t.sample(c.name, labels, float64(one.Count()))
+	})
+}
+
+// gauge is a value of now.
+type gauge struct {
+	head
+
+	value metrics.GaugeFloat64
+}
+
+// Set stores the value.
+func (g *gauge) Set(v float64) { g.value.Update(v) }
+
+// Compute makes the gauge call f for each scrape. It is called before Serve.
+func (g *gauge) Compute(f func() float64) { g.value = metrics.NewFunctionalGaugeFloat64(f) }
+
+func (g *gauge) kind() string { return "gauge" }
+
+func (g *gauge) write(t *text) { t.sample(g.name, "", g.value.Value()) }
+
+// bucketBounds are the upper bounds of the latency buckets. They are dense around
+// the pauses and first-event times that callers notice, 50 ms to 1 s, and reach the
+// length of long streams.
+var bucketBounds = []time.Duration{
+	time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 350 * time.Millisecond,
+	500 * time.Millisecond, 750 * time.Millisecond, time.Second, 2 * time.Second,
+	5 * time.Second, 10 * time.Second, 20 * time.Second, 60 * time.Second,
+}
+
+// buckets is one histogram. The last element counts what is above all bounds.
+type buckets struct {
+	counts []metrics.Counter
+	sum    metrics.Counter // microseconds
+}
+
+func newBuckets() *buckets {
+	b := &buckets{sum: metrics.NewCounter()}
+	for range len(bucketBounds) + 1 {
+		b.counts = append(b.counts, metrics.NewCounter())
+	}
+	return b
+}
+
+func (b *buckets) observe(d time.Duration) {
+	i, _ := slices.BinarySearch(bucketBounds, d)
+	b.counts[i].Inc(1)
+	b.sum.Inc(d.Microseconds())
+}
+
+// histograms counts durations by label values.
+type histograms struct {
+	vector[*buckets]
+}
+
+// Observe adds a duration to the series of the label values.
+func (h *histograms) Observe(d time.Duration, values ...string) { h.of(values).observe(d) }
+
+func (h *histograms) kind() string { return "histogram" }
+
+func (h *histograms) write(t *text) {
+	h.each(func(labels string, one *buckets) {
+		t.histogram(h.name, labels, one)
+	})
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,140 @@
+// Package telemetry holds the metrics of a box and serves them in the text format
+// that Prometheus and its kin read.
+//
+// Metrics of the request path are fields of Metrics, declared here once;
+// docs/METRICS.md is held to them by a test. Other packages may count in the
+// go-metrics registry, whose content is shown after them.
+package telemetry
+
+import (
+	"github.com/rcrowley/go-metrics"
+)
+
+// namePrefix heads every name that is shown.
+const namePrefix = "dalebend_"
+
+// Metrics are the metrics of one box. They are safe for concurrent use.
+type Metrics struct {
+	// Requests counts ended requests by kind of route and outcome.
+	Requests *counters
+	// Refusals counts requests that were refused without being sent, by reason.
+	Refusals *counters
+	// Attempts counts attempts by backend server and result.
+	Attempts *counters
+	// Resends counts attempts on a second server, by cause.
+	Resends *counters
+	// StreamsMoved counts streams that went on from another server, by way.
+	StreamsMoved *counters
+	// MovesFailed counts streams that a server could not take over, by cause.
+	MovesFailed *counters
+	// StreamsLost counts streams that were cut at the caller, by cause.
+	StreamsLost *counters
+	// CallersLeft counts callers that went away before the end, by kind of route.
+	CallersLeft *counters
+	// StoreCalls counts calls to the object API, by call.
+	StoreCalls *counters
+	// StoreFailures counts those that failed, by call and cause.
+	StoreFailures *counters
+	// Ejections counts ejections of backend servers, by cause.
+	Ejections *counters
+
+	// Answer is the time from a request to the end of its answer, by kind of route.
+	Answer *histograms
+	// FirstEvent is the time from a request to its first event, by kind of route.
+	FirstEvent *histograms
+	// MovePause is the time in which a moved stream's caller got nothing, by way.
+	MovePause *histograms
+	// StoreTime is the time that calls to the object API took, by call.
+	StoreTime *histograms
+
+	// ConfigVersion is the configuration version in force.
+	ConfigVersion *gauge
+	// ConfigAge is how long ago the configuration was last known to be the newest.
+	ConfigAge *gauge
+	// ViewRevision is the revision of what the box knows of the servers.
+	ViewRevision *gauge
+	// ViewAge is the age of that knowledge.
+	ViewAge *gauge
+	// LiveBoxes counts the boxes that this one believes to live, itself among them.
+	LiveBoxes *gauge
+	// Servers counts the backend servers that the box knows.
+	Servers *gauge
+	// ServersEjected counts those that get no new requests for failures.
+	ServersEjected *gauge
+	// RetryBudgetLeft is how many attempts this box may repeat now.
+	RetryBudgetLeft *gauge
+	// OpenConnections counts connections of callers.
+	OpenConnections *gauge
+	// OpenStreams counts streams that are running.
+	OpenStreams *gauge
+	// LogLinesDropped counts lines that the decision log left out.
+	LogLinesDropped *gauge
+
+	families []family
+	registry metrics.Registry
+}
+
+// New returns the metrics of a box, all zero.
+func New() *Metrics {
+	m := &Metrics{registry: metrics.NewRegistry()}
+	m.declareCounters()
+	m.declareHistograms()
+	m.declareGauges()
+	return m
+}
+
+// Registry is where other packages count. Its names are shown with underscores.
+func (m *Metrics) Registry() metrics.Registry { return m.registry }
+
+func (m *Metrics) declareCounters() {
+	m.Requests = m.counters("requests_total", "ended requests", "kind", "outcome")
+	m.Refusals = m.counters("refusals_total", "requests refused without being sent to a server", "reason")
+	m.Attempts = m.counters("attempts_total", "attempts on backend servers", "server", "result")
+	m.Resends = m.counters("resends_total", "attempts repeated on another server", "cause")
+	m.StreamsMoved = m.counters("streams_moved_total", "streams that went on from another server", "way")
+	m.MovesFailed = m.counters("stream_moves_failed_total", "streams that a server could not take over", "cause")
+	m.StreamsLost = m.counters("streams_lost_total", "streams cut at the caller", "cause")
+	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
+	m.StoreCalls = m.counters("store_calls_total", "calls to the object API", "call")
+	m.StoreFailures = m.counters("store_failures_total", "calls to the object API that failed", "call", "cause")
+	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
+}
+
+func (m *Metrics) declareHistograms() {
+	m.Answer = m.histograms("answer_seconds", "time from a request to the end of its answer", "kind")
+	m.FirstEvent = m.histograms("first_event_seconds", "time from a request to the first event of its stream", "kind")
+	m.MovePause = m.histograms("move_pause_seconds", "time in which the caller of a moved stream got nothing", "way")
+	m.StoreTime = m.histograms("store_call_seconds", "time that calls to the object API took", "call")
+}
+
+func (m *Metrics) declareGauges() {
+	m.ConfigVersion = m.gauge("config_version", "configuration version in force")
+	m.ConfigAge = m.gauge("config_age_seconds", "time since the configuration was last known to be the newest")
+	m.ViewRevision = m.gauge("view_revision", "revision of what the box knows of the backend servers")
+	m.ViewAge = m.gauge("view_age_seconds", "age of that knowledge")
+	m.LiveBoxes = m.gauge("live_boxes", "boxes believed to live, this one among them")
+	m.Servers = m.gauge("servers", "backend servers known")
+	m.ServersEjected = m.gauge("servers_ejected", "backend servers out of use for failures")
+	m.RetryBudgetLeft = m.gauge("retry_budget_left", "attempts that this box may repeat now")
+	m.OpenConnections = m.gauge("open_connections", "open connections of callers")
+	m.OpenStreams = m.gauge("open_streams", "running streams")
+	m.LogLinesDropped = m.gauge("log_lines_dropped", "lines that the decision log left out since the start")
+}
+
+func (m *Metrics) counters(name, help string, labels ...string) *counters {
+	c := &counters{vector: newVector(name, help, labels, metrics.NewCounter)}
+	m.families = append(m.families, c)
+	return c
+}
+
+func (m *Metrics) histograms(name, help string, labels ...string) *histograms {
+	h := &histograms{vector: newVector(name, help, labels, newBuckets)}
+	m.families = append(m.families, h)
+	return h
+}
+
+func (m *Metrics) gauge(name, help string) *gauge {
+	g := &gauge{head: head{name: namePrefix + name, help: help}, value: metrics.NewGaugeFloat64()}
+	m.families = append(m.families, g)
+	return g
+}
