--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -32,8 +32,6 @@
 			KeyElapsed, KeyOpen),
 		info(SettingsReloaded, "the settings file changed and is in force",
 			KeySource),
-		warn(SettingsRefused, "the settings file changed and cannot be used; the old settings stay",
-			KeySource, KeyCause),
 		warn(LinesDropped, "lines are missing since the last such line: the reader was slow, or an event came more often than its budget",
 			KeyQueueFull, KeyOverBudget, KeyByEvent),
 	}
@@ -49,8 +47,6 @@
 			KeyPeer, KeyAway, KeyCause, KeyLive),
 		info(PeerRegained, "a peer's heartbeats came back, or it is new",
 			KeyPeer, KeyAway, KeyLive),
-		info(BoxesView, "the list of boxes changed",
-			KeyRevision, KeyAdded, KeyGone, KeyLive),
 		info(WatchTaken, "this box watches the object API for the others",
 			KeyKind, KeyReason, KeyLive),
 		info(WatchGivenUp, "another box watches instead",
@@ -70,24 +66,20 @@
 
 func requestEvents() []Declaration {
 	return []Declaration{
-		warn(RequestRefused, "the box answered without sending the request to a server",
+		warn(RequestRefused, "the box answered by itself; not_run tells whether no server can have run the request",
 			KeyRequest, KeyRoute, KeyAccount, KeyStatus, KeyReason, KeyNotRun, KeyRetryAfter, KeyCandidates,
 			KeyConfigVersion, KeyConfigAge, KeyViewRevision, KeyViewAge, KeyElapsed),
-		info(RequestQueued, "no server had room; the request waits",
-			KeyRequest, KeyRoute, KeyAccount, KeyCandidates, KeyLoad, KeyDeadline, KeyViewRevision, KeyViewAge),
 		info(RequestSent, "a server was chosen among candidates and the request goes there",
-			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyAttempt, KeyCause, KeyCandidates, KeyLoad, KeyExpectedTokens, KeyBackup,
-			KeyDeadline, KeyConfigVersion, KeyViewRevision, KeyViewAge, KeyElapsed),
-		info(RequestAnswered, "a server's answer goes to the caller",
-			KeyRequest, KeyServer, KeyStatus, KeyElapsed),
+			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyAttempt, KeyCause, KeyCandidates, KeyLoad, KeyRank,
+			KeyExpectedTokens, KeyBackup, KeyDeadline, KeyConfigVersion, KeyViewRevision, KeyViewAge, KeyElapsed),
 		warn(RequestFailed, "an attempt failed; perhaps_run says whether the server may have run it",
 			KeyRequest, KeyServer, KeyAttempt, KeyStatus, KeyStage, KeyPerhapsRun, KeyCause, KeyElapsed),
 		info(RequestResent, "a failed attempt is tried on another server",
 			KeyRequest, KeyFrom, KeyTo, KeyAttempt, KeyCause, KeyBudgetLeft),
-		warn(RequestEnded, "the caller got a failure of this box's own; perhaps_run says whether a server may have run the request",
-			KeyRequest, KeyRoute, KeyAccount, KeyStatus, KeyReason, KeyStage, KeyServer, KeyPerhapsRun, KeyAttempt, KeyBudgetLeft, KeyElapsed),
+		info(RequestEnded, "the request ended with a server's answer; cause is set when it broke off before its end",
+			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyStatus, KeyEvents, KeyCause, KeyConfigVersion, KeyElapsed),
 		info(CallerLeft, "the caller closed its connection before the answer was complete; the attempt is cancelled",
-			KeyRequest, KeyServer, KeyEvents, KeyElapsed),
+			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyEvents, KeyConfigVersion, KeyElapsed),
 	}
 }
 
@@ -103,7 +95,7 @@
 			KeyRequest, KeyFrom, KeyTo, KeyWay, KeyCause, KeyStatus, KeyEvents),
 		warn(StreamLost, "a stream was cut at the caller; causes lists what was tried",
 			KeyRequest, KeyServer, KeyEvents, KeyBackup, KeyCauses, KeyViewRevision, KeyViewAge, KeyElapsed),
-		info(StreamEnded, "a stream ended with its server's own end",
-			KeyRequest, KeyServer, KeyEvents, KeyElapsed, KeyMoves),
+		info(StreamEnded, "a stream ended with its server's own end; pause_ms is its longest pause, ms the time to its first event",
+			KeyRequest, KeyServer, KeyEvents, KeyElapsed, KeyMoves, KeyPause),
 	}
 }
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -17,7 +17,6 @@
 	StopBegins       Name = "stop-begins"
 	StopEnds         Name = "stop-ends"
 	SettingsReloaded Name = "settings-reloaded"
-	SettingsRefused  Name = "settings-refused"
 	LinesDropped     Name = "log-lines-dropped"
 )
 
@@ -27,7 +26,6 @@
 	StoreRegained    Name = "store-regained"
 	PeerLost         Name = "peer-lost"
 	PeerRegained     Name = "peer-regained"
-	BoxesView        Name = "boxes-view"
 	WatchTaken       Name = "watch-taken"
 	WatchGivenUp     Name = "watch-given-up"
 	ConfigInForce    Name = "config-in-force"
@@ -39,14 +37,12 @@
 
 // A request on its way.
 const (
-	RequestRefused  Name = "request-refused"
-	RequestQueued   Name = "request-queued"
-	RequestSent     Name = "request-sent"
-	RequestAnswered Name = "request-answered"
-	RequestFailed   Name = "request-failed"
-	RequestResent   Name = "request-resent"
-	RequestEnded    Name = "request-ended"
-	CallerLeft      Name = "caller-left"
+	RequestRefused Name = "request-refused"
+	RequestSent    Name = "request-sent"
+	RequestFailed  Name = "request-failed"
+	RequestResent  Name = "request-resent"
+	RequestEnded   Name = "request-ended"
+	CallerLeft     Name = "caller-left"
 )
 
 // A stream after its first byte.
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -19,6 +19,7 @@
 	KeyReason  = "reason"
 	KeyCause   = "cause"
 	KeyCauses  = "causes"
+	// KeyStage holds the text of an exchange.Stage.
 	KeyStage   = "stage"
 	KeyWay     = "way"
 	KeyElapsed = "ms"
@@ -35,6 +36,7 @@
 	KeyBackup         = "backup"
 	KeyCandidates     = "candidates"
 	KeyLoad           = "load"
+	KeyRank           = "rank"
 	KeyExpectedTokens = "expected_tokens"
 
 	KeyEvents = "events"
@@ -68,18 +70,6 @@
 	KeyByEvent    = "by_event"
 )
 
-// Values of KeyStage: how far an attempt came before it failed.
-const (
-	// StageNotSent means that no byte of the request was written.
-	StageNotSent = "not-sent"
-	// StageUnanswered means that the request was sent and nothing came back.
-	StageUnanswered = "unanswered"
-	// StageTorn means that the answer broke off.
-	StageTorn = "torn"
-	// StageForeign means that the answer belonged to another request or instance.
-	StageForeign = "foreign"
-)
-
 // Values of KeyWay: how a stream came to another server.
 const (
 	// WayBackup continues from the copy that a second server kept.
