viewshare: boxes give each other the configuration and the view

A box that is cut from the store, or has just started, needs both from a peer. It keeps the newest of each, serves them over net/rpc, and asks a peer whose heartbeat tells of a higher version. Views travel as the changes since the asker's revision, with a checksum, or whole when those are not kept.

--- /dev/null
+++ b/internal/viewshare/caller.go
@@ -0,0 +1,156 @@
+package viewshare
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout covers several round trips between zones; a peer behind a cut
+	// does not answer at all.
+	dialTimeout = 200 * time.Millisecond
+	// callTimeout adds to that the time a busy peer with a spent processor quota
+	// takes, twice, and the transfer of a large document.
+	callTimeout = 400 * time.Millisecond
+	// userTimeoutMS is the time in milliseconds that sent bytes may remain
+	// unacknowledged. It lets a connection live through a lost packet, but not
+	// through the death of a machine.
+	userTimeoutMS = 1000
+	// keepAliveIdle, keepAliveInterval and keepAliveCount end connections that rest
+	// and whose peer lost power, within 25 s; they cost little until then.
+	keepAliveIdle     = 15 * time.Second
+	keepAliveInterval = 5 * time.Second
+	keepAliveCount    = 2
+)
+
+var (
+	errDialTimeout = errors.New("dial ran out of time")
+	errCallTimeout = errors.New("call ran out of time")
+	errClosed      = errors.New("caller is closed")
+)
+
+// caller calls one peer over a connection that it keeps.
+type caller struct {
+	addr  string
+	clock clockwork.Clock
+	// used is when the last call began; busy counts calls. The fetches own both.
+	used time.Time
+	busy int
+
+	mu     sync.Mutex
+	rpc    *rpc.Client
+	closed bool
+}
+
+// call makes one call. Net/rpc has no deadlines: the connection of a call that
+// runs out of time is closed, which ends it.
+func (c *caller) call(method string, args, reply any) error {
+	client, err := c.connect()
+	if err != nil {
+		return fmt.Errorf("dial peer %s: %w", c.addr, err)
+	}
+	var late atomic.Bool
+	timer := c.clock.AfterFunc(callTimeout, func() {
+		late.Store(true)
+		c.drop(client)
+	})
+	defer timer.Stop()
+	err = client.Call(method, args, reply)
+	if err == nil {
+		return nil
+	}
+	var answer rpc.ServerError
+	if !errors.As(err, &answer) {
+		c.drop(client)
+	}
+	if late.Load() {
+		err = errCallTimeout
+	}
+	return fmt.Errorf("call %s at %s: %w", method, c.addr, err)
+}
+
+// connect returns the kept connection, or a new one.
+func (c *caller) connect() (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errClosed
+	}
+	if c.rpc != nil {
+		return c.rpc, nil
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	timer := c.clock.AfterFunc(dialTimeout, func() { cancel(errDialTimeout) })
+	defer timer.Stop()
+	dialer := &net.Dialer{
+		Control: func(_, _ string, raw syscall.RawConn) error { return userTimeout(raw) },
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", c.addr)
+	if err != nil && context.Cause(ctx) != nil {
+		return nil, context.Cause(ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	c.rpc = rpc.NewClient(conn)
+	return c.rpc, nil
+}
+
+// drop closes a connection.
+func (c *caller) drop(client *rpc.Client) {
+	_ = client.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc == client {
+		c.rpc = nil
+	}
+}
+
+// close ends the connection, with the calls on it, and refuses later ones.
+func (c *caller) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.rpc != nil {
+		_ = c.rpc.Close()
+		c.rpc = nil
+	}
+}
+
+// setUserTimeout bounds how long an accepted connection waits for a dead peer.
+func setUserTimeout(c net.Conn) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return userTimeout(raw)
+}
+
+func userTimeout(raw syscall.RawConn) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMS)
+	})
+	return errors.Join(err, set)
+}
--- /dev/null
+++ b/internal/viewshare/changelog.go
@@ -0,0 +1,79 @@
+package viewshare
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+// stepsKept is how many views behind a peer may be and still get only the changes.
+// Views change a few times a second at most, so it covers an outage of some 20 s.
+const stepsKept = 64
+
+// step leads from one view to the next that this box took.
+type step struct {
+	base    int64
+	changes []registry.Change
+}
+
+// changeLog holds the last steps, and what was encoded for the newest view.
+type changeLog struct {
+	steps []step
+	// encoded holds the updates by the revision that they begin at, 0 for the whole view.
+	encoded map[int64][]byte
+}
+
+// add takes the step to a new view.
+func (l *changeLog) add(from, to *registry.View) {
+	l.encoded = nil
+	if from == nil {
+		return
+	}
+	if len(l.steps) == stepsKept {
+		l.steps = slices.Delete(l.steps, 0, 1)
+	}
+	l.steps = append(l.steps, step{base: from.Revision, changes: difference(from, to)})
+}
+
+// since returns the changes since a revision; false means that the log does not
+// begin at it. Steps are not joined at other revisions: an entry that changed and
+// changed back is in none of them.
+func (l *changeLog) since(revision int64) ([]registry.Change, bool) {
+	i := slices.IndexFunc(l.steps, func(s step) bool { return s.base == revision })
+	if i < 0 {
+		return nil, false
+	}
+	last := make(map[string]registry.Change)
+	for _, s := range l.steps[i:] {
+		for _, c := range s.changes {
+			last[c.Server.ID] = c
+		}
+	}
+	return sorted(last), true
+}
+
+// difference returns the changes that lead from one view to another.
+func difference(from, to *registry.View) []registry.Change {
+	out := make(map[string]registry.Change)
+	for id, server := range to.Servers {
+		if old, ok := from.Servers[id]; !ok || old != server {
+			out[id] = registry.Change{Server: server}
+		}
+	}
+	for id := range from.Servers {
+		if _, ok := to.Servers[id]; !ok {
+			out[id] = registry.Change{Server: registry.Server{ID: id}, Gone: true}
+		}
+	}
+	return sorted(out)
+}
+
+func sorted(changes map[string]registry.Change) []registry.Change {
+	out := make([]registry.Change, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b registry.Change) int { return cmp.Compare(a.Server.ID, b.Server.ID) })
+	return out
+}
--- /dev/null
+++ b/internal/viewshare/fetch.go
@@ -0,0 +1,111 @@
+package viewshare
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/dalebend/dalebend/internal/digest"
+)
+
+// errNoNews means that a peer had nothing newer although it told of it.
+var errNoNews = errors.New("peer has nothing newer")
+
+// errRefused means that a peer's document cannot be decoded.
+var errRefused = errors.New("peer's document was refused")
+
+// Heard takes what a peer tells of itself, and fetches what it has newer. It does
+// not wait for the answer.
+func (s *Share) Heard(d *digest.Digest) {
+	s.fetches.told(d, s.Clock.Now())
+	for k := range kinds {
+		s.fetchNext(k)
+	}
+}
+
+// fetchNext begins a fetch if one is needed and some peer may be asked.
+func (s *Share) fetchNext(k kind) {
+	job, wait := s.fetches.begin(k, s.held(k), s.Grace, s.Clock)
+	if wait > 0 {
+		s.Clock.AfterFunc(wait, func() { s.fetchNext(k) })
+	}
+	if job == nil {
+		return
+	}
+	go func() {
+		err := s.fetch(job)
+		s.finish(job, err)
+	}()
+}
+
+// finish notes how a fetch ended and begins the next one.
+func (s *Share) finish(job *job, err error) {
+	if err != nil {
+		s.Logger.Warn("cannot fetch from peer", "kind", job.kind, "box", job.teller.name, "err", err)
+	}
+	s.fetches.end(job, err, s.Clock.Now())
+	s.fetchNext(job.kind)
+}
+
+func (s *Share) fetch(job *job) error {
+	have := s.held(job.kind)
+	if have >= job.want {
+		return nil
+	}
+	if job.kind == configKind {
+		return s.fetchConfig(job, have)
+	}
+	err := s.fetchView(job, have)
+	if errors.Is(err, errMismatch) {
+		s.Logger.Warn("asking for the whole view", "box", job.teller.name, "err", err)
+		return s.fetchView(job, 0)
+	}
+	return err
+}
+
+func (s *Share) fetchConfig(job *job, have int64) error {
+	reply, err := job.ask(configMethod, have)
+	if err != nil {
+		return err
+	}
+	job.want = reply.Version
+	if err := s.takeConfig(reply.Data); err != nil {
+		return fmt.Errorf("%w: version %d: %w", errRefused, reply.Version, err)
+	}
+	if s.held(configKind) <= have {
+		return fmt.Errorf("%w: document has another version than %d", errNoNews, reply.Version)
+	}
+	return nil
+}
+
+func (s *Share) fetchView(job *job, have int64) error {
+	reply, err := job.ask(viewMethod, have)
+	if err != nil {
+		return err
+	}
+	u, err := decode(reply.Data)
+	if err != nil {
+		return err
+	}
+	held := s.View()
+	if held != nil && held.Revision >= u.Revision {
+		return nil
+	}
+	view, err := u.apply(held)
+	if err != nil {
+		return err
+	}
+	s.OfferView(view)
+	return nil
+}
+
+// ask makes the call of a fetch.
+func (j *job) ask(method string, have int64) (*FetchReply, error) {
+	reply := &FetchReply{}
+	if err := j.peer.call(method, &FetchArgs{Have: have}, reply); err != nil {
+		return nil, err
+	}
+	if len(reply.Data) == 0 {
+		return nil, fmt.Errorf("%w: it has %d", errNoNews, reply.Version)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/viewshare/rising_test.go
@@ -0,0 +1,114 @@
+package viewshare
+
+import (
+	"bytes"
+	"encoding/gob"
+	"errors"
+	"log/slog"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/routetable"
+)
+
+// watched is a Share that checks what it takes.
+type watched struct {
+	*Share
+
+	version  int64
+	revision int64
+}
+
+func newWatched(t *rapid.T) *watched {
+	w := &watched{}
+	w.Share = &Share{
+		Decode: decodeDoc, Clock: newClock(), Logger: slog.New(slog.DiscardHandler),
+		OnTable: func(table *routetable.Table) {
+			require.Greater(t, table.Version(), w.version)
+			w.version = table.Version()
+		},
+		OnView: func(v registry.View) {
+			require.Greater(t, v.Revision, w.revision)
+			require.Equal(t, viewAt(v.Revision), v)
+			w.revision = v.Revision
+		},
+	}
+	return w
+}
+
+func (w *watched) check(t *rapid.T) {
+	require.Equal(t, w.version, w.held(configKind))
+	require.Equal(t, w.revision, w.held(viewKind))
+}
+
+// slowPeer answers from a Share; before the answer arrives, other things happen.
+type slowPeer struct {
+	from      *Share
+	meanwhile func()
+	fails     bool
+}
+
+func (p *slowPeer) call(method string, args, reply any) error {
+	var answer FetchReply
+	var err error
+	if method == configMethod {
+		err = service{p.from}.Config(args.(*FetchArgs), &answer)
+	} else {
+		err = service{p.from}.View(args.(*FetchArgs), &answer)
+	}
+	if err != nil {
+		return err
+	}
+	p.meanwhile()
+	if p.fails {
+		return errors.New("connection lost")
+	}
+	var wire bytes.Buffer
+	if err := gob.NewEncoder(&wire).Encode(&answer); err != nil {
+		return err
+	}
+	return gob.NewDecoder(&wire).Decode(reply)
+}
+
+// TestNeverFalls: under any interleaving of offers and fetches, versions and
+// revisions rise, a view is that of its revision on every box, and a fetch that
+// succeeds brings what the peer told of.
+func TestNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		boxes := []*watched{newWatched(t), newWatched(t), newWatched(t)}
+		pick := rapid.SampledFrom(boxes)
+		number := rapid.Int64Range(1, 40)
+		offer := func(t *rapid.T) {
+			b := pick.Draw(t, "box")
+			b.OfferConfig(doc(number.Draw(t, "version")))
+			b.OfferView(viewAt(number.Draw(t, "revision")))
+		}
+		rubbish := func(t *rapid.T) { pick.Draw(t, "box").OfferConfig([]byte("rubbish")) }
+		fetch := func(t *rapid.T) {
+			to, from := pick.Draw(t, "to"), pick.Draw(t, "from")
+			k := kind(rapid.IntRange(0, int(kinds)-1).Draw(t, "kind"))
+			p := &slowPeer{from: from.Share, fails: rapid.Bool().Draw(t, "fails"), meanwhile: func() {
+				for range rapid.IntRange(0, 3).Draw(t, "meanwhile") {
+					offer(t)
+				}
+			}}
+			want := from.held(k)
+			if err := to.fetch(&job{kind: k, teller: &teller{}, peer: p, want: want}); err == nil {
+				require.GreaterOrEqual(t, to.held(k), want)
+			} else {
+				require.True(t, p.fails || errors.Is(err, errNoNews), "%v", err)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": offer, "rubbish": rubbish, "fetch": fetch,
+			"": func(t *rapid.T) {
+				for _, b := range boxes {
+					b.check(t)
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/viewshare/share.go
@@ -0,0 +1,126 @@
+// Package viewshare keeps the newest configuration and the newest view of the
+// backend servers that this box knows, gives them to other boxes, and fetches newer
+// ones from boxes that tell of them.
+//
+// A box that is cut from the store, or has just started, gets both from any peer.
+// Invariant: the version of the configuration and the revision of the view never
+// fall.
+package viewshare
+
+import (
+	"bytes"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/routetable"
+)
+
+// Share is safe for concurrent use. Set the exported fields before use.
+type Share struct {
+	// Decode reads a configuration document.
+	Decode func(doc []byte) (*routetable.Table, error)
+	// Clock gives the time.
+	Clock clockwork.Clock
+	// Logger hears of what is refused and of peers that fail.
+	Logger *slog.Logger
+	// OnTable and OnView, if set, are called with each table and view that is taken,
+	// in order. They must not offer anything themselves.
+	OnTable func(t *routetable.Table)
+	OnView  func(v registry.View)
+	// Grace is how long a peer may be ahead before it is asked. A box whose own watch
+	// of the store works gets most news by it within that time; 0 asks at once.
+	Grace time.Duration
+
+	configMu sync.Mutex
+	config   atomic.Pointer[config]
+
+	viewMu sync.Mutex
+	view   atomic.Pointer[registry.View]
+	log    changeLog
+
+	fetches fetches
+}
+
+// config is a configuration in both its forms.
+type config struct {
+	doc   []byte
+	table *routetable.Table
+}
+
+// Table returns the newest configuration, or nil before the first.
+func (s *Share) Table() *routetable.Table {
+	if c := s.config.Load(); c != nil {
+		return c.table
+	}
+	return nil
+}
+
+// View returns the newest view of the backend servers, or nil before the first.
+// It is read only.
+func (s *Share) View() *registry.View { return s.view.Load() }
+
+// OfferConfig takes a configuration document if its version is higher than that
+// of the one that is held. It keeps doc, which must not change afterwards. A
+// document that cannot be decoded is logged and refused.
+func (s *Share) OfferConfig(doc []byte) { _ = s.takeConfig(doc) }
+
+// takeConfig is OfferConfig; its error, which is logged already, says that the
+// document cannot be decoded.
+func (s *Share) takeConfig(doc []byte) error {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
+	held := s.config.Load()
+	if held != nil && bytes.Equal(held.doc, doc) {
+		return nil
+	}
+	table, err := s.Decode(doc)
+	if err != nil {
+		s.Logger.Error("configuration refused", "bytes", len(doc), "err", err)
+		return err
+	}
+	if held != nil && table.Version() <= held.table.Version() {
+		return nil
+	}
+	s.config.Store(&config{doc: doc, table: table})
+	s.fetches.progress(configKind)
+	if s.OnTable != nil {
+		s.OnTable(table)
+	}
+	return nil
+}
+
+// OfferView takes a view if its revision is higher than that of the one that is
+// held. The view must not change afterwards.
+func (s *Share) OfferView(v registry.View) {
+	s.viewMu.Lock()
+	defer s.viewMu.Unlock()
+	held := s.view.Load()
+	if held != nil && v.Revision <= held.Revision {
+		return
+	}
+	s.log.add(held, &v)
+	s.view.Store(&v)
+	s.fetches.progress(viewKind)
+	if s.OnView != nil {
+		s.OnView(v)
+	}
+}
+
+// held returns the version or revision that this box has, 0 for none.
+func (s *Share) held(k kind) int64 {
+	if k == configKind {
+		if t := s.Table(); t != nil {
+			return t.Version()
+		}
+		return 0
+	}
+	if v := s.View(); v != nil {
+		return v.Revision
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/viewshare/update.go
@@ -0,0 +1,97 @@
+package viewshare
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"hash/fnv"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+// errMismatch means that changes do not lead from the held view to the sender's.
+var errMismatch = errors.New("changes do not fit the view")
+
+// update is a view as it travels: the changes since another one, or all entries.
+type update struct {
+	// Base is the revision that the changes begin at; 0 is an empty view.
+	Base int64
+	// Revision is that of the view.
+	Revision int64
+	// Changes lead from the base to the view.
+	Changes []registry.Change
+	// Checksum is that of the whole view.
+	Checksum uint64
+}
+
+// newUpdate makes the update from a revision to a view, or from an empty view when
+// the log does not have the changes.
+func newUpdate(log *changeLog, view *registry.View, base int64) (*update, error) {
+	changes, ok := log.since(base)
+	if !ok {
+		base = 0
+		changes = difference(&registry.View{}, view)
+	}
+	sum, err := checksum(view)
+	if err != nil {
+		return nil, err
+	}
+	return &update{Base: base, Revision: view.Revision, Changes: changes, Checksum: sum}, nil
+}
+
+// apply returns the view that an update leads to. Held may be nil.
+func (u *update) apply(held *registry.View) (registry.View, error) {
+	var base registry.View
+	if u.Base != 0 {
+		if held == nil || held.Revision != u.Base {
+			return registry.View{}, fmt.Errorf("%w: they begin at revision %d", errMismatch, u.Base)
+		}
+		base = *held
+	}
+	view := base.With(u.Changes, u.Revision)
+	sum, err := checksum(&view)
+	if err != nil {
+		return registry.View{}, err
+	}
+	if sum != u.Checksum {
+		return registry.View{}, fmt.Errorf("%w: wrong checksum at revision %d", errMismatch, u.Revision)
+	}
+	return view, nil
+}
+
+// encode writes values as arrays without field names.
+func encode(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
+		return nil, fmt.Errorf("encode view: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+func decode(data []byte) (*update, error) {
+	u := &update{}
+	if err := msgpack.Unmarshal(data, u); err != nil {
+		return nil, fmt.Errorf("decode view: %w", err)
+	}
+	return u, nil
+}
+
+// checksum is the same for equal views, whatever the order of their entries.
+func checksum(v *registry.View) (uint64, error) {
+	var sum uint64
+	for _, server := range v.Servers {
+		data, err := encode(server)
+		if err != nil {
+			return 0, err
+		}
+		h := fnv.New64a()
+		_, _ = h.Write(data)
+		sum += h.Sum64()
+	}
+	return sum, nil
+}
