dalebendctl: explain-log tells the story of a request from logs

After a complaint only logs are left. The command picks the lines of one request from the logs of one box or of several, adds what its box believed of the servers around it, and names the cause: which server left or died and why no other went on, which belief refused it and how old that was, where its outcome became unknown.

Tests: stories from recorded lines. Run: go test -race ./internal/explain ./internal/ctl ./internal/settings, golangci-lint

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -35,6 +35,8 @@
 type Command struct {
 	// Settings name the command.
 	Settings *settings.Ctl
+	// In is read by commands that take no file.
+	In io.Reader
 	// Out and Err are where results and errors go.
 	Out io.Writer
 	Err io.Writer
@@ -97,6 +99,8 @@
 		return c.status(ctx)
 	case s.Explain != nil:
 		return c.explain(ctx, s.Explain)
+	case s.ExplainLog != nil:
+		return c.explainLog(s.ExplainLog)
 	case s.Drain != nil:
 		return c.drain(s.Drain)
 	default:
--- /dev/null
+++ b/internal/explain/belief.go
@@ -0,0 +1,70 @@
+package explain
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+)
+
+// fate tells what the boxes knew of a server around the time that it failed.
+func (c *chronicle) fate(server string, at time.Time) string {
+	if view := c.firstContext(func(l *line) bool { return l.says(server) && near(l, at) }); view != nil {
+		return fmt.Sprintf("%s left: %s heard so from the list of servers %s", server, view.Box, relative(view.Time, at))
+	}
+	ejected := c.firstContext(func(l *line) bool {
+		return l.Event == event.ServerEjected && l.Server == server && near(l, at)
+	})
+	if ejected != nil {
+		return fmt.Sprintf("%s failed without notice: %s ejected it %s (%s)",
+			server, ejected.Box, relative(ejected.Time, at), flat(ejected.Cause))
+	}
+	return server + " failed without notice: no box heard that it was leaving, nor ejected it"
+}
+
+// near reports whether a line is close enough to a failure to explain it.
+func near(l *line, at time.Time) bool {
+	return !l.Time.Before(at.Add(-before)) && !l.Time.After(at.Add(after))
+}
+
+// relative tells when something was in relation to a failure.
+func relative(when, at time.Time) string {
+	if when.After(at) {
+		return gap(at, when) + " later"
+	}
+	return gap(when, at) + " before"
+}
+
+// configState tells how long the box had had its configuration, and whether another
+// box had a newer one by then.
+func (c *chronicle) configState(at *line) string {
+	if at.ConfigVersion == nil {
+		return ""
+	}
+	text := fmt.Sprintf("; its configuration was version %d", *at.ConfigVersion)
+	own := c.lastContext(func(l *line) bool {
+		return l.Event == event.ConfigInForce && l.Box == at.Box && value(l.Version) == *at.ConfigVersion && !l.Time.After(at.Time)
+	})
+	if own != nil {
+		text += fmt.Sprintf(", in force there for %s", gap(own.Time, at.Time))
+	}
+	newer := c.firstContext(func(l *line) bool {
+		return l.Event == event.ConfigInForce && value(l.Version) > *at.ConfigVersion && !l.Time.After(at.Time)
+	})
+	if newer != nil {
+		return text + fmt.Sprintf("; %s had had version %d for %s", newer.Box, value(newer.Version), gap(newer.Time, at.Time))
+	}
+	return text + "; no box in these logs had a newer one"
+}
+
+// storeState tells whether the box was without the object API.
+func (c *chronicle) storeState(at *line) string {
+	change := c.lastContext(func(l *line) bool {
+		return (l.Event == event.StoreLost || l.Event == event.StoreRegained || l.Event == event.Start) &&
+			l.Box == at.Box && !l.Time.After(at.Time)
+	})
+	if change == nil || change.Event != event.StoreLost {
+		return ""
+	}
+	return fmt.Sprintf("; it had not reached the object API for %s", gap(change.Time, at.Time))
+}
--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,157 @@
+package explain
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+)
+
+// cause names why the request ended as it did. The first answer that fits goes: what
+// broke at a server explains the lines that follow from it.
+func (c *chronicle) cause() string {
+	if len(c.own) == 0 {
+		return "unknown: no line names this request; see whether these are the logs of the box that took it, and whether log-lines-dropped counts any"
+	}
+	if lost := c.last(event.StreamLost); lost != nil {
+		return c.causeLost(lost)
+	}
+	if refused := c.last(event.RequestRefused); refused != nil {
+		return c.causeRefused(refused)
+	}
+	if ended := c.last(event.RequestEnded); ended != nil {
+		return c.causeEnded(ended)
+	}
+	if left := c.last(event.CallerLeft); left != nil {
+		return c.causeCallerLeft(left)
+	}
+	return c.causeNoEnd()
+}
+
+// causeLost explains a stream that was cut: what became of its server, and why no
+// other one went on with it.
+func (c *chronicle) causeLost(lost *line) string {
+	at := lost.Time
+	if broke := c.last(event.StreamBroke); broke != nil {
+		at = broke.Time
+	}
+	return fmt.Sprintf("the stream was cut after %s since %s; no other server went on with it: %s",
+		count(lost.Events, "event"), c.fate(lost.Server, at), c.whyNoMove(lost))
+}
+
+// whyNoMove tells what stood in the way of another server.
+func (c *chronicle) whyNoMove(lost *line) string {
+	var failed []string
+	for _, l := range c.own {
+		if l.Event == event.StreamMoveFailed && !l.Time.After(lost.Time) {
+			failed = append(failed, fmt.Sprintf("%s failed to (%s)", l.To, flat(l.Cause)))
+		}
+	}
+	if len(failed) > 0 {
+		return strings.Join(failed, ", ")
+	}
+	if backup := c.backup(); backup != "" {
+		return "backup " + backup + " was of no use (" + lost.lastCause() + ")"
+	}
+	return lost.lastCause() + ", no backup had been chosen"
+}
+
+// lastCause returns the last of a line's causes: what was found in the end.
+func (l *line) lastCause() string {
+	if len(l.Causes) == 0 {
+		return "the log does not say why"
+	}
+	parts := strings.Split(l.Causes[len(l.Causes)-1], "\n")
+	return parts[len(parts)-1]
+}
+
+// causeRefused explains an answer of the box's own.
+func (c *chronicle) causeRefused(refused *line) string {
+	if refused.NotRun != nil && !*refused.NotRun {
+		return c.causeUnknown(refused)
+	}
+	text := fmt.Sprintf("refused by %s with status %d before any server had it: %s", refused.Box, refused.Status, flat(refused.Reason))
+	if c.last(event.RequestSent) != nil {
+		text = fmt.Sprintf("refused by %s with status %d after attempts that did not run: %s", refused.Box, refused.Status, flat(refused.Reason))
+	}
+	return text + c.configState(refused) + c.storeState(refused)
+}
+
+// causeUnknown explains a request whose server may have run it.
+func (c *chronicle) causeUnknown(end *line) string {
+	failed := lastOf(c.own, func(l *line) bool { return l.Event == event.RequestFailed && l.mayHaveRun() })
+	if failed == nil {
+		return fmt.Sprintf("the outcome is unknown: the box answered %d, %s", end.Status, flat(end.Reason))
+	}
+	return fmt.Sprintf("the outcome is unknown: the attempt on %s failed at the stage %q after it was sent, so it may have run and was not repeated (%s); %s",
+		failed.Server, failed.Stage, flat(failed.Cause), c.fate(failed.Server, failed.Time))
+}
+
+// causeEnded explains an answer that was passed on, whole or in part.
+func (c *chronicle) causeEnded(ended *line) string {
+	server := c.server()
+	switch {
+	case ended.Cause != "":
+		return fmt.Sprintf("the answer broke off: %s; %s", flat(ended.Cause), c.fate(server, ended.Time))
+	case ended.Status >= http.StatusInternalServerError:
+		return fmt.Sprintf("%s itself answered %d; the answer was passed on after %s", server, ended.Status, c.attempts())
+	case ended.Status >= http.StatusBadRequest:
+		return fmt.Sprintf("%s itself answered %d: the request was not acceptable to it", server, ended.Status)
+	case c.last(event.StreamMoved) != nil:
+		return "no failure: the stream was moved and ended whole"
+	default:
+		return "no failure: the caller has its whole answer"
+	}
+}
+
+// attempts counts the request's attempts and names their servers.
+func (c *chronicle) attempts() string {
+	var servers []string
+	for _, l := range c.own {
+		if l.Event == event.RequestSent {
+			servers = append(servers, l.Server)
+		}
+	}
+	return count(len(servers), "attempt") + " (" + strings.Join(servers, ", ") + ")"
+}
+
+func (c *chronicle) causeCallerLeft(left *line) string {
+	server := c.server()
+	if server == "" {
+		return fmt.Sprintf("the caller left%s, before a server was chosen", elapsedText(left.Elapsed))
+	}
+	stopped := c.lastContext(func(l *line) bool {
+		return l.Event == event.StopEnds && l.Box == left.Box && !l.Time.After(left.Time) && l.Time.After(left.Time.Add(-after))
+	})
+	if stopped != nil {
+		return fmt.Sprintf("%s stopped and cut the connection%s, while %s was at work", left.Box, elapsedText(left.Elapsed), server)
+	}
+	return fmt.Sprintf("the caller left%s, while %s was at work", elapsedText(left.Elapsed), server)
+}
+
+// causeNoEnd explains a request whose last line is not its end.
+func (c *chronicle) causeNoEnd() string {
+	end := c.own[len(c.own)-1]
+	where := "before it was sent to a server"
+	if server := c.server(); server != "" {
+		where = "while " + server + " had it, so it may have run"
+	}
+	restart := c.firstContext(func(l *line) bool {
+		return l.Event == event.Start && l.Box == end.Box && l.Time.After(end.Time) && l.Time.Before(end.Time.Add(restartLimit))
+	})
+	if restart != nil {
+		return fmt.Sprintf("the outcome is unknown: the process of %s ended %s (it started anew %s after the request's last line)",
+			end.Box, where, gap(end.Time, restart.Time))
+	}
+	if dropped := c.firstContext(func(l *line) bool {
+		return l.Event == event.LinesDropped && l.Box == end.Box && l.Time.After(end.Time)
+	}); dropped != nil {
+		return fmt.Sprintf("unknown: lines of %s were dropped, the last one of this request may be among them", end.Box)
+	}
+	return fmt.Sprintf("the outcome is unknown: %s wrote nothing more about the request; the process died %s, or these logs end here", end.Box, where)
+}
+
+// gap returns the time between two lines, in milliseconds.
+func gap(from, to time.Time) string { return to.Sub(from).Round(time.Millisecond).String() }
--- /dev/null
+++ b/internal/explain/chronicle.go
@@ -0,0 +1,139 @@
+package explain
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+)
+
+// chronicle holds a request's lines and what happened around them, each ordered by
+// time.
+type chronicle struct {
+	own     []*line
+	context []*line
+}
+
+// steps returns the story's lines.
+func (c *chronicle) steps() []Step {
+	if len(c.own) == 0 {
+		return nil
+	}
+	var steps []Step
+	for _, l := range c.own {
+		steps = append(steps, Step{Time: l.Time, Box: l.Box, Text: l.sentence(), Own: true})
+	}
+	servers := c.servers()
+	for _, l := range c.context {
+		steps = append(steps, c.contextSteps(l, servers)...)
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return a.Time.Compare(b.Time) })
+	return steps
+}
+
+// contextSteps returns what a line tells that matters to the request.
+func (c *chronicle) contextSteps(l *line, servers []string) []Step {
+	begin, end := c.span()
+	if l.Time.Before(begin.Add(-before)) || l.Time.After(end.Add(after)) || !slices.Contains(c.boxes(), l.Box) {
+		return nil
+	}
+	var steps []Step
+	for _, s := range l.subjects(servers) {
+		steps = append(steps, Step{Time: l.Time, Box: l.Box, Text: l.contextSentence(s)})
+	}
+	return steps
+}
+
+// subjects returns which of the request's servers the line is about; a line about the
+// box has one empty subject.
+func (l *line) subjects(servers []string) []string {
+	switch l.Event {
+	case event.ServersView:
+		return slices.DeleteFunc(slices.Clone(servers), func(s string) bool { return !l.says(s) })
+	case event.ServerEjected, event.ServerReadmitted:
+		return slices.DeleteFunc(slices.Clone(servers), func(s string) bool { return s != l.Server })
+	default:
+		return []string{""}
+	}
+}
+
+// says reports whether a view tells that a server is leaving or gone.
+func (l *line) says(server string) bool {
+	return l.Event == event.ServersView && (l.Gone.has(server) || l.Draining.has(server))
+}
+
+// span returns the times of the request's first and last line.
+func (c *chronicle) span() (begin, end time.Time) {
+	return c.own[0].Time, c.own[len(c.own)-1].Time
+}
+
+// servers returns the backend servers that the request's lines name.
+func (c *chronicle) servers() []string {
+	return distinct(c.own, (*line).servers)
+}
+
+// boxes returns the boxes that handled the request.
+func (c *chronicle) boxes() []string {
+	return distinct(c.own, func(l *line) []string { return []string{l.Box} })
+}
+
+func distinct(lines []*line, of func(*line) []string) []string {
+	var all []string
+	for _, l := range lines {
+		for _, one := range of(l) {
+			if !slices.Contains(all, one) {
+				all = append(all, one)
+			}
+		}
+	}
+	return all
+}
+
+// server returns the backend server that had the request last, "" if none had.
+func (c *chronicle) server() string {
+	l := lastOf(c.own, func(l *line) bool { return l.Event == event.RequestSent || l.Event == event.StreamMoved })
+	switch {
+	case l == nil:
+		return ""
+	case l.Event == event.StreamMoved:
+		return l.To
+	default:
+		return l.Server
+	}
+}
+
+// backup returns the server that was to keep a copy, as last chosen, "" if none was.
+func (c *chronicle) backup() string {
+	l := lastOf(c.own, func(l *line) bool { return l.Backup != "" })
+	if l == nil {
+		return ""
+	}
+	return l.Backup
+}
+
+// last returns the request's last line of an event, nil if there is none.
+func (c *chronicle) last(name event.Name) *line {
+	return lastOf(c.own, func(l *line) bool { return l.Event == name })
+}
+
+// lastContext returns the last line around the request that fits.
+func (c *chronicle) lastContext(fits func(*line) bool) *line {
+	return lastOf(c.context, fits)
+}
+
+// firstContext returns the first line around the request that fits.
+func (c *chronicle) firstContext(fits func(*line) bool) *line {
+	if i := slices.IndexFunc(c.context, fits); i >= 0 {
+		return c.context[i]
+	}
+	return nil
+}
+
+func lastOf(lines []*line, fits func(*line) bool) *line {
+	for _, l := range slices.Backward(lines) {
+		if fits(l) {
+			return l
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,65 @@
+package explain_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/explain"
+)
+
+// TestStories tells the stories of testdata.
+func TestStories(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+			var request string
+			td.ScanArgs(t, "request", &request)
+			return tell(t, request, td.Input)
+		})
+	})
+}
+
+func tell(t *testing.T, request, lines string) string {
+	t.Helper()
+	reader := &explain.Reader{Request: request}
+	require.NoError(t, reader.Read(strings.NewReader(lines)))
+	var b strings.Builder
+	reader.Story().WriteText(&b)
+	return b.String()
+}
+
+// TestOtherText reads files that hold more than decision logs.
+func TestOtherText(t *testing.T) {
+	reader := &explain.Reader{Request: "r1"}
+	text := `r1
+r1 {
+r1 {"event":7}
+r1 {"event":"request-sent","request":"r1"}
+{"time":"2026-01-01T00:00:00Z","event":"request-sent","request":"r10","server":"e1"}
+{"time":"2026-01-01T00:00:00Z","event":"request-sent","request":"r1","server":"e1","status":"text","attempt":2}
+`
+	require.NoError(t, reader.Read(strings.NewReader(text)))
+	story := reader.Story()
+	require.Len(t, story.Steps, 1)
+	require.Contains(t, story.Steps[0].Text, "attempt 2 goes to e1")
+}
+
+// TestLongLine refuses what cannot be a log.
+func TestLongLine(t *testing.T) {
+	reader := &explain.Reader{Request: "r1"}
+	require.ErrorContains(t, reader.Read(strings.NewReader(strings.Repeat("x", 2<<20))), "longer than")
+}
+
+// TestJSON holds the form that scripts read.
+func TestJSON(t *testing.T) {
+	reader := &explain.Reader{Request: "r1"}
+	line := `{"time":"2026-01-01T00:00:00Z","box":"box-1","event":"caller-left","request":"r1","ms":5}`
+	require.NoError(t, reader.Read(strings.NewReader(line)))
+	b, err := json.Marshal(reader.Story())
+	require.NoError(t, err)
+	require.JSONEq(t, `{"request":"r1","cause":"the caller left after 5ms, before a server was chosen","steps":[
+		{"time":"2026-01-01T00:00:00Z","box":"box-1","text":"the caller closes its connection after 5ms","own":true}]}`, string(b))
+}
--- /dev/null
+++ b/internal/explain/story.go
@@ -0,0 +1,43 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// Story is what happened to a request, in order.
+type Story struct {
+	Request string `json:"request"`
+	Steps   []Step `json:"steps"`
+	Cause   string `json:"cause"`
+}
+
+// Step is one line of a story.
+type Step struct {
+	Time time.Time `json:"time"`
+	Box  string    `json:"box"`
+	Text string    `json:"text"`
+	// Own is set for what concerns the request itself; the rest is what its boxes
+	// believed, or learned, around it.
+	Own bool `json:"own"`
+}
+
+// Found reports whether any line named the request.
+func (s *Story) Found() bool { return len(s.Steps) > 0 }
+
+// WriteText writes the story for people.
+func (s *Story) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "request %s\n\n", s.Request)
+	for _, step := range s.Steps {
+		mark := "  "
+		if step.Own {
+			mark = "* "
+		}
+		fmt.Fprintf(w, "%s%s  %s  %s\n", mark, step.Time.Format("15:04:05.000"), step.Box, step.Text)
+	}
+	if s.Found() {
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintf(w, "cause: %s\n", s.Cause)
+}
--- /dev/null
+++ b/internal/explain/words.go
@@ -0,0 +1,57 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// count returns "1 event", "2 events".
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
+
+// duration returns milliseconds as a duration's text, "an unknown time" for nil.
+func duration(ms *int64) string {
+	if ms == nil {
+		return "an unknown time"
+	}
+	return (time.Duration(*ms) * time.Millisecond).String()
+}
+
+func elapsedText(ms *int64) string {
+	if ms == nil {
+		return ""
+	}
+	return " after " + duration(ms)
+}
+
+func ageText(ms *int64) string {
+	if ms == nil {
+		return ""
+	}
+	return " (" + duration(ms) + " old)"
+}
+
+func runText(mayHaveRun bool) string {
+	if mayHaveRun {
+		return "may have run"
+	}
+	return "has not run"
+}
+
+// flat puts the lines of an error into one.
+func flat(text string) string { return strings.ReplaceAll(text, "\n", "; ") }
+
+// causes returns all causes of a line as one text.
+func (l *line) causes() string { return flat(strings.Join(l.Causes, "; ")) }
+
+func value(n *int64) int64 {
+	if n == nil {
+		return 0
+	}
+	return *n
+}
--- a/internal/program/ctl.go
+++ b/internal/program/ctl.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -20,6 +21,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	c := &ctl.Command{Settings: s, Out: out, Err: errOut, Clock: clockwork.NewRealClock()}
+	c := &ctl.Command{Settings: s, In: os.Stdin, Out: out, Err: errOut, Clock: clockwork.NewRealClock()}
 	return c.Run(ctx)
 }
--- a/internal/settings/ctl.go
+++ b/internal/settings/ctl.go
@@ -4,15 +4,16 @@
 
 // Ctl holds the settings of dalebendctl.
 type Ctl struct {
-	Validate *FileCmd     `arg:"subcommand:validate" help:"check a fleet file, without a store"`
-	Diff     *FileCmd     `arg:"subcommand:diff" help:"show what applying a file would change"`
-	Apply    *ApplyCmd    `arg:"subcommand:apply" help:"accept a whole fleet file"`
-	Get      *GetCmd      `arg:"subcommand:get" help:"print an accepted file, the newest or a version"`
-	History  *HistoryCmd  `arg:"subcommand:history" help:"list accepted files, newest first"`
-	Rollback *RollbackCmd `arg:"subcommand:rollback" help:"accept the file of an older version as a new one"`
-	Status   *StatusCmd   `arg:"subcommand:status" help:"show each box: version in force, reach of the store, counters"`
-	Explain  *ExplainCmd  `arg:"subcommand:explain" help:"gather the decisions on a request from all boxes"`
-	Drain    *DrainCmd    `arg:"subcommand:drain" help:"take a backend server out of use, or back into it"`
+	Validate   *FileCmd       `arg:"subcommand:validate" help:"check a fleet file, without a store"`
+	Diff       *FileCmd       `arg:"subcommand:diff" help:"show what applying a file would change"`
+	Apply      *ApplyCmd      `arg:"subcommand:apply" help:"accept a whole fleet file"`
+	Get        *GetCmd        `arg:"subcommand:get" help:"print an accepted file, the newest or a version"`
+	History    *HistoryCmd    `arg:"subcommand:history" help:"list accepted files, newest first"`
+	Rollback   *RollbackCmd   `arg:"subcommand:rollback" help:"accept the file of an older version as a new one"`
+	Status     *StatusCmd     `arg:"subcommand:status" help:"show each box: version in force, reach of the store, counters"`
+	Explain    *ExplainCmd    `arg:"subcommand:explain" help:"gather the decisions on a request from all boxes"`
+	ExplainLog *ExplainLogCmd `arg:"subcommand:explain-log" help:"tell the story of a request, and the cause of its failure, from lines of decision logs"`
+	Drain      *DrainCmd      `arg:"subcommand:drain" help:"take a backend server out of use, or back into it"`
 
 	ObjectAPI string `arg:"--object-api,env:DALEBEND_OBJECT_API" help:"HOST:PORT of the platform's object API"`
 	BoxList   string `arg:"--box-list,env:DALEBEND_BOX_LIST" help:"HOST:PORT of the platform's list of boxes"`
@@ -59,6 +60,12 @@
 	Limit   int    `arg:"--limit" default:"50" help:"greatest number of decisions of a box"`
 }
 
+// ExplainLogCmd takes a request and the logs to read.
+type ExplainLogCmd struct {
+	Request string   `arg:"positional,required" help:"id of the request"`
+	Files   []string `arg:"positional" help:"decision logs of one box or of several; without any, standard input"`
+}
+
 // DrainCmd takes a backend server.
 type DrainCmd struct {
 	Server string `arg:"positional,required" help:"backend server"`
@@ -78,7 +85,7 @@
 	if c.Output != "text" && c.Output != "json" {
 		return fault("output", "%q is neither text nor json", c.Output)
 	}
-	if c.Validate == nil && c.Status == nil && c.Explain == nil && c.ObjectAPI == "" {
+	if !c.offline() && c.Status == nil && c.Explain == nil && c.ObjectAPI == "" {
 		return fault("object-api", "is needed for this command")
 	}
 	if (c.Status != nil || c.Explain != nil || c.Apply != nil && c.Apply.Wait) && c.BoxList == "" {
@@ -86,3 +93,6 @@
 	}
 	return checkAddrs([2]string{"object-api", c.ObjectAPI}, [2]string{"box-list", c.BoxList})
 }
+
+// offline reports whether the command reads files only.
+func (c *Ctl) offline() bool { return c.Validate != nil || c.ExplainLog != nil }
