--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -29,7 +29,7 @@
 	backupFill = 0.7
 	// farCopy is the fill that an engine in another failure domain than the one
 	// that is left must be below: a copy takes twice as long to get there.
-	farCopy = 0.15
+	farCopy = 0.35
 )
 
 // Need is what a generation takes.
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -18,10 +18,6 @@
 	// moveTime bounds one copy of a generation's memory: the longest notice that
 	// an engine gives, beyond which there is nothing to copy from.
 	moveTime = 2500 * time.Millisecond
-	// nearlyDone is the number of tokens still expected below which a generation
-	// is left to end on its leaving engine: at some 9 ms a token it ends within
-	// the shortest notice.
-	nearlyDone = 100
 	// notYet is the pause before a generation whose prompt is still being read is
 	// tried again: about a quarter of the reading.
 	notYet = 60 * time.Millisecond
@@ -30,7 +26,10 @@
 	moveEach = 200 * time.Millisecond
 	// longestTurn bounds the wait for other boxes' turns, so that what they told
 	// wrongly does not use up the notice.
-	longestTurn = 900 * time.Millisecond
+	longestTurn = 1100 * time.Millisecond
+	// turnCheck is how often a box looks whether its turn has come: about the
+	// time in which a heartbeat brings the word.
+	turnCheck = 15 * time.Millisecond
 )
 
 // Left is told of servers that have begun to leave or are gone. Generations on
@@ -66,10 +65,6 @@
 	if x.backup != nil && x.usable(x.backup) {
 		return nil
 	}
-	made := x.split.Events() * x.job.Service.Engine.TokensPerEvent
-	if x.expected-made < nearlyDone && made < x.expected {
-		return nil
-	}
 	x.move = &move{done: make(chan struct{})}
 	return x.engine
 }
@@ -79,37 +74,72 @@
 // and moved before the next one is safe whatever happens to the rest. The boxes
 // take turns in an order that all of them know.
 func (r *Relay) empty(engine *registry.Server, runs []*run) {
-	sort.Slice(runs, func(i, j int) bool { return runs[i].worth() > runs[j].worth() })
-	turn := r.turn(engine)
-	for i, x := range runs {
-		if i == 0 && turn > 0 {
-			x.wait(x.ctx, turn)
+	sort.Slice(runs, func(i, j int) bool { return runs[i].left() > runs[j].left() })
+	r.awaitTurn(runs[0].ctx, engine)
+	for len(runs) > 0 {
+		x := runs[0]
+		runs = runs[1:]
+		// One whose prompt is still being read has no memory to copy yet.
+		if !x.begun() && x.ctx.Err() == nil && r.Directory.Known(engine.ID) {
+			if !anyBegun(runs) {
+				x.wait(x.ctx, notYet)
+			}
+			runs = append(runs, x)
+			continue
 		}
 		x.evacuate(x.pending(), engine)
 	}
 }
 
-// turn returns how long the boxes that come before this one need to move their
-// own generations off an engine.
-func (r *Relay) turn(engine *registry.Server) time.Duration {
-	before := 0
+// begun reports whether the first event came.
+func (x *run) begun() bool { return x.progress.Load() != 0 }
+
+func anyBegun(runs []*run) bool {
+	for _, x := range runs {
+		if x.begun() {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitTurn waits until the boxes that come before this one have moved their
+// own generations off an engine, as their heartbeats tell, or have had the time.
+func (r *Relay) awaitTurn(ctx context.Context, engine *registry.Server) {
+	began := r.Clock.Now()
+	limit := min(time.Duration(r.before(engine))*moveEach*3/2, longestTurn)
+	ticker := r.Clock.NewTicker(turnCheck)
+	defer ticker.Stop()
+	for r.before(engine) > 0 && r.Clock.Since(began) < limit {
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// before returns how many generations the boxes that come before this one have
+// still to move off an engine.
+func (r *Relay) before(engine *registry.Server) int {
+	n := 0
 	mine := turnOrder(r.Box, engine.ID)
 	for box, bare := range r.Ledger.Bare(engine.ID) {
 		if turnOrder(box, engine.ID) < mine {
-			before += bare
+			n += bare
 		}
 	}
-	return min(time.Duration(before)*moveEach, longestTurn)
+	return n
 }
 
 func turnOrder(box, engine string) uint64 { return xxhash.Sum64String(engine + "/" + box) }
 
-// worth ranks generations by what would be lost with them: a long one that is
-// far from its end first.
-func (x *run) worth() int {
+// left returns how many more tokens are expected: those that are most likely to
+// end by themselves before the engine goes are moved last.
+func (x *run) left() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.split.Events()
+	return x.expected - x.split.Events()*x.job.Service.Engine.TokensPerEvent
 }
 
 func (x *run) pending() *move {
@@ -159,16 +189,13 @@
 			return target, errNoEngine
 		}
 		target = c.Server
-		x.reserve(source, target)
+		x.reserve(target)
 		_, err := x.relay.Mover.Copy(ctx, source, x.job.Request.ID, target.Addr, false)
 		switch {
 		case err == nil:
 			return target, nil
 		case errors.Is(err, hop.ErrNoRoom):
 			need.Avoid = append(need.Avoid, target.ID)
-		case errors.Is(err, hop.ErrNotRunning) && x.progress.Load() == 0:
-			// Its prompt is still being read.
-			x.wait(ctx, notYet)
 		default:
 			return target, err
 		}
@@ -180,10 +207,10 @@
 
 // reserve counts the copy at the target from now on, so that not every
 // generation of a leaving engine goes to the same one.
-func (x *run) reserve(source, target *registry.Server) {
+func (x *run) reserve(target *registry.Server) {
 	x.mu.Lock()
 	if x.load != nil {
-		x.load.Move(source.ID, target.ID)
+		x.load.Reserve(target.ID)
 	}
 	x.mu.Unlock()
 	x.relay.loadChanged()
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -62,6 +62,13 @@
 		slog.Int(event.KeyEvents, events))
 }
 
+func (x *run) logEnded() {
+	x.log(event.StreamEnded,
+		slog.String(event.KeyServer, idOf(x.engine)), slog.Int(event.KeyEvents, x.split.Events()),
+		slog.Int(event.KeyMoves, int(x.moves.Load())), slog.Int64(event.KeyElapsed, x.first.Milliseconds()),
+		slog.Int64(event.KeyPause, x.longest.Milliseconds()))
+}
+
 func (x *run) logMoveFailed(from, to *registry.Server, cause error) {
 	x.log(event.StreamMoveFailed,
 		slog.String(event.KeyFrom, from.ID), slog.String(event.KeyTo, to.ID),
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.Budget.First(j.Service.Name)
-	x := &run{ctx: ctx, relay: r, job: j, sink: sink, expected: r.expected(j)}
+	x := &run{ctx: ctx, relay: r, job: j, sink: sink, expected: r.expected(j), began: j.Request.Arrived}
 	r.add(x)
 	defer r.remove(x)
 	return x.serve(ctx)
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -29,6 +29,13 @@
 
 	// progress is when the last event came, in nanoseconds of the clock; 0 before the first.
 	progress atomic.Int64
+	// began is when the request came; first is the time to its first event and
+	// longest the longest pause after that, as passed on. They belong to the
+	// goroutine that passes events on.
+	began   time.Time
+	passed  time.Time
+	first   time.Duration
+	longest time.Duration
 	moves    atomic.Int32
 
 	// mu guards what follows. It is held while events are passed on, so that a
@@ -165,10 +172,22 @@
 		return err
 	}
 	x.split.Take(events)
+	x.notePause()
 	x.load.Made(x.split.Events() * x.job.Service.Engine.TokensPerEvent)
 	return nil
 }
 
+// notePause keeps the time to the first event and the longest pause.
+func (x *run) notePause() {
+	now := x.relay.Clock.Now()
+	if x.passed.IsZero() {
+		x.first = now.Sub(x.began)
+	} else {
+		x.longest = max(x.longest, now.Sub(x.passed))
+	}
+	x.passed = now
+}
+
 // switched waits for a switch under way and reports whether the stream is now
 // at another engine.
 func (x *run) switched(ctx context.Context) bool {
@@ -210,6 +229,7 @@
 	tokens := x.split.Events() * x.job.Service.Engine.TokensPerEvent
 	x.mu.Unlock()
 	x.relay.Lengths.Observe(lengthKey(x.job), tokens)
+	x.logEnded()
 }
 
 // count counts the generation at an engine and its copy at another.
