--- a/internal/engineload/run.go
+++ b/internal/engineload/run.go
@@ -11,6 +11,8 @@
 	// server and backup are guarded by the ledger's lock.
 	server string
 	backup string
+	// moving means that the engine in backup is the target of a move that is not done yet.
+	moving bool
 	// made counts generated tokens; -1 until the first.
 	made atomic.Int64
 }
@@ -32,6 +34,16 @@
 	defer r.ledger.mu.Unlock()
 	r.server = server
 	r.backup = backup
+	r.moving = false
+}
+
+// Reserve counts the memory of the generation at the target of a move as well,
+// until it is counted there by Move.
+func (r *Run) Reserve(target string) {
+	r.ledger.mu.Lock()
+	defer r.ledger.mu.Unlock()
+	r.backup = target
+	r.moving = true
 }
 
 // Made notes the number of tokens generated so far. It takes no lock.
@@ -56,7 +68,7 @@
 	held := r.prompt + made
 	growth := max(r.expected-made, r.expected/growthFloor)
 	own = Load{Streams: 1, Tokens: held, Growth: growth, Prefill: prefill}
-	if r.backup == "" {
+	if r.backup == "" || r.moving {
 		own.Bare = 1
 	}
 	return own, Load{Copies: held + growth}
