--- a/internal/explain/belief.go
+++ b/internal/explain/belief.go
@@ -10,16 +10,28 @@
 // fate tells what the boxes knew of a server around the time that it failed.
 func (c *chronicle) fate(server string, at time.Time) string {
 	if view := c.firstContext(func(l *line) bool { return l.says(server) && near(l, at) }); view != nil {
-		return fmt.Sprintf("%s left: %s heard so from the list of servers %s", server, view.Box, relative(view.Time, at))
+		return fmt.Sprintf("%s was leaving: %s heard so from the list of servers %s", server, view.Box, relative(view.Time, at))
 	}
 	ejected := c.firstContext(func(l *line) bool {
 		return l.Event == event.ServerEjected && l.Server == server && near(l, at)
 	})
 	if ejected != nil {
-		return fmt.Sprintf("%s failed without notice: %s ejected it %s (%s)",
+		return fmt.Sprintf("%s had given no notice, and %s ejected it %s (%s)",
 			server, ejected.Box, relative(ejected.Time, at), flat(ejected.Cause))
 	}
-	return server + " failed without notice: no box heard that it was leaving, nor ejected it"
+	return fmt.Sprintf("%s had given no notice and no box ejected it, %s on it failed around then",
+		server, count(c.othersFailed(server, at), "other attempt"))
+}
+
+// othersFailed counts attempts of other requests that failed on a server.
+func (c *chronicle) othersFailed(server string, at time.Time) int {
+	n := 0
+	for _, l := range c.context {
+		if l.Event == event.RequestFailed && l.Server == server && near(l, at) {
+			n++
+		}
+	}
+	return n
 }
 
 // near reports whether a line is close enough to a failure to explain it.
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -13,7 +13,7 @@
 // broke at a server explains the lines that follow from it.
 func (c *chronicle) cause() string {
 	if len(c.own) == 0 {
-		return "unknown: no line names this request; see whether these are the logs of the box that took it, and whether log-lines-dropped counts any"
+		return "unknown: no line names this request; it may have reached no box, its box may not be among these logs, or its lines were dropped (see log-lines-dropped)"
 	}
 	if lost := c.last(event.StreamLost); lost != nil {
 		return c.causeLost(lost)
@@ -37,8 +37,8 @@
 	if broke := c.last(event.StreamBroke); broke != nil {
 		at = broke.Time
 	}
-	return fmt.Sprintf("the stream was cut after %s since %s; no other server went on with it: %s",
-		count(lost.Events, "event"), c.fate(lost.Server, at), c.whyNoMove(lost))
+	return fmt.Sprintf("the stream was cut after %s when its connection to %s broke; %s; no other server went on with it: %s",
+		count(lost.Events, "event"), lost.Server, c.fate(lost.Server, at), c.whyNoMove(lost))
 }
 
 // whyNoMove tells what stood in the way of another server.
@@ -52,10 +52,14 @@
 	if len(failed) > 0 {
 		return strings.Join(failed, ", ")
 	}
-	if backup := c.backup(); backup != "" {
+	switch backup := c.backup(); backup {
+	case "":
+		return lost.lastCause() + ", no backup had been chosen"
+	case lost.Server:
+		return lost.lastCause() + ", its backup had taken it over before and no other one had been chosen"
+	default:
 		return "backup " + backup + " was of no use (" + lost.lastCause() + ")"
 	}
-	return lost.lastCause() + ", no backup had been chosen"
 }
 
 // lastCause returns the last of a line's causes: what was found in the end.
--- a/internal/explain/chronicle.go
+++ b/internal/explain/chronicle.go
@@ -52,6 +52,8 @@
 		return slices.DeleteFunc(slices.Clone(servers), func(s string) bool { return !l.says(s) })
 	case event.ServerEjected, event.ServerReadmitted:
 		return slices.DeleteFunc(slices.Clone(servers), func(s string) bool { return s != l.Server })
+	case event.RequestFailed:
+		return nil
 	default:
 		return []string{""}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/explain"
 )
 
@@ -63,3 +66,22 @@
 	require.JSONEq(t, `{"request":"r1","cause":"the caller left after 5ms, before a server was chosen","steps":[
 		{"time":"2026-01-01T00:00:00Z","box":"box-1","text":"the caller closes its connection after 5ms","own":true}]}`, string(b))
 }
+
+// TestRecordedLines holds recorded lines to the declarations of package event: their
+// names, and their keys.
+func TestRecordedLines(t *testing.T) {
+	declared := map[event.Name][]string{}
+	for _, d := range event.Declarations() {
+		declared[d.Name] = append([]string{event.KeyTime, event.KeyLevel, event.KeyEvent, event.KeyBox}, d.Keys...)
+	}
+	datadriven.RunTest(t, "testdata/stories.txt", func(t *testing.T, td *datadriven.TestData) string {
+		for text := range strings.Lines(td.Input) {
+			var keys map[string]any
+			require.NoError(t, json.Unmarshal([]byte(text[strings.IndexByte(text, '{'):]), &keys), text)
+			name := event.Name(keys[event.KeyEvent].(string))
+			require.Contains(t, declared, name)
+			require.Subset(t, declared[name], slices.Collect(maps.Keys(keys)), name)
+		}
+		return td.Expected
+	})
+}
--- a/internal/explain/reader.go
+++ b/internal/explain/reader.go
@@ -32,6 +32,8 @@
 	event.Start, event.StopBegins, event.StopEnds, event.NotReady, event.LinesDropped,
 	event.StoreLost, event.StoreRegained, event.ConfigInForce, event.ConfigRefused,
 	event.ServersView, event.ServerEjected, event.ServerReadmitted,
+	// Of other requests: whether their attempts on the same server failed too.
+	event.RequestFailed,
 }
 
 // Reader collects the lines that matter to a request. Set Request before Read.
