engineload: the model counts generations without a copy and moves

The ledger had learned Bare and Reserve after its tests were written, and they failed: the model did not count them. It does now, as strictly as the rest. Ran go test -race ./internal/engineload: ok.

--- a/internal/engineload/ledger_test.go
+++ b/internal/engineload/ledger_test.go
@@ -18,6 +18,8 @@
 	prompt, expected int
 	made             int
 	began            bool
+	// moving means that backup is the target of a move.
+	moving bool
 }
 
 // model is a ledger as plain lists that are summed anew for each question.
@@ -40,6 +42,9 @@
 		if !g.began {
 			s.Prefill += g.prompt
 		}
+		if g.backup == "" || g.moving {
+			s.Bare++
+		}
 		sums[g.server] = s
 		if g.backup != "" {
 			b := sums[g.backup]
@@ -60,6 +65,7 @@
 			s.Growth += int(d.Growth)
 			s.Prefill += int(d.Prefill)
 			s.Copies += int(d.Copies)
+			s.Bare += int(d.Bare)
 			sums[d.Server] = s
 		}
 	}
@@ -101,6 +107,15 @@
 	if g := m.pick(t); g != nil {
 		g.server, g.backup = engines.Draw(t, "server"), backups.Draw(t, "backup")
 		g.run.Move(g.server, g.backup)
+		g.moving = false
+	}
+}
+
+func (m *model) reserve(t *rapid.T) {
+	if g := m.pick(t); g != nil {
+		g.backup = engines.Draw(t, "target")
+		g.run.Reserve(g.backup)
+		g.moving = true
 	}
 }
 
@@ -119,6 +134,7 @@
 		loads = append(loads, digest.Load{
 			Server: engines.Draw(t, "server"), Streams: n.Draw(t, "streams"), Tokens: n.Draw(t, "tokens"),
 			Growth: n.Draw(t, "growth"), Prefill: n.Draw(t, "prefill"), Copies: n.Draw(t, "copies"),
+			Bare: n.Draw(t, "bare"),
 		})
 	}
 	m.ledger.Heard(box, loads)
@@ -131,6 +147,19 @@
 	delete(m.peers, box)
 }
 
+// bare sums the generations without a copy of each peer on an engine.
+func (m *model) bare(server string) map[string]int {
+	sums := make(map[string]int)
+	for box, loads := range m.peers {
+		for _, d := range loads {
+			if d.Server == server && d.Bare > 0 {
+				sums[box] += int(d.Bare)
+			}
+		}
+	}
+	return sums
+}
+
 // check compares the ledger with the model. Engines with nothing are left out of both.
 func (m *model) check(t *rapid.T) {
 	want := m.all()
@@ -141,13 +170,17 @@
 	}
 	require.Equal(t, want, m.ledger.All())
 
+	for _, server := range []string{"e1", "e2", "e3"} {
+		require.Equal(t, m.bare(server), m.ledger.Bare(server))
+	}
+
 	own := m.own()
 	told := m.ledger.Own()
 	require.Len(t, told, len(own))
 	for _, d := range told {
 		require.Equal(t, own[d.Server], engineload.Load{
 			Streams: int(d.Streams), Tokens: int(d.Tokens), Growth: int(d.Growth),
-			Prefill: int(d.Prefill), Copies: int(d.Copies),
+			Prefill: int(d.Prefill), Copies: int(d.Copies), Bare: int(d.Bare),
 		})
 	}
 }
@@ -157,7 +190,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{ledger: engineload.New(), peers: make(map[string][]digest.Load)}
 		t.Repeat(map[string]func(*rapid.T){
-			"place": m.place, "made": m.made, "move": m.move, "end": m.end,
+			"place": m.place, "made": m.made, "move": m.move, "reserve": m.reserve, "end": m.end,
 			"heard": m.heard, "forget": m.forget, "": m.check,
 		})
 	})
@@ -171,7 +204,7 @@
 	b.Heard("box-a", a.Own())
 	require.Equal(t, a.All(), b.All())
 	require.Equal(t, map[string]engineload.Load{
-		"e1": {Streams: 2, Tokens: 1510, Growth: 110, Prefill: 500},
+		"e1": {Streams: 2, Tokens: 1510, Growth: 110, Prefill: 500, Bare: 1},
 		"e2": {Copies: 1080},
 	}, b.All())
 	require.Equal(t, 1620, b.All()["e1"].Peak())
