streaming: a silent stream is given up without closing it under its reader

A switch away from a silent stream closed its body while the relay read it. A body of an exchange must not be closed by a second goroutine: its read buffer went back to the pool in use, and bytes of other answers could have got in. Now the context of that one exchange is ended, and the reader closes the body.

Also: a switch that failed was never tried again while the stream stayed silent (the failed one was kept as under way); an event that came between the look for a switch and the lock could be passed on twice; an end that came with the last bytes of a stream that was just given up was taken as the end of the new one; a stream that a switch brought after the caller had left stayed open.

--- a/internal/streaming/errors.go
+++ b/internal/streaming/errors.go
@@ -12,6 +12,7 @@
 	errOfferedEnough = errors.New("it was offered to enough engines")
 	errNoCopy        = errors.New("no engine holds a copy of its memory")
 	errSilent        = errors.New("the stream fell silent")
+	errSwitched      = errors.New("the stream went on at another engine")
 )
 
 // NotRun is a generation that no engine started.
--- /dev/null
+++ b/internal/streaming/fleet_test.go
@@ -0,0 +1,390 @@
+package streaming_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+// fleet is a few model engines, as the relay's exchanger and mover see them.
+// It keeps to the engines' own rules: a copy is where the engines put it, and
+// serves once. Tests tell it how to fail.
+type fleet struct {
+	notSent error
+	full    error
+
+	mu      sync.Mutex
+	engines map[string]*engine
+	// runs counts the runs that did not go on from a copy.
+	runs int
+	// copies maps HOLDER/NAME to what is there.
+	copies map[string]*memory
+	// made counts the names of copies.
+	made int
+	log  []string
+	// faults are breaches of a contract by the relay.
+	faults []string
+}
+
+// engine is one model engine.
+type engine struct {
+	id string
+	// answers and moves say how the next calls end; after the last, all end well.
+	answers []string
+	moves   []string
+	// held is closed to let calls go on that hang.
+	held chan struct{}
+	// streams are all streams of the engine, the newest last.
+	streams []*stream
+}
+
+// memory is a copy of a run's memory.
+type memory struct {
+	run int
+	// at is the address of the engine that can go on from it.
+	at string
+}
+
+// stream is the answer of an engine that runs a generation.
+type stream struct {
+	fleet  *fleet
+	engine string
+	run    int
+	// next is the number of the event that comes next.
+	next   int
+	pieces chan piece
+	ended  <-chan struct{}
+	closed chan struct{}
+
+	mu      sync.Mutex
+	reading bool
+	shut    bool
+	over    bool
+	rest    []byte
+	// backup is the address that gets a copy.
+	backup string
+}
+
+// piece is what a stream gives next: bytes or an end.
+type piece struct {
+	data []byte
+	err  error
+}
+
+func newFleet(notSent, full error, ids ...string) *fleet {
+	f := &fleet{notSent: notSent, full: full, engines: make(map[string]*engine), copies: make(map[string]*memory)}
+	for _, id := range ids {
+		f.engines[id] = &engine{id: id, held: make(chan struct{})}
+	}
+	return f
+}
+
+func addrOf(id string) string { return id + ":80" }
+
+func idAt(addr string) string { return strings.TrimSuffix(addr, ":80") }
+
+func (f *fleet) note(format string, args ...any) {
+	f.log = append(f.log, fmt.Sprintf(format, args...))
+}
+
+// take returns what was noted since the last call.
+func (f *fleet) take() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	log := f.log
+	f.log = nil
+	return log
+}
+
+// next takes the first of a list of modes.
+func next(modes *[]string) string {
+	if len(*modes) == 0 {
+		return "ok"
+	}
+	mode := (*modes)[0]
+	*modes = (*modes)[1:]
+	return mode
+}
+
+// Do answers a request as the engine was told to.
+func (f *fleet) Do(ctx context.Context, t exchange.Target, r *exchange.Request) (*exchange.Response, error) {
+	f.mu.Lock()
+	e := f.engines[t.Key]
+	mode, held := next(&e.answers), e.held
+	f.note("%s -> %s%s", t.Key, mode, describe(r.Header))
+	f.mu.Unlock()
+	if rest, hangs := strings.CutPrefix(mode, "hang-"); hangs {
+		mode = rest
+		select {
+		case <-held:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answer(ctx, e, mode, r.Header)
+}
+
+func describe(h http.Header) string {
+	var b strings.Builder
+	if v := h.Get(headerBackup); v != "" {
+		b.WriteString(" backup=" + idAt(v))
+	}
+	if h.Get(headerCopy) != "" {
+		fmt.Fprintf(&b, " from=%s/%s last=%s", idAt(h.Get(headerHolder)), h.Get(headerCopy), h.Get(headerLast))
+	}
+	return b.String()
+}
+
+func (f *fleet) answer(ctx context.Context, e *engine, mode string, h http.Header) (*exchange.Response, error) {
+	switch mode {
+	case "not-sent":
+		return nil, f.notSent
+	case "full":
+		return nil, f.full
+	case "turn-away":
+		return plain(http.StatusServiceUnavailable, headerNotRun), nil
+	case "moved":
+		return plain(http.StatusMisdirectedRequest, headerNotRun), nil
+	}
+	run, after, ok := f.begin(e, h)
+	if !ok {
+		f.note("%s has no such copy", e.id)
+		return plain(http.StatusServiceUnavailable, headerNotRun), nil
+	}
+	switch mode {
+	case "reset":
+		f.backUp(h, run)
+		return nil, errReset
+	case "unproven":
+		return plain(http.StatusOK, "X-Other"), nil
+	case "failed":
+		return plain(http.StatusInternalServerError, headerProof), nil
+	}
+	s := &stream{
+		fleet: f, engine: e.id, run: run, next: after + 1, pieces: make(chan piece),
+		ended: ctx.Done(), closed: make(chan struct{}), backup: h.Get(headerBackup),
+	}
+	e.streams = append(e.streams, s)
+	f.backUp(h, run)
+	return &exchange.Response{Status: http.StatusOK, Header: http.Header{headerProof: {"1"}}, Body: s}, nil
+}
+
+// begin starts a run, or goes on from a copy. It returns the event that the
+// caller has.
+func (f *fleet) begin(e *engine, h http.Header) (run, after int, ok bool) {
+	name := h.Get(headerCopy)
+	if name == "" {
+		f.runs++
+		return f.runs, 0, true
+	}
+	key := h.Get(headerHolder) + "/" + name
+	m := f.copies[key]
+	if m == nil || m.at != addrOf(e.id) {
+		return 0, 0, false
+	}
+	delete(f.copies, key)
+	after, err := strconv.Atoi("0" + h.Get(headerLast))
+	if err != nil {
+		f.faults = append(f.faults, "last event "+h.Get(headerLast))
+	}
+	return m.run, after, true
+}
+
+// backUp puts a copy at the backup engine, by the request's own name.
+func (f *fleet) backUp(h http.Header, run int) {
+	if addr := h.Get(headerBackup); addr != "" {
+		f.copies[addr+"/"+h.Get(headerRequest)] = &memory{run: run, at: addr}
+	}
+}
+
+func plain(status int, header string) *exchange.Response {
+	return &exchange.Response{
+		Status: status, Header: http.Header{header: {"1"}}, Body: io.NopCloser(strings.NewReader("refused")),
+	}
+}
+
+// errCopy is a copy call without a usable reply.
+var errCopy = errors.New("no reply to the copy call")
+
+// Copy copies as the source was told to.
+func (f *fleet) Copy(ctx context.Context, source *registry.Server, id, target string, stop bool) (string, error) {
+	f.mu.Lock()
+	e := f.engines[source.ID]
+	mode, held := next(&e.moves), e.held
+	f.note("%s copies %s to %s stop=%t: %s", e.id, id, idAt(target), stop, mode)
+	f.mu.Unlock()
+	if rest, hangs := strings.CutPrefix(mode, "hang-"); hangs {
+		mode = rest
+		select {
+		case <-held:
+		case <-ctx.Done():
+			return "", ctx.Err()
+		}
+	}
+	return f.copied(source, target, mode, stop)
+}
+
+func (f *fleet) copied(source *registry.Server, target, mode string, stop bool) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.engines[source.ID].newest()
+	switch {
+	case mode == "no-room":
+		if !stop {
+			return "", hop.ErrNoRoom
+		}
+		mode = "kept"
+	case mode == "not-running", s == nil, s != nil && s.isOver():
+		return "", hop.ErrNotRunning
+	case mode == "fail":
+		return "", errCopy
+	}
+	if !stop {
+		return "ahead", nil
+	}
+	s.finish()
+	f.made++
+	name := fmt.Sprintf("m%d", f.made)
+	m := &memory{run: s.run, at: target}
+	f.copies[source.Addr+"/"+name] = m
+	switch mode {
+	case "lost":
+		return "", errCopy
+	case "kept":
+		m.at = source.Addr
+		return name, hop.ErrNoRoom
+	}
+	return name, nil
+}
+
+func (e *engine) newest() *stream {
+	if len(e.streams) == 0 {
+		return nil
+	}
+	return e.streams[len(e.streams)-1]
+}
+
+func (s *stream) isOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over || s.shut
+}
+
+// finish ends a stream cleanly, in the background.
+func (s *stream) finish() { s.end(io.EOF) }
+
+// end ends a stream, in the background. Its reader sees the end once it has
+// read what came before.
+func (s *stream) end(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		return
+	}
+	s.over = true
+	go s.give(piece{err: err})
+}
+
+// say gives the next events, the first of them after the bytes that were said of it.
+func (s *stream) say(n int) {
+	if s.isOver() {
+		return
+	}
+	var b strings.Builder
+	for range n {
+		b.WriteString(event(s.run, s.next))
+		s.next++
+	}
+	said := len(s.rest)
+	s.rest = nil
+	go s.give(piece{data: []byte(b.String()[said:])})
+}
+
+// sayPart gives the first bytes of the next event.
+func (s *stream) sayPart() {
+	if s.isOver() || s.rest != nil {
+		return
+	}
+	s.rest = []byte(event(s.run, s.next)[:5])
+	go s.give(piece{data: s.rest})
+}
+
+func (s *stream) give(p piece) {
+	select {
+	case s.pieces <- p:
+	case <-s.closed:
+	case <-s.ended:
+	}
+}
+
+// event is an event of a run.
+func event(run, n int) string { return fmt.Sprintf("id: %d\ndata: run %d\n\n", n, run) }
+
+// Read returns what the stream gives next.
+func (s *stream) Read(p []byte) (int, error) {
+	s.enter("read")
+	defer s.leave()
+	select {
+	case got := <-s.pieces:
+		return copy(p, got.data), got.err
+	case <-s.closed:
+		return 0, errors.New("read on a closed body")
+	case <-s.ended:
+		return 0, context.Canceled
+	}
+}
+
+// Close ends the stream. Like any body of an exchange it must not be closed
+// while it is read.
+func (s *stream) Close() error {
+	s.enter("close")
+	defer s.leave()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.shut {
+		s.shut = true
+		close(s.closed)
+	}
+	return nil
+}
+
+func (s *stream) enter(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reading {
+		s.fleet.fault(fmt.Sprintf("%s of the stream at %s while it is read", what, s.engine))
+	}
+	s.reading = true
+}
+
+func (s *stream) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reading = false
+}
+
+func (f *fleet) fault(text string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = append(f.faults, text)
+}
+
+// release lets calls go on that hang at an engine.
+func (f *fleet) release(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[id]
+	close(e.held)
+	e.held = make(chan struct{})
+}
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -5,7 +5,6 @@
 	"errors"
 
 	"github.com/dalebend/dalebend/internal/choose"
-	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
 )
 
@@ -17,7 +16,7 @@
 	if at == nil {
 		at = x.backupCopy()
 	}
-	resp, err := x.continueAt(ctx, at)
+	a, err := x.continueAt(ctx, at)
 	if err != nil {
 		x.logLost(errors.Join(cause, err))
 		return errors.Join(cause, err)
@@ -25,7 +24,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.split.Drop()
-	x.body = resp.Body
+	x.answer = a
 	return nil
 }
 
@@ -64,7 +63,7 @@
 
 // continueAt sends the generation to the engine that holds a copy of its
 // memory, to go on after the last event that the caller has.
-func (x *run) continueAt(ctx context.Context, at *copyAt) (*exchange.Response, error) {
+func (x *run) continueAt(ctx context.Context, at *copyAt) (*answer, error) {
 	if at == nil {
 		return nil, errNoCopy
 	}
@@ -80,8 +79,8 @@
 	backup := x.chooseBackup(at.server, need)
 	cont := &hop.Continue{Holder: at.holder, Copy: at.name, LastEvent: last}
 	o := x.offer(ctx, at.server, backup, cont)
-	if o.err == nil && o.resp.Status != okStatus {
-		o.resp.Body.Close()
+	if o.err == nil && o.answer.Status != okStatus {
+		o.answer.close()
 		o.err = errNotContinued
 	}
 	if o.err != nil {
@@ -91,7 +90,7 @@
 	x.count(at.server, backup)
 	x.moves.Add(1)
 	x.logMoved(from, at, x.relay.Clock.Since(start))
-	return o.resp, nil
+	return o.answer, nil
 }
 
 // okStatus is the status of a stream that goes on.
--- a/internal/streaming/guard.go
+++ b/internal/streaming/guard.go
@@ -47,7 +47,7 @@
 		return
 	}
 	defer x.mu.Unlock()
-	if x.body == nil || x.change != nil || x.move != nil || now.Before(x.notBefore) {
+	if x.answer == nil || x.change != nil || x.move != nil || now.Before(x.notBefore) {
 		return
 	}
 	if x.backup == nil || !x.usable(x.backup) {
@@ -56,7 +56,7 @@
 	x.notBefore = now.Add(silenceAgain)
 	c := &change{done: make(chan struct{})}
 	x.change = c
-	go x.switchOver(c, x.body)
+	go x.switchOver(c, x.answer)
 }
 
 // usable reports whether an engine may get the stream.
@@ -66,17 +66,39 @@
 
 // switchOver continues a silent stream at the engine that holds its copy. Only
 // when that engine has taken it is the silent one given up.
-func (x *run) switchOver(c *change, old closer) {
+func (x *run) switchOver(c *change, old *answer) {
 	defer close(c.done)
-	resp, err := x.continueAt(x.ctx, x.backupCopy())
+	a, err := x.continueAt(x.ctx, x.backupCopy())
 	if err != nil {
-		c.err = err
+		x.switchFailed(c)
 		return
 	}
 	x.logBroke(errSilent)
-	c.body = resp.Body
-	old.Close()
+	c.answer = a
+	old.giveUp()
 }
 
-// closer is a body that is given up.
-type closer interface{ Close() error }
+// switchFailed makes room for the next switch. The failure was logged.
+func (x *run) switchFailed(c *change) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.change == c {
+		x.change = nil
+	}
+}
+
+// settle waits for a switch under way and closes the stream that it brought,
+// which nobody reads. The run's context must have ended.
+func (x *run) settle() {
+	x.mu.Lock()
+	c := x.change
+	x.answer = nil
+	x.mu.Unlock()
+	if c == nil {
+		return
+	}
+	<-c.done
+	if c.answer != nil {
+		c.answer.close()
+	}
+}
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -29,7 +29,7 @@
 )
 
 // place finds an engine that takes the generation and returns its answer's head.
-func (x *run) place(ctx context.Context) (*exchange.Response, error) {
+func (x *run) place(ctx context.Context) (*answer, error) {
 	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected}
 	cause := errNoEngine
 	arrived := false
@@ -45,8 +45,8 @@
 		x.count(c.Server, backup)
 		x.logSent(n+1, c, backup)
 		o := x.offer(ctx, c.Server, backup, nil)
-		if o.resp != nil {
-			return o.resp, nil
+		if o.answer != nil {
+			return o.answer, nil
 		}
 		if o.perhapsRun {
 			return x.recover(ctx, o.err)
@@ -63,17 +63,17 @@
 
 // recover continues a generation that got no answer from the copy of what its
 // engine had done, if there is one.
-func (x *run) recover(ctx context.Context, cause error) (*exchange.Response, error) {
+func (x *run) recover(ctx context.Context, cause error) (*answer, error) {
 	if ctx.Err() != nil {
 		return nil, &PerhapsRun{cause: cause}
 	}
 	x.logBroke(cause)
-	resp, err := x.continueAt(ctx, x.backupCopy())
+	a, err := x.continueAt(ctx, x.backupCopy())
 	if err != nil {
 		x.logLost(err)
 		return nil, &PerhapsRun{cause: errors.Join(cause, err)}
 	}
-	return resp, nil
+	return a, nil
 }
 
 // chooseBackup returns the engine that gets a copy of the generation, or nil.
@@ -91,7 +91,7 @@
 
 // offered is how an offer to an engine ended.
 type offered struct {
-	resp *exchange.Response
+	answer *answer
 	// arrived is set when the request reached the engine or may have.
 	arrived bool
 	// perhapsRun is set when the engine may have started it.
@@ -103,12 +103,15 @@
 func (x *run) offer(ctx context.Context, engine, backup *registry.Server, from *hop.Continue) offered {
 	start := x.relay.Clock.Now()
 	target := exchange.Target{Key: engine.ID, Addr: engine.Addr, MaxConns: x.job.Service.MaxConns}
-	resp, err := x.relay.Exchanger.Do(ctx, target, x.exchangeRequest(start, engine, backup, from))
+	bounded, giveUp := context.WithCancel(ctx)
+	resp, err := x.relay.Exchanger.Do(bounded, target, x.exchangeRequest(start, engine, backup, from))
 	if err != nil {
+		giveUp()
 		return x.notAnswered(ctx, engine, err)
 	}
+	a := &answer{Response: resp, giveUp: giveUp}
 	if x.relay.Codec.NotRun(resp.Status, resp.Header) {
-		resp.Body.Close()
+		a.close()
 		x.logFailed(engine, "turned-away", errTurnedAway)
 		if x.relay.Codec.Moved(resp.Status) {
 			x.relay.Evidence.Unreachable(engine.ID, "another server has its address")
@@ -116,12 +119,12 @@
 		return offered{arrived: true, err: errTurnedAway}
 	}
 	if resp.Status < 300 && !x.relay.Codec.Proven(resp.Header) {
-		resp.Body.Close()
+		a.close()
 		x.logFailed(engine, "foreign", errUnproven)
 		return offered{arrived: true, perhapsRun: true, err: errUnproven}
 	}
 	x.relay.Evidence.Answered(engine.ID, x.relay.Clock.Since(start), resp.Status >= 500)
-	return offered{resp: resp}
+	return offered{answer: a}
 }
 
 var (
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -95,11 +95,12 @@
 // at the job's deadline.
 func (r *Relay) Serve(ctx context.Context, j *Job, sink Sink) error {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	r.Budget.First(j.Service.Name)
 	x := &run{ctx: ctx, relay: r, job: j, sink: sink, expected: r.expected(j), began: j.Request.Arrived}
 	r.add(x)
 	defer r.remove(x)
+	defer x.settle()
+	defer cancel()
 	return x.serve(ctx)
 }
 
--- /dev/null
+++ b/internal/streaming/rig_test.go
@@ -0,0 +1,234 @@
+package streaming_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/evidence"
+	"github.com/dalebend/dalebend/internal/forecast"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/request"
+	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/spend"
+	"github.com/dalebend/dalebend/internal/streaming"
+)
+
+// step is how far the clock moves at once.
+const step = 5 * time.Millisecond
+
+// rig is a relay with one generation, in a bubble of synctest with a clock that
+// the test moves. After each action everything that can happen has happened.
+type rig struct {
+	fleet   *fleet
+	clock   *clockwork.FakeClock
+	relay   *streaming.Relay
+	servers map[string]registry.Server
+	service *routetable.Service
+	route   *routetable.Route
+	sink    *sink
+
+	guard  context.CancelFunc
+	caller context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+// terms are what tests choose.
+type terms struct {
+	backups bool
+	// retries is the retry budget.
+	retries int
+	// expected is the number of tokens that the caller expects.
+	expected int
+}
+
+func newRig(f *fleet, tm terms, ids ...string) *rig {
+	r := &rig{fleet: f, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)), servers: make(map[string]registry.Server)}
+	r.service = &routetable.Service{Name: "chat", Engine: &routetable.Engine{
+		Slots: 20, MemoryTokens: 100000, Moves: true, Backups: tm.backups, TokensPerEvent: 4,
+	}}
+	r.route = &routetable.Route{Name: "r", Stream: true}
+	r.sink = &sink{rig: r}
+	r.buildRelay(tm)
+	for i, id := range ids {
+		r.servers[id] = registry.Server{ID: id, Service: "chat", Addr: addrOf(id), Domain: "hall", Slots: 20}
+		// Each engine has more to do than the one before, so that they are chosen in order.
+		load := digest.Load{Server: id, Streams: int32(i), Tokens: int32(i * 5000)}
+		r.relay.Ledger.Heard("load of "+id, []digest.Load{load})
+	}
+	r.showServers()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.guard = cancel
+	go r.relay.Guard(ctx)
+	synctest.Wait()
+	return r
+}
+
+func (r *rig) buildRelay(tm terms) {
+	directory := &registry.Directory{
+		Clock: r.clock, StoreReturned: func() time.Time { return time.Time{} },
+		Left: func(ids []string) { r.relay.Left(ids) },
+	}
+	book := &evidence.Book{Clock: r.clock}
+	ledger := engineload.New()
+	r.relay = &streaming.Relay{
+		Box: "box", Clock: r.clock, Logger: slog.New(slog.DiscardHandler),
+		Chooser: &choose.Chooser{
+			Directory: directory, Evidence: book, Ledger: ledger, Domain: "hall", Rand: rand.New(rand.NewPCG(1, 2)),
+		},
+		Directory: directory, Evidence: book, Ledger: ledger, Lengths: &forecast.Book{},
+		Exchanger: r.fleet, Codec: codec{}, Mover: r.fleet,
+		Budget: &spend.Budget{
+			Clock: r.clock, Boxes: func() int { return 1 },
+			// Three quarters of a budget are used.
+			Terms: spend.Terms{Minimum: (tm.retries*4 + 2) / 3, Window: time.Hour},
+		},
+	}
+}
+
+func (r *rig) showServers() {
+	v := &registry.View{Servers: make(map[string]registry.Server)}
+	for id, s := range r.servers {
+		v.Servers[id] = s
+	}
+	r.relay.Directory.Set(v)
+}
+
+// start begins the generation. It must end within the given time.
+func (r *rig) start(tm terms, within time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.caller = cancel
+	deadline := r.clock.Now().Add(within)
+	ctx, _ = clockwork.WithDeadline(ctx, r.clock, deadline) //nolint:govet // ended with its parent
+	r.done = make(chan struct{})
+	job := &streaming.Job{
+		Request: &request.Request{
+			ID: "q1", Method: http.MethodPost, PromptTokens: 100, HintTokens: tm.expected, Arrived: r.clock.Now(),
+		},
+		Route: r.route, Service: r.service, Deadline: deadline,
+	}
+	go func() {
+		defer close(r.done)
+		r.err = r.relay.Serve(ctx, job, r.sink)
+	}()
+	synctest.Wait()
+}
+
+func (r *rig) advance(d time.Duration) {
+	for left := d; left > 0; left -= step {
+		r.clock.Advance(min(left, step))
+		synctest.Wait()
+	}
+}
+
+// drain makes an engine leave.
+func (r *rig) drain(id string) {
+	s := r.servers[id]
+	s.State = registry.Draining
+	r.servers[id] = s
+	r.showServers()
+	synctest.Wait()
+}
+
+// gone removes an engine from the view.
+func (r *rig) gone(id string) {
+	delete(r.servers, id)
+	r.showServers()
+	synctest.Wait()
+}
+
+// ended reports whether Serve has returned.
+func (r *rig) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// stop ends everything that runs.
+func (r *rig) stop() {
+	r.guard()
+	if r.caller != nil {
+		r.caller()
+		<-r.done
+	}
+	synctest.Wait()
+}
+
+// kind names how Serve ended.
+func kind(err error) string {
+	var notRun *streaming.NotRun
+	var perhaps *streaming.PerhapsRun
+	var broken *streaming.Broken
+	switch {
+	case err == nil:
+		return "whole"
+	case errors.As(err, &notRun):
+		return "not run"
+	case errors.As(err, &perhaps):
+		return "perhaps run"
+	case errors.As(err, &broken):
+		return "broken"
+	default:
+		return "another error"
+	}
+}
+
+// sink is the caller.
+type sink struct {
+	rig *rig
+
+	mu     sync.Mutex
+	status int
+	heads  int
+	got    bytes.Buffer
+	gone   bool
+	// taken counts the bytes that were shown.
+	taken int
+}
+
+func (s *sink) Head(status int, _ http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = status
+	s.heads++
+}
+
+func (s *sink) Events(p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone {
+		return errors.New("caller is gone")
+	}
+	s.got.Write(p)
+	return nil
+}
+
+func (s *sink) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.String()
+}
+
+// fresh returns what came since the last call.
+func (s *sink) fresh() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.got.String()
+	defer func() { s.taken = len(all) }()
+	return all[s.taken:]
+}
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/dalebend/dalebend/internal/engineload"
-	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/sse"
 )
@@ -36,7 +35,7 @@
 	passed  time.Time
 	first   time.Duration
 	longest time.Duration
-	moves    atomic.Int32
+	moves   atomic.Int32
 
 	// mu guards what follows. It is held while events are passed on, so that a
 	// switch to another engine sees exactly what the caller has.
@@ -45,7 +44,7 @@
 	load   *engineload.Run
 	engine *registry.Server
 	backup *registry.Server
-	body   io.ReadCloser
+	answer *answer
 	// change is a switch to another engine under way, or nil.
 	change *change
 	// move is a move of the generation's memory, or nil.
@@ -58,9 +57,8 @@
 type change struct {
 	// done is closed when the switch succeeded or failed.
 	done chan struct{}
-	// body is the stream at the new engine, nil if the switch failed.
-	body io.ReadCloser
-	err  error
+	// answer is the stream at the new engine, nil if the switch failed.
+	answer *answer
 }
 
 // move is a move of a generation's memory to another engine.
@@ -82,28 +80,28 @@
 }
 
 func (x *run) serve(ctx context.Context) error {
-	resp, err := x.place(ctx)
+	a, err := x.place(ctx)
 	if err != nil {
 		return err
 	}
-	if resp.Status != http.StatusOK {
-		return x.passWhole(resp)
+	if a.Status != http.StatusOK {
+		return x.passWhole(a)
 	}
-	x.sink.Head(resp.Status, x.relay.Codec.Answer(resp.Header))
+	x.sink.Head(a.Status, x.relay.Codec.Answer(a.Header))
 	x.mu.Lock()
-	x.body = resp.Body
+	x.answer = a
 	x.mu.Unlock()
 	return x.pump(ctx)
 }
 
 // passWhole passes on an answer that is no stream.
-func (x *run) passWhole(resp *exchange.Response) error {
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWhole))
+func (x *run) passWhole(a *answer) error {
+	defer a.close()
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole))
 	if err != nil {
 		return &PerhapsRun{cause: err}
 	}
-	x.sink.Head(resp.Status, x.relay.Codec.Answer(resp.Header))
+	x.sink.Head(a.Status, x.relay.Codec.Answer(a.Header))
 	if err := x.sink.Events(body); err != nil {
 		return &Broken{cause: err}
 	}
@@ -117,16 +115,19 @@
 func (x *run) pump(ctx context.Context) error {
 	buf := make([]byte, readSize)
 	for {
-		body := x.current()
-		n, err := body.Read(buf)
-		if sinkErr := x.pass(ctx, buf[:n]); sinkErr != nil {
-			body.Close()
-			return &Broken{cause: sinkErr}
+		a := x.current()
+		n, err := a.Body.Read(buf)
+		passErr := x.pass(ctx, buf[:n])
+		if err == nil && passErr == nil {
+			continue
 		}
-		if err == nil {
+		a.close()
+		if errors.Is(passErr, errSwitched) {
 			continue
 		}
-		body.Close()
+		if passErr != nil {
+			return &Broken{cause: passErr}
+		}
 		if ctx.Err() != nil {
 			return &Broken{cause: ctx.Err()}
 		}
@@ -143,23 +144,23 @@
 	}
 }
 
-func (x *run) current() io.ReadCloser {
+func (x *run) current() *answer {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.body
+	return x.answer
 }
 
 // pass hands whole events to the sink. While a switch is under way it waits for
-// its outcome: after a success these events come again from the new engine.
+// its outcome: after a success these events come again from the new engine, and
+// the error is errSwitched.
 func (x *run) pass(ctx context.Context, p []byte) error {
 	if len(p) == 0 {
 		return nil
 	}
 	x.progress.Store(x.relay.Clock.Now().UnixNano())
-	if x.switched(ctx) {
-		return nil
+	if err := x.lockUnswitched(ctx); err != nil {
+		return err
 	}
-	x.mu.Lock()
 	defer x.mu.Unlock()
 	events, ok := x.split.Add(p)
 	if !ok {
@@ -177,6 +178,23 @@
 	return nil
 }
 
+// lockUnswitched takes the lock at a moment without a switch under way.
+func (x *run) lockUnswitched(ctx context.Context) error {
+	for {
+		if x.switched(ctx) {
+			return errSwitched
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		x.mu.Lock()
+		if x.change == nil {
+			return nil
+		}
+		x.mu.Unlock()
+	}
+}
+
 // notePause keeps the time to the first event and the longest pause.
 func (x *run) notePause() {
 	now := x.relay.Clock.Now()
@@ -206,12 +224,12 @@
 	defer x.mu.Unlock()
 	if x.change == c {
 		x.change = nil
-		if c.body != nil {
+		if c.answer != nil {
 			x.split.Drop()
-			x.body = c.body
+			x.answer = c.answer
 		}
 	}
-	return c.body != nil
+	return c.answer != nil
 }
 
 // endedWhole reports whether a clean end of a body ends the whole answer: not
--- /dev/null
+++ b/internal/streaming/script_test.go
@@ -0,0 +1,185 @@
+package streaming_test
+
+import (
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+)
+
+// script runs one data file.
+type script struct {
+	t     *testing.T
+	rig   *rig
+	terms terms
+	over  bool
+}
+
+// TestScripts runs the stories in testdata. Each command prints what followed
+// from it: what was sent to which engine, and what the caller got.
+//
+//	new [no-backups] [retries=N] [expected=N] ENGINE...  a relay; engines are chosen in this order
+//	start [within=DURATION]      the caller sends its generation
+//	answers ENGINE MODE...       how the engine answers the next requests
+//	moves ENGINE MODE...         how the engine answers the next copy calls
+//	say ENGINE N / part ENGINE   the engine's newest stream gives N events / a part of one
+//	end ENGINE / break ENGINE    it ends cleanly / breaks
+//	old say|end|break ENGINE     the same of the stream before the newest
+//	release ENGINE               calls that hang there go on
+//	drain ENGINE / gone ENGINE   it is about to leave / its entry is removed
+//	advance DURATION / leave / deaf   time passes / the caller leaves / it takes no more bytes
+func TestScripts(t *testing.T) {
+	unsent, shed := notSent(t), full(t)
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &script{t: t}
+			t.Cleanup(s.stop)
+			datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+				s.t = t
+				if td.Cmd == "new" {
+					s.stop()
+					s.create(td, unsent, shed)
+					return ""
+				}
+				s.run(td)
+				return s.show()
+			})
+		})
+	})
+}
+
+func (s *script) stop() {
+	if s.rig != nil {
+		s.rig.stop()
+		s.check()
+		s.rig = nil
+	}
+}
+
+// check requires what holds after every story.
+func (s *script) check() {
+	require.Empty(s.t, s.rig.fleet.faults)
+	require.Zero(s.t, s.rig.relay.Open())
+	require.Empty(s.t, s.rig.relay.Ledger.Own())
+	for _, e := range s.rig.fleet.engines {
+		for _, stream := range e.streams {
+			require.True(s.t, stream.shut, "a stream at %s stays open", e.id)
+		}
+	}
+}
+
+func (s *script) create(td *datadriven.TestData, unsent, shed error) {
+	s.terms = terms{backups: !td.HasArg("no-backups"), retries: 10, expected: 400}
+	td.MaybeScanArgs(s.t, "retries", &s.terms.retries)
+	td.MaybeScanArgs(s.t, "expected", &s.terms.expected)
+	var ids []string
+	for _, a := range td.CmdArgs {
+		if len(a.Vals) == 0 && a.Key != "no-backups" {
+			ids = append(ids, a.Key)
+		}
+	}
+	s.over = false
+	s.rig = newRig(newFleet(unsent, shed, ids...), s.terms, ids...)
+}
+
+func (s *script) run(td *datadriven.TestData) {
+	args := make([]string, 0, len(td.CmdArgs))
+	for _, a := range td.CmdArgs {
+		args = append(args, a.Key)
+	}
+	r := s.rig
+	switch td.Cmd {
+	case "start":
+		within := 30 * time.Second
+		if td.HasArg("within") {
+			var text string
+			td.ScanArgs(s.t, "within", &text)
+			within = s.duration(text)
+		}
+		r.start(s.terms, within)
+	case "answers":
+		r.fleet.engines[args[0]].answers = args[1:]
+	case "moves":
+		r.fleet.engines[args[0]].moves = args[1:]
+	case "old":
+		streams := r.fleet.engines[args[1]].streams
+		s.act(streams[len(streams)-2], args[0], args[2:])
+	case "release":
+		r.fleet.release(args[0])
+	case "drain":
+		r.drain(args[0])
+	case "gone":
+		r.gone(args[0])
+	case "advance":
+		r.advance(s.duration(args[0]))
+	case "leave":
+		r.caller()
+	case "deaf":
+		r.sink.gone = true
+	default:
+		s.act(r.fleet.engines[args[0]].newest(), td.Cmd, args[1:])
+	}
+	synctest.Wait()
+}
+
+func (s *script) act(stream *stream, what string, args []string) {
+	if stream == nil {
+		s.rig.fleet.note("there is no stream")
+		return
+	}
+	switch what {
+	case "say":
+		n, err := strconv.Atoi(args[0])
+		require.NoError(s.t, err)
+		stream.say(n)
+	case "part":
+		stream.sayPart()
+	case "end":
+		stream.end(io.EOF)
+	case "break":
+		stream.end(io.ErrUnexpectedEOF)
+	default:
+		s.t.Fatalf("unknown action %q", what)
+	}
+}
+
+func (s *script) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	require.NoError(s.t, err)
+	return d
+}
+
+var eventPattern = regexp.MustCompile(`id: (\d+)\ndata: run (\d+)\n\n`)
+
+// show prints what happened since the last command.
+func (s *script) show() string {
+	var b strings.Builder
+	for _, line := range s.rig.fleet.take() {
+		fmt.Fprintln(&b, line)
+	}
+	if fresh := s.rig.sink.fresh(); fresh != "" {
+		b.WriteString("caller:")
+		for _, m := range eventPattern.FindAllStringSubmatch(fresh, -1) {
+			fmt.Fprintf(&b, " %s", m[1])
+		}
+		if rest := eventPattern.ReplaceAllString(fresh, ""); rest != "" {
+			fmt.Fprintf(&b, " %q", rest)
+		}
+		b.WriteString("\n")
+	}
+	if s.rig.done != nil && s.rig.ended() && !s.over {
+		s.over = true
+		fmt.Fprintf(&b, "%s\n", kind(s.rig.err))
+		if s.rig.err != nil {
+			fmt.Fprintf(&b, "  %s\n", strings.ReplaceAll(s.rig.err.Error(), "\n", "\n  "))
+		}
+	}
+	return b.String()
+}
