exchange: an upload that waits doesn't time out

Cause: the user timeout of 1.5 s also ends a connection whose peer is there but doesn't read yet (seen with a server that read after 5 s: the write failed after 1.8 s). And a writer that had just ended could count as still writing. A body without a length waits for the writer before its end counts as clean. Run: go test -race -count=5 ./internal/exchange

--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -11,9 +12,13 @@
 
 const (
 	// userTimeoutMS is the time in milliseconds that sent bytes may remain
-	// unacknowledged. It is several round trips with a retransmission between
-	// zones, and below the second and a half after which callers look for another server.
+	// unacknowledged. It leaves room for two retransmissions between regions, and
+	// most deadlines leave time for another server after it.
 	userTimeoutMS = 1500
+	// uploadTimeoutMS takes its place, in milliseconds, while a body doesn't fit the
+	// buffers of the connection. The kernel can't tell a peer that is gone from one
+	// that doesn't read yet, and a busy server may let a body wait for seconds.
+	uploadTimeoutMS = 10_000
 	// keepAliveIdle and keepAliveInterval time the probes on a silent connection.
 	// A second is the shortest that the kernel takes.
 	keepAliveIdle     = time.Second
@@ -44,7 +49,10 @@
 
 func (c *Client) dialer() *net.Dialer {
 	return &net.Dialer{
-		Control: c.setUserTimeout,
+		Control: func(_, addr string, raw syscall.RawConn) error {
+			c.setUserTimeout(raw, addr, userTimeoutMS)
+			return nil
+		},
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
@@ -54,15 +62,14 @@
 	}
 }
 
-// setUserTimeout makes the kernel give up on a peer that acknowledges nothing. The
-// connection works without it, so a failure is only logged.
-func (c *Client) setUserTimeout(_, addr string, raw syscall.RawConn) error {
+// setUserTimeout makes the kernel give up, after this time, on a peer that
+// acknowledges nothing. The connection works without it, so a failure is only logged.
+func (c *Client) setUserTimeout(raw syscall.RawConn, addr string, ms int) {
 	var set error
 	err := raw.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMS)
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
 	})
-	if set != nil {
-		c.log().Warn("dead peers are noticed late: no user timeout on a connection", "server", addr, "err", set)
+	if err = errors.Join(err, set); err != nil {
+		c.log().Warn("user timeout of a connection not set", "server", addr, "ms", ms, "err", err)
 	}
-	return err
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -46,7 +46,7 @@
 
 // run sends the request and reads the head of its answer.
 func (x *exchange) run(r *Request) (*Response, error) {
-	x.sent = send(x.conn, r)
+	x.sent = x.send(r)
 	if x.sent.done == nil && x.sent.err != nil && x.sent.n == 0 {
 		return nil, x.fail(NotSent, x.sent.err)
 	}
@@ -121,10 +121,11 @@
 }
 
 // respond makes the response and decides whether the connection may be reused after
-// it. After HEAD it may not: a late answer's length would be uncertain. After an
-// answer that came before the request was fully written, neither.
+// it. After HEAD it may not: a late answer's length would be uncertain. After a
+// request that the connection didn't take at once, neither: the answer may have come
+// early, and the next request would wait behind the rest of the body.
 func (x *exchange) respond(r *Request, h *answerHead, f framing) *Response {
-	if h.persistent() && !x.dirty && r.Method != http.MethodHead && x.sent.unfinished() == nil {
+	if h.persistent() && !x.dirty && r.Method != http.MethodHead && x.sent.inline() {
 		x.idle = idleTime(h.header)
 	}
 	return &Response{
@@ -151,7 +152,7 @@
 	if x.ended {
 		return contextError(x.ctx)
 	}
-	vague := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errClosedEarly)
+	vague := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 	if vague && x.sent.err != nil && !errors.Is(x.sent.err, net.ErrClosed) {
 		return x.sent.err
 	}
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -80,7 +80,6 @@
 	errSurplusLimit  = errors.New("too many surplus answers")
 	errSurplusSize   = errors.New("surplus answer exceeds the size limit")
 	errUnknownLength = errors.New("length of a surplus answer is unknown")
-	errClosedEarly   = errors.New("connection closed before the request was fully sent")
 	errBodyClosed    = errors.New("read on a closed body")
 )
 
--- a/internal/exchange/internal_test.go
+++ b/internal/exchange/internal_test.go
@@ -80,6 +80,35 @@
 	}))
 }
 
+// While a body waits for the server to read it, the kernel doesn't give up as soon.
+func TestUploadIsPatient(t *testing.T) {
+	near, far := connectPair(t)
+	defer far.Close()
+	c := &Client{Clock: clockwork.NewFakeClock()}
+	p := c.poolOf("s1")
+	p.open = 1
+	conn, err := newConn(near, p)
+	require.NoError(t, err)
+	_, err = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	x := start(context.Background(), c, conn, "s1.example")
+	resp, err := x.run(&Request{Method: "POST", URI: "/", Host: "h", Body: make([]byte, 8<<20)})
+	require.NoError(t, err)
+	require.Equal(t, uploadTimeoutMS, userTimeout(t, conn))
+	require.NoError(t, resp.Body.Close())
+	require.Empty(t, c.pools, "kept a connection with half a request")
+}
+
+func userTimeout(t *testing.T, c *conn) int {
+	var got int
+	var err error
+	require.NoError(t, c.raw.Control(func(fd uintptr) {
+		got, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	require.NoError(t, err)
+	return got
+}
+
 // Header fields that this package sets aren't taken from the caller.
 func TestRequestHead(t *testing.T) {
 	r := &Request{
--- a/internal/exchange/payload.go
+++ b/internal/exchange/payload.go
@@ -61,10 +61,11 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	// A reset is reported once, to the read or to a write. If a write failed or is
-	// still waiting, this end of file may be the rest of a reset.
-	if err := c.sent.unfinished(); err != nil {
-		return n, err
+	// A reset is reported once, to the read or to a write. If a write failed, this
+	// end of file may be what is left of a reset.
+	c.sent.wait()
+	if c.sent.err != nil {
+		return n, c.sent.err
 	}
 	c.done = true
 	return n, io.EOF
--- a/internal/exchange/sending.go
+++ b/internal/exchange/sending.go
@@ -18,28 +18,44 @@
 
 // send writes the request. What the connection doesn't take at once is written by a
 // goroutine, because the server may answer early and never read the rest.
-func send(c *conn, r *Request) *sending {
+func (x *exchange) send(r *Request) *sending {
+	s, c := &sending{}, x.conn
 	buf := writeBuffers.Get().(*[]byte)
 	first := r.appendHead((*buf)[:0])
 	part := min(len(r.Body), max(0, firstWrite-len(first)))
 	first = append(first, r.Body[:part]...)
 	*buf = first
-	s := &sending{}
-	s.n, s.err = c.tryWrite(first)
-	if s.err != nil || s.n == len(first)+len(r.Body)-part {
+	left := s.try(c, first)
+	rest := r.Body[part:]
+	if len(left) == 0 {
+		rest = s.try(c, rest)
+	}
+	if s.err != nil || len(left)+len(rest) == 0 {
 		writeBuffers.Put(buf)
 		return s
 	}
+	x.client.setUserTimeout(c.raw, x.addr, uploadTimeoutMS)
 	s.done = make(chan struct{})
 	go func() {
 		defer close(s.done)
 		defer writeBuffers.Put(buf)
-		s.write(c, first[s.n:])
-		s.write(c, r.Body[part:])
+		s.write(c, left)
+		s.write(c, rest)
 	}()
 	return s
 }
 
+// try writes what the connection takes at once and returns what is left.
+func (s *sending) try(c *conn, p []byte) []byte {
+	if s.err != nil || len(p) == 0 {
+		return p
+	}
+	n, err := c.tryWrite(p)
+	s.n += n
+	s.err = err
+	return p[n:]
+}
+
 // write writes p unless an earlier write failed, and waits as long as it takes.
 func (s *sending) write(c *conn, p []byte) {
 	if s.err != nil || len(p) == 0 {
@@ -50,23 +66,13 @@
 	s.err = err
 }
 
-// wait blocks until the writer has ended. The connection is closed before, which
-// ends a write that blocks.
+// inline reports whether the whole request was written without waiting.
+func (s *sending) inline() bool { return s.done == nil && s.err == nil }
+
+// wait blocks until the writer has ended. It ends soon after the connection was
+// closed by either side.
 func (s *sending) wait() {
 	if s.done != nil {
 		<-s.done
 	}
 }
-
-// unfinished returns nil once the whole request was written without an error.
-func (s *sending) unfinished() error {
-	if s.done == nil {
-		return s.err
-	}
-	select {
-	case <-s.done:
-		return s.err
-	default:
-		return errClosedEarly
-	}
-}
