--- a/internal/storewatch/status.go
+++ b/internal/storewatch/status.go
@@ -31,8 +31,8 @@
 	status atomic.Pointer[Status]
 	// mu is held to change the status.
 	mu sync.Mutex
-	// failed is set from a failure until the next answer.
-	failed bool
+	// failedAt is the time of the first failure since the last answer, or zero.
+	failedAt time.Time
 }
 
 func (c *contact) load() Status {
@@ -51,10 +51,10 @@
 	if !s.Reachable {
 		s.ReachableSince = now
 	}
-	if c.failed {
-		c.logger.Info("store is reached again", slog.Duration("away", now.Sub(s.LastContact)))
+	if !c.failedAt.IsZero() {
+		c.logger.Info("store is reached again", slog.Duration("away", now.Sub(c.failedAt)))
 	}
-	c.failed = false
+	c.failedAt = time.Time{}
 	s.Reachable = true
 	s.LastContact = now
 	c.status.Store(&s)
@@ -65,15 +65,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.load()
-	if !c.failed {
-		c.logger.Warn("store is not reached", slog.Time("last_contact", s.LastContact), slog.Any("error", err))
-	}
-	c.failed = true
 	s.Reachable = false
 	s.LastFailure = c.clock.Now()
+	if c.failedAt.IsZero() {
+		c.failedAt = s.LastFailure
+		c.logger.Warn("store is not reached", slog.Duration("quiet", c.quiet(s)), slog.Any("error", err))
+	}
 	c.status.Store(&s)
 }
 
+// quiet is how long ago the last answer was, 0 if there was none.
+func (c *contact) quiet(s Status) time.Duration {
+	if s.LastContact.IsZero() {
+		return 0
+	}
+	return c.clock.Since(s.LastContact)
+}
+
 // unwatched takes note that no calls are made any more.
 func (c *contact) unwatched() {
 	c.mu.Lock()
--- a/internal/storewatch/watcher_test.go
+++ b/internal/storewatch/watcher_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"strings"
 	"sync/atomic"
@@ -230,8 +231,9 @@
 	require.Empty(t, r.docs, "an unchanged document is not delivered again")
 
 	r.stop()
-	require.Equal(t, 1, strings.Count(r.log.String(), "store is not reached"))
-	require.Equal(t, 1, strings.Count(r.log.String(), "store is reached again"))
+	away := fmt.Sprintf("away=%s", back.Sub(lastContact)-watchWait)
+	require.Equal(t, 1, strings.Count(r.log.String(), `msg="store is not reached" quiet=2s`))
+	require.Equal(t, 1, strings.Count(r.log.String(), `msg="store is reached again" `+away))
 }
 
 func TestAnOlderStateIsNeverDelivered(t *testing.T) {
