--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -164,6 +164,7 @@
 	x.mu.Unlock()
 	name, err := x.relay.Mover.Copy(ctx, source, x.job.Request.ID, target.Addr, true)
 	if name == "" {
+		m.tooLate = errors.Is(err, hop.ErrNotRunning)
 		x.moveOver(m, source, target, err)
 		return
 	}
@@ -199,9 +200,6 @@
 		default:
 			return target, err
 		}
-		if ctx.Err() != nil {
-			return target, ctx.Err()
-		}
 	}
 }
 
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -88,6 +88,10 @@
 		return nil, o.err
 	}
 	x.count(at.server, backup)
+	if at.server.ID != from.ID && !x.relay.Directory.Takes(at.server.ID) {
+		// It began to leave while the generation was on its way there.
+		x.relay.Left([]string{at.server.ID})
+	}
 	x.moves.Add(1)
 	x.logMoved(from, at, x.relay.Clock.Since(start))
 	return o.answer, nil
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -69,6 +69,8 @@
 	stopping bool
 	// at is where the generation goes on, nil if the move failed.
 	at *copyAt
+	// tooLate is set when the generation had ended by itself before it could be stopped.
+	tooLate bool
 }
 
 // copyAt is a copy of the generation's memory.
@@ -122,19 +124,16 @@
 			continue
 		}
 		a.close()
+		if passErr == nil {
+			passErr = x.closed(ctx)
+		}
 		if errors.Is(passErr, errSwitched) {
 			continue
 		}
 		if passErr != nil {
 			return &Broken{cause: passErr}
 		}
-		if ctx.Err() != nil {
-			return &Broken{cause: ctx.Err()}
-		}
-		if x.switched(ctx) {
-			continue
-		}
-		if errors.Is(err, io.EOF) && x.endedWhole() {
+		if errors.Is(err, io.EOF) && x.endedWhole(ctx) {
 			x.finished()
 			return nil
 		}
@@ -144,6 +143,17 @@
 	}
 }
 
+// closed notes that the stream has ended, so that no switch begins until it goes
+// on. It waits for one that is under way.
+func (x *run) closed(ctx context.Context) error {
+	if err := x.lockUnswitched(ctx); err != nil {
+		return err
+	}
+	x.answer = nil
+	x.mu.Unlock()
+	return nil
+}
+
 func (x *run) current() *answer {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -233,12 +243,23 @@
 }
 
 // endedWhole reports whether a clean end of a body ends the whole answer: not
-// if the engine stopped the generation for a move, or an event is incomplete.
-func (x *run) endedWhole() bool {
+// if the engine may have stopped the generation for a move, or an event is
+// incomplete.
+func (x *run) endedWhole(ctx context.Context) bool {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	stopped := x.move != nil && x.move.stopping
-	return !stopped && !x.split.Partial()
+	m := x.move
+	stopped := m != nil && m.stopping
+	partial := x.split.Partial()
+	x.mu.Unlock()
+	if partial || !stopped {
+		return !partial
+	}
+	select {
+	case <-m.done:
+		return m.tooLate
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // finished learns from a stream that ended by itself.
