--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -70,8 +70,12 @@
 	shut    bool
 	over    bool
 	rest    []byte
-	// backup is the address that gets a copy.
-	backup string
+	// stopped is set when the engine stopped the run for a move.
+	stopped bool
+	// doubtful is set when the engine was told to stop the run and the reply was lost.
+	doubtful bool
+	// wholeRead is set when the clean end of the whole answer was read.
+	wholeRead bool
 }
 
 // piece is what a stream gives next: bytes or an end.
@@ -173,7 +177,7 @@
 	}
 	s := &stream{
 		fleet: f, engine: e.id, run: run, next: after + 1, pieces: make(chan piece),
-		ended: ctx.Done(), closed: make(chan struct{}), backup: h.Get(headerBackup),
+		ended: ctx.Done(), closed: make(chan struct{}),
 	}
 	e.streams = append(e.streams, s)
 	f.backUp(h, run)
@@ -229,10 +233,24 @@
 		select {
 		case <-held:
 		case <-ctx.Done():
+			f.doubt(e, stop)
 			return "", ctx.Err()
 		}
 	}
-	return f.copied(source, target, mode, stop)
+	name, err := f.copied(source, target, mode, stop)
+	if name == "" && !errors.Is(err, hop.ErrNotRunning) {
+		f.doubt(e, stop)
+	}
+	return name, err
+}
+
+// doubt notes that nobody but the engine knows whether it stopped its run.
+func (f *fleet) doubt(e *engine, stop bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := e.newest(); s != nil && stop {
+		s.doubtful = true
+	}
 }
 
 func (f *fleet) copied(source *registry.Server, target, mode string, stop bool) (string, error) {
@@ -253,7 +271,7 @@
 	if !stop {
 		return "ahead", nil
 	}
-	s.finish()
+	s.stop()
 	f.made++
 	name := fmt.Sprintf("m%d", f.made)
 	m := &memory{run: s.run, at: target}
@@ -281,8 +299,13 @@
 	return s.over || s.shut
 }
 
-// finish ends a stream cleanly, in the background.
-func (s *stream) finish() { s.end(io.EOF) }
+// stop ends a stream cleanly before its end, in the background.
+func (s *stream) stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.end(io.EOF)
+}
 
 // end ends a stream, in the background. Its reader sees the end once it has
 // read what came before.
@@ -337,6 +360,7 @@
 	defer s.leave()
 	select {
 	case got := <-s.pieces:
+		s.wholeRead = s.wholeRead || errors.Is(got.err, io.EOF) && !s.stopped
 		return copy(p, got.data), got.err
 	case <-s.closed:
 		return 0, errors.New("read on a closed body")
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -22,7 +22,7 @@
 	over  bool
 }
 
-// TestScripts runs the stories in testdata. Each command prints what followed
+// TestScripts runs the stories in testdata/stories. Each command prints what followed
 // from it: what was sent to which engine, and what the caller got.
 //
 //	new [no-backups] [retries=N] [expected=N] ENGINE...  a relay; engines are chosen in this order
@@ -37,7 +37,7 @@
 //	advance DURATION / leave / deaf   time passes / the caller leaves / it takes no more bytes
 func TestScripts(t *testing.T) {
 	unsent, shed := notSent(t), full(t)
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/stories", func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
 			s := &script{t: t}
 			t.Cleanup(s.stop)
