single: scripted stories of requests with one answer

Two faults that they found, mended here: a failure that a server answered was replaced by one of ours when a later server broke off, and a route without an objective sent every request to two servers at once.

go test -race -count=20 ./internal/single

--- a/internal/single/flight.go
+++ b/internal/single/flight.go
@@ -51,11 +51,16 @@
 		if err != nil {
 			return f.ended(last, err)
 		}
-		last = f.send(ctx, c)
-		f.note(last)
-		if last.final {
-			return last.answer, nil
+		v := f.send(ctx, c)
+		f.note(v)
+		if v.final {
+			return v.answer, nil
 		}
+		if v.answer == nil {
+			// A server's own failure tells the caller more than one of ours.
+			v.answer = last.answer
+		}
+		last = v
 	}
 	return f.ended(last, ctx.Err())
 }
--- a/internal/single/hedge.go
+++ b/internal/single/hedge.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/dalebend/dalebend/internal/routetable"
 )
 
 // hedgeAt is the part of the route's objective after which a request that may
@@ -11,6 +13,13 @@
 // answered, early enough that the second can still answer in time.
 const hedgeAt = 0.5
 
+// mayHedge reports whether the request may be sent to a second server while the
+// first is awaited. Without an objective there is no telling when that is late.
+func (f *flight) mayHedge() bool {
+	r := f.job.Route
+	return r.Repeat == routetable.Repeatable && r.MaxServers > 1 && r.Objective > 0
+}
+
 // hedged sends to a second server when the first takes long. The first final
 // answer wins; the other send is given up.
 func (f *flight) hedged(ctx context.Context) (*Answer, error) {
--- /dev/null
+++ b/internal/single/script_test.go
@@ -0,0 +1,240 @@
+package single_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/evidence"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/request"
+	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/single"
+	"github.com/dalebend/dalebend/internal/spend"
+)
+
+// script is a sender with its servers and one request, in a bubble of synctest
+// with a clock that the data file moves.
+type script struct {
+	t       *testing.T
+	servers *servers
+	clock   *clockwork.FakeClock
+	sender  *single.Sender
+	route   *routetable.Route
+	ids     []string
+
+	leave  context.CancelFunc
+	done   chan struct{}
+	shown  bool
+	answer *single.Answer
+	err    error
+}
+
+// TestScripts runs the stories in testdata/stories. Each command prints what was
+// sent to which server, and how the request ended.
+//
+//	new once|repeatable [aimless] [most=N] [retries=N] SERVER...
+//	                          servers are chosen in this order; aimless routes have no objective
+//	answers SERVER MODE...    how the server answers the next requests
+//	start [within=DURATION]   the caller sends its request; its objective is 100 ms
+//	release SERVER            calls that hang there go on
+//	advance DURATION / leave  time passes / the caller leaves
+//	evidence SERVER           what is believed of the server
+func TestScripts(t *testing.T) {
+	unsent, shed := notSent(t), full(t)
+	datadriven.Walk(t, "testdata/stories", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &script{}
+			t.Cleanup(s.stop)
+			datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+				s.t = t
+				if td.Cmd == "new" {
+					s.stop()
+					s.create(td, unsent, shed)
+					return ""
+				}
+				return s.run(td)
+			})
+		})
+	})
+}
+
+func (s *script) create(td *datadriven.TestData, unsent, shed error) {
+	s.route = &routetable.Route{Name: "r", Objective: 100 * time.Millisecond, MaxServers: 1}
+	retries := 10
+	s.ids = nil
+	for _, a := range td.CmdArgs {
+		switch {
+		case a.Key == "once", a.Key == "aimless":
+		case a.Key == "repeatable":
+			s.route.Repeat = routetable.Repeatable
+			s.route.MaxServers = 3
+		case len(a.Vals) == 0:
+			s.ids = append(s.ids, a.Key)
+		}
+	}
+	if td.HasArg("aimless") {
+		s.route.Objective = 0
+	}
+	td.MaybeScanArgs(s.t, "most", &s.route.MaxServers)
+	td.MaybeScanArgs(s.t, "retries", &retries)
+	s.servers = newServers(unsent, shed, s.ids...)
+	s.clock = clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	s.build(retries)
+	s.done, s.shown, s.answer, s.err = nil, false, nil, nil
+}
+
+func (s *script) build(retries int) {
+	directory := &registry.Directory{Clock: s.clock, StoreReturned: func() time.Time { return time.Time{} }}
+	view := &registry.View{Servers: make(map[string]registry.Server)}
+	for _, id := range s.ids {
+		view.Servers[id] = registry.Server{ID: id, Service: "plain", Addr: id + ":80", Domain: "hall", Slots: 100}
+	}
+	directory.Set(view)
+	book := &evidence.Book{Clock: s.clock}
+	chooser := &choose.Chooser{Directory: directory, Evidence: book, Domain: "hall", Rand: rand.New(rand.NewPCG(1, 2))}
+	// Each server has more to do than the one before, so that they are chosen in order.
+	for i, id := range s.ids {
+		for range 10 * i {
+			chooser.Begin(id)
+		}
+	}
+	s.sender = &single.Sender{
+		Clock: s.clock, Logger: slog.New(slog.DiscardHandler), Chooser: chooser, Evidence: book,
+		Exchanger: s.servers, Codec: codec{},
+		Budget: &spend.Budget{
+			Clock: s.clock, Boxes: func() int { return 1 },
+			// Three quarters of a budget are used.
+			Terms: spend.Terms{Minimum: (retries*4 + 2) / 3, Window: time.Hour},
+		},
+	}
+}
+
+func (s *script) run(td *datadriven.TestData) string {
+	args := make([]string, 0, len(td.CmdArgs))
+	for _, a := range td.CmdArgs {
+		args = append(args, a.Key)
+	}
+	switch td.Cmd {
+	case "start":
+		within := "30s"
+		td.MaybeScanArgs(s.t, "within", &within)
+		s.start(s.duration(within))
+	case "answers":
+		s.servers.answers[args[0]] = args[1:]
+	case "release":
+		s.servers.release(args[0])
+	case "advance":
+		s.advance(s.duration(args[0]))
+	case "leave":
+		s.leave()
+	case "evidence":
+		o := s.sender.Evidence.Opinion(args[0])
+		return fmt.Sprintf("ejected=%t errors=%.2f\n", o.Ejected, o.Errors)
+	default:
+		td.Fatalf(s.t, "unknown command %s", td.Cmd)
+	}
+	synctest.Wait()
+	return s.show()
+}
+
+func (s *script) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	require.NoError(s.t, err)
+	return d
+}
+
+func (s *script) start(within time.Duration) {
+	deadline := s.clock.Now().Add(within)
+	timed, over := clockwork.WithDeadline(context.Background(), s.clock, deadline)
+	// The context of a fake clock waits for its end when asked for its error, one
+	// that is derived from it does not.
+	ctx, cancel := context.WithCancel(timed)
+	s.leave = func() {
+		cancel()
+		over()
+	}
+	s.done = make(chan struct{})
+	job := &single.Job{
+		Request: &request.Request{ID: "q1", Method: http.MethodPost, Arrived: s.clock.Now()},
+		Route:   s.route, Service: &routetable.Service{Name: "plain"}, Deadline: deadline,
+	}
+	go func() {
+		defer close(s.done)
+		s.answer, s.err = s.sender.Do(ctx, job)
+	}()
+}
+
+func (s *script) advance(d time.Duration) {
+	const step = 5 * time.Millisecond
+	for left := d; left > 0; left -= step {
+		s.clock.Advance(min(left, step))
+		synctest.Wait()
+	}
+}
+
+// stop ends the request and checks what holds after every story.
+func (s *script) stop() {
+	if s.done == nil {
+		return
+	}
+	s.leave()
+	<-s.done
+	synctest.Wait()
+	require.Zero(s.t, s.servers.open, "bodies stay open")
+	require.LessOrEqual(s.t, s.servers.runs, s.route.MaxServers, "too many servers may have run it")
+	var notRun *single.NotRun
+	if errors.As(s.err, &notRun) {
+		require.Zero(s.t, s.servers.runs, "the caller is told that no server ran it")
+		require.Positive(s.t, notRun.RetryAfter)
+	}
+	s.done = nil
+}
+
+// show prints what happened since the last command.
+func (s *script) show() string {
+	var b strings.Builder
+	lines := s.servers.take()
+	slices.Sort(lines)
+	for _, line := range lines {
+		fmt.Fprintln(&b, line)
+	}
+	if s.done == nil || s.shown {
+		return b.String()
+	}
+	select {
+	case <-s.done:
+		s.shown = true
+		b.WriteString(s.outcome())
+	default:
+	}
+	return b.String()
+}
+
+func (s *script) outcome() string {
+	var notRun *single.NotRun
+	var perhaps *single.PerhapsRun
+	switch {
+	case s.err == nil && len(s.answer.Body) > 100:
+		return fmt.Sprintf("%d, %d bytes\n", s.answer.Status, len(s.answer.Body))
+	case s.err == nil:
+		return fmt.Sprintf("%d %s\n", s.answer.Status, s.answer.Body)
+	case errors.As(s.err, &notRun), errors.As(s.err, &perhaps):
+		return s.err.Error() + "\n"
+	default:
+		return "another error\n"
+	}
+}
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -111,7 +111,7 @@
 func (s *Sender) Do(ctx context.Context, j *Job) (*Answer, error) {
 	s.Budget.First(j.Service.Name)
 	f := &flight{sender: s, job: j}
-	if j.Route.Repeat == routetable.Repeatable && j.Route.MaxServers > 1 {
+	if f.mayHedge() {
 		return f.hedged(ctx)
 	}
 	return f.inTurn(ctx)
