decisionlog: reports of dropped lines are written past the queue

The writing goroutine writes them itself, so that no full queue can hold them back. Tests for the bound on warnings, for early batches and for reports after which no line comes; each of them fails with its part of the code taken out.

--- a/internal/decisionlog/budget.go
+++ b/internal/decisionlog/budget.go
@@ -111,13 +111,6 @@
 	return counts
 }
 
-// putBack undoes takeCounts.
-func (b *budgets) putBack(counts dropCounts) {
-	for name, c := range counts {
-		b.of(name).add(c)
-	}
-}
-
 // attrs returns the attributes of the line that reports the counts.
 func (c dropCounts) attrs() []slog.Attr {
 	var total dropCount
--- a/internal/decisionlog/log.go
+++ b/internal/decisionlog/log.go
@@ -37,13 +37,16 @@
 	out     io.Writer
 	queue   *queue
 	budgets *budgets
-	render  slog.Handler
+	// render writes into the queue.
+	render slog.Handler
+	// report writes to out; the writing goroutine alone uses it.
+	report slog.Handler
 
 	dropped atomic.Uint64
 	// unreported tells that lines were dropped since the last report.
 	unreported atomic.Bool
 
-	// Used by the writing goroutine only: when the last report was queued, and
+	// Used by the writing goroutine only: when the last report was written, and
 	// whether a timer for the next one runs.
 	reported time.Time
 	deferred bool
@@ -54,12 +57,14 @@
 func New(w io.Writer, clock clockwork.Clock, box string) *Log {
 	q := newQueue()
 	options := &slog.HandlerOptions{ReplaceAttr: nameEvent}
+	named := []slog.Attr{slog.String(event.KeyBox, box)}
 	return &Log{
 		clock:   clock,
 		out:     w,
 		queue:   q,
 		budgets: newBudgets(),
-		render:  slog.NewJSONHandler(q, options).WithAttrs([]slog.Attr{slog.String(event.KeyBox, box)}),
+		render:  slog.NewJSONHandler(q, options).WithAttrs(named),
+		report:  slog.NewJSONHandler(w, options).WithAttrs(named),
 	}
 }
 
@@ -111,7 +116,6 @@
 	}
 	l.writeBatch()
 	l.reportNow(l.clock.Now())
-	l.writeBatch()
 }
 
 // awaitBatch returns when a batch is due, false when ctx ended.
@@ -173,8 +177,8 @@
 	l.queue.wake()
 }
 
-// reportDropped queues a line that counts what was left out since the last such
-// line. It waits until reportEvery is over or, without room, for the next batch.
+// reportDropped writes a line that counts what was left out since the last such line,
+// at once or when reportEvery is over.
 func (l *Log) reportDropped() {
 	now := l.clock.Now()
 	if !l.unreported.Load() {
@@ -205,12 +209,10 @@
 	}
 	r := slog.NewRecord(now.UTC().Truncate(time.Microsecond), event.LinesDropped.Level(), string(event.LinesDropped), 0)
 	r.AddAttrs(counts.attrs()...)
-	if err := l.render.Handle(context.Background(), r); err != nil {
-		l.budgets.putBack(counts)
-		l.unreported.Store(true)
-		return
-	}
 	l.reported = now
+	if err := l.report.Handle(context.Background(), r); err != nil {
+		l.dropped.Add(1)
+	}
 }
 
 // nameEvent gives the message its key. The level is turned to text here, since slog
--- a/internal/decisionlog/log_test.go
+++ b/internal/decisionlog/log_test.go
@@ -51,6 +51,13 @@
 	return lines
 }
 
+// count returns how many lines of an event were written, without decoding them.
+func (g *gate) count(name event.Name) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return bytes.Count(g.text.Bytes(), []byte(`"event":"`+string(name)+`"`))
+}
+
 type line struct {
 	Event      string
 	Box        string
@@ -146,6 +153,67 @@
 	require.Equal(t, dropped, sumReported(lines))
 }
 
+// TestWarningsAreBounded fills the queue with warnings while nobody reads.
+func TestWarningsAreBounded(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	out := newGate()
+	log := decisionlog.New(out, clockwork.NewFakeClockAt(start), "box-1")
+	stop := run(log)
+	const limit, size = 256 << 10, 4 << 10
+	text := strings.Repeat("x", size)
+	for range 2 * limit / size {
+		log.Emit(event.ServerEjected, slog.String(event.KeyCause, text))
+		log.Emit(event.PeerLost, slog.String(event.KeyCause, text))
+	}
+	require.NotZero(t, log.Dropped())
+	close(out.open)
+	stop()
+	// What waits in the queue, and the batch that is being written.
+	require.LessOrEqual(t, out.text.Len(), 2*limit)
+	require.Equal(t, int(log.Dropped()), sumReported(out.lines(t)))
+}
+
+// TestCrowdedQueue writes without waiting for the batch when much is queued.
+func TestCrowdedQueue(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	written := make(notice)
+	log := decisionlog.New(written, clockwork.NewFakeClockAt(start), "box-1")
+	stop := run(log)
+	text := strings.Repeat("x", 1<<10)
+	for range 100 {
+		log.Emit(event.StreamMoved, slog.String(event.KeyReason, text))
+	}
+	<-written
+	go func() {
+		for range written {
+		}
+	}()
+	stop()
+	close(written)
+}
+
+// TestLateReport drops lines and then writes none: they are reported all the same,
+// each time.
+func TestLateReport(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	clock := clockwork.NewFakeClockAt(start)
+	out := newGate()
+	close(out.open)
+	log := decisionlog.New(out, clock, "box-1")
+	stop := run(log)
+	for round := range 4 {
+		for range 1000 {
+			log.Emit(event.PeerLost)
+		}
+		for out.count(event.LinesDropped) <= round {
+			clock.Advance(10 * time.Millisecond)
+			runtime.Gosched()
+		}
+	}
+	stop()
+	require.Equal(t, int(log.Dropped()), sumReported(out.lines(t)))
+}
+
 func sumReported(lines []line) int {
 	n := 0
 	for _, l := range lines {
