storewatch: a watch without an answer is checked by reading again

A store that drops its history leaves waiting watches unanswered while it serves other calls; that was taken for an outage. The store now counts as out of contact from then, but as lost only if the read that follows fails as well.

--- a/internal/storewatch/source.go
+++ b/internal/storewatch/source.go
@@ -9,7 +9,7 @@
 )
 
 // Source reads the metadata store. Its calls must end by themselves, a watch
-// shortly after its wait is over. Any error but the two below means that the
+// shortly after its wait is over. Any error but those below means that the
 // store was not reached.
 type Source interface {
 	// Config returns the configuration document and the revision to watch it
@@ -34,4 +34,8 @@
 	// Stores cut watches now and then, so reading again tells whether the store
 	// is away.
 	ErrWatchCut = errors.New("watch was cut")
+	// ErrWatchSilent means that a watch was not answered in time. A store that
+	// drops its history may leave the watches that wait without an answer while
+	// it serves other calls.
+	ErrWatchSilent = errors.New("watch was not answered in time")
 )
--- a/internal/storewatch/status.go
+++ b/internal/storewatch/status.go
@@ -17,7 +17,8 @@
 	// LastContact is the time of the last answer, zero before the first.
 	LastContact time.Time
 	// ReachableSince is the time of the first answer after the last failure or
-	// pause, zero before the first.
+	// pause, zero before the first. A watch without an answer does not count as
+	// a failure if the next call is answered.
 	ReachableSince time.Time
 	// LastFailure is the time of the last failed call, zero before the first.
 	LastFailure time.Time
@@ -33,6 +34,8 @@
 	mu sync.Mutex
 	// failedAt is the time of the first failure since the last answer, or zero.
 	failedAt time.Time
+	// doubted is set from a watch without an answer until the next call.
+	doubted bool
 }
 
 func (c *contact) load() Status {
@@ -48,9 +51,10 @@
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	s := c.load()
-	if !s.Reachable {
+	if !s.Reachable && !c.doubted {
 		s.ReachableSince = now
 	}
+	c.doubted = false
 	if !c.failedAt.IsZero() {
 		c.logger.Info("store is reached again", slog.Duration("away", now.Sub(c.failedAt)))
 	}
@@ -60,11 +64,22 @@
 	c.status.Store(&s)
 }
 
+// doubt takes note of a watch without an answer.
+func (c *contact) doubt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.load()
+	c.doubted = c.doubted || s.Reachable
+	s.Reachable = false
+	c.status.Store(&s)
+}
+
 // lost takes note of a failed call.
 func (c *contact) lost(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.load()
+	c.doubted = false
 	s.Reachable = false
 	s.LastFailure = c.clock.Now()
 	if c.failedAt.IsZero() {
@@ -87,6 +102,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.load()
+	c.doubted = false
 	s.Reachable = false
 	c.status.Store(&s)
 }
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -138,8 +138,11 @@
 		case err == nil:
 			w.answered.Store(true)
 			w.contact.answered()
-		case errors.Is(err, ErrHistoryGone), errors.Is(err, ErrWatchCut):
+		case startsAnew(err):
 			w.Logger.Info("watch of the store starts anew", slog.Any("cause", err))
+			if errors.Is(err, ErrWatchSilent) {
+				w.contact.doubt()
+			}
 			if err := f.read(ctx); err != nil {
 				return err
 			}
@@ -157,6 +160,11 @@
 	return errInactive
 }
 
+// startsAnew reports whether the state is read again after a watch failed.
+func startsAnew(err error) bool {
+	return errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrWatchCut) || errors.Is(err, ErrWatchSilent)
+}
+
 // awaitInactive returns when the watcher is told to stop watching.
 func (w *Watcher) awaitInactive(ctx context.Context) error {
 	for w.Active() {
--- a/internal/storewatch/watcher_test.go
+++ b/internal/storewatch/watcher_test.go
@@ -153,8 +153,8 @@
 	require.Equal(t, r.clock.Now(), r.watcher.Status().LastContact)
 }
 
-func TestReadsAgainAfterALostHistoryOrACut(t *testing.T) {
-	for _, cause := range []error{ErrHistoryGone, ErrWatchCut} {
+func TestReadsAgainAfterAWatchThatBroke(t *testing.T) {
+	for _, cause := range []error{ErrHistoryGone, ErrWatchCut, ErrWatchSilent} {
 		t.Run(cause.Error(), func(t *testing.T) {
 			r := newRig(t, true)
 			defer r.stop()
@@ -192,6 +192,36 @@
 	require.False(t, r.watcher.Status().Reachable)
 }
 
+func TestASilentWatchIsInDoubtUntilTheNextCall(t *testing.T) {
+	r := newRig(t, true)
+	defer r.stop()
+	since := r.clock.Now()
+	config, servers := r.start()
+	r.clock.Advance(watchWait)
+	servers.answer(reply{err: ErrWatchSilent})
+	read := <-r.servers
+	require.Equal(t, Status{LastContact: since, ReachableSince: since}, r.watcher.Status())
+
+	// Both watches may be in doubt at once.
+	config.answer(reply{err: ErrWatchSilent})
+	(<-r.config).answer(reply{doc: []byte("v1"), at: 5})
+	read.answer(reply{view: view(5, "a")})
+	<-r.watchConfig
+	servers = <-r.watchServers
+	now := r.clock.Now()
+	require.Equal(t, Status{Reachable: true, LastContact: now, ReachableSince: since}, r.watcher.Status())
+
+	// If the next call fails too, the store was away.
+	r.clock.Advance(watchWait)
+	servers.answer(reply{err: ErrWatchSilent})
+	(<-r.servers).answer(reply{err: errDown})
+	r.awaitPause()
+	r.clock.Advance(longestPause + longestPause/2)
+	(<-r.config).answer(reply{doc: []byte("v1"), at: 5})
+	<-r.servers
+	require.Equal(t, r.clock.Now(), r.watcher.Status().ReachableSince)
+}
+
 func TestAFailureReadsEverythingAnew(t *testing.T) {
 	r := newRig(t, true)
 	config, _ := r.start()
