front: tests of what callers send and get

Faults that they found, mended here: characters that a parsed URL writes in another way (a pipe, braces, a quote) reached the server changed; an answer without a content type got a guessed one. The look at the deadline no longer waits for it under a test clock. Lint findings of three packages.

--- /dev/null
+++ b/internal/front/answer_test.go
@@ -0,0 +1,253 @@
+package front_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/single"
+	"github.com/dalebend/dalebend/internal/streaming"
+)
+
+// TestAnswerUnchanged: status, headers and body are the server's.
+func TestAnswerUnchanged(t *testing.T) {
+	r := newRig(t)
+	for _, status := range []int{200, 201, 302, 404, 409, 500, 504} {
+		r.Singles = singles(func(context.Context, *single.Job) (*single.Answer, error) {
+			a := answer(status, "body\x00of it")
+			a.Header = http.Header{"X-Proof": {"p"}, "X-Two": {"1", "2"}, "Date": {"then"}}
+			return a, nil
+		})
+		got := r.get("plain.test", "/")
+		require.Equal(t, status, got.StatusCode)
+		require.Equal(t, "body\x00of it", got.text)
+		require.Equal(t, int64(10), got.ContentLength)
+		want := http.Header{"X-Proof": {"p"}, "X-Two": {"1", "2"}, "Date": {"then"}, "Content-Length": {"10"}}
+		require.Equal(t, want, got.Header)
+	}
+}
+
+// TestHead: an answer to HEAD has no body.
+func TestHead(t *testing.T) {
+	r := newRig(t)
+	c := r.call()
+	c.send("HEAD /a HTTP/1.1\nHost: plain.test\n\n")
+	req, err := http.NewRequest(http.MethodHead, "/a", nil)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(c.in, req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "good", c.send("GET /a HTTP/1.1\nHost: plain.test\n\n").read().text)
+}
+
+// TestNoAnswer: "not run" is told with a time to come back, "perhaps run" is not.
+func TestNoAnswer(t *testing.T) {
+	f := &failures{clock: clockwork.NewFakeClock()}
+	for name, c := range map[string]struct {
+		one, stream error
+		status      int
+		after       [2]string
+	}{
+		"not run":     {one: f.single(t), stream: f.stream(t), status: 503, after: [2]string{"0.050", "0.300"}},
+		"perhaps run": {one: f.single(t, "a"), stream: f.stream(t, "a"), status: 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.Singles = singles(func(context.Context, *single.Job) (*single.Answer, error) { return nil, c.one })
+			r.Streams = streams(func(context.Context, *streaming.Job, streaming.Sink) error { return c.stream })
+			for i, host := range []string{"plain.test", "chat.test"} {
+				got := r.get(host, "/")
+				require.Equal(t, c.status, got.StatusCode)
+				require.Equal(t, c.after[i], got.Header.Get("Retry-After"))
+				require.Equal(t, "q1", got.Header.Get(headerID))
+				require.Contains(t, got.text, name)
+			}
+		})
+	}
+}
+
+// TestDeadlineOver: a request that may have run when its time is over gets 504.
+func TestDeadlineOver(t *testing.T) {
+	f := &failures{clock: clockwork.NewFakeClock()}
+	one, stream := f.single(t, "a"), f.stream(t, "a")
+	r := newRig(t)
+	waiting := make(chan struct{})
+	r.Singles = singles(func(ctx context.Context, _ *single.Job) (*single.Answer, error) {
+		close(waiting)
+		<-ctx.Done()
+		return nil, one
+	})
+	r.Streams = streams(func(ctx context.Context, _ *streaming.Job, _ streaming.Sink) error {
+		close(waiting)
+		<-ctx.Done()
+		return stream
+	})
+	for _, host := range []string{"plain.test", "chat.test"} {
+		waiting = make(chan struct{})
+		c := r.call().send("GET / HTTP/1.1\nHost: " + host + "\nX-Wait: 1s\n\n")
+		<-waiting
+		r.clock.Advance(time.Second)
+		require.Equal(t, http.StatusGatewayTimeout, c.read().StatusCode)
+	}
+}
+
+// TestCallerLeaves: the work for a caller that has left ends.
+func TestCallerLeaves(t *testing.T) {
+	r := newRig(t)
+	waiting, ended := make(chan struct{}), make(chan error)
+	r.Singles = singles(func(ctx context.Context, _ *single.Job) (*single.Answer, error) {
+		waiting <- struct{}{}
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return nil, ctx.Err()
+	})
+	r.Streams = streams(func(ctx context.Context, j *streaming.Job, s streaming.Sink) error {
+		if j.Request.Path == "/begun" {
+			s.Head(http.StatusOK, http.Header{})
+			if err := s.Events([]byte("data: 1\n\n")); err != nil {
+				return err
+			}
+		}
+		waiting <- struct{}{}
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return ctx.Err()
+	})
+	for _, target := range []string{"plain.test /", "chat.test /", "chat.test /begun"} {
+		host, path, _ := strings.Cut(target, " ")
+		c := r.call().send("POST " + path + " HTTP/1.1\nHost: " + host + "\nContent-Length: 1\n\na")
+		<-waiting
+		require.Equal(t, 1, r.Open())
+		require.NoError(t, c.Close())
+		require.ErrorIs(t, <-ended, context.Canceled, target)
+	}
+}
+
+// TestStream: events are passed on as they come, and the end is the server's.
+func TestStream(t *testing.T) {
+	r := newRig(t)
+	goOn := make(chan struct{})
+	r.Streams = streams(func(_ context.Context, j *streaming.Job, s streaming.Sink) error {
+		s.Head(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}, headerID: {j.Request.ID}})
+		for _, e := range []string{"data: 1\n\n", "data: 2\n\n"} {
+			if err := s.Events([]byte(e)); err != nil {
+				return err
+			}
+			<-goOn
+		}
+		return nil
+	})
+	c := r.call().send("GET / HTTP/1.1\nHost: chat.test\nX-Id: q1\n\n")
+	resp := c.head() //nolint:bodyclose // read to its end
+	require.Equal(t, "q1", resp.Header.Get(headerID))
+	require.Equal(t, "text/event-stream", resp.Header.Get("Content-Type"))
+	one := make([]byte, 9)
+	_, err := io.ReadFull(resp.Body, one)
+	require.NoError(t, err)
+	require.Equal(t, "data: 1\n\n", string(one), "before the second event is there")
+	goOn <- struct{}{}
+	goOn <- struct{}{}
+	rest, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "data: 2\n\n", string(rest))
+	require.Equal(t, "good", c.send("GET / HTTP/1.1\nHost: plain.test\n\n").read().text, "the connection is kept")
+}
+
+// TestStreamWithoutEvents: an answer that is no stream, and a stream without events.
+func TestStreamWithoutEvents(t *testing.T) {
+	r := newRig(t)
+	r.Streams = streams(func(_ context.Context, j *streaming.Job, s streaming.Sink) error {
+		if j.Request.Path == "/failed" {
+			s.Head(http.StatusInternalServerError, http.Header{"X-Proof": {"p"}})
+			return s.Events([]byte("failed"))
+		}
+		s.Head(http.StatusOK, http.Header{"X-Proof": {"p"}})
+		return nil
+	})
+	got := r.get("chat.test", "/failed")
+	require.Equal(t, http.StatusInternalServerError, got.StatusCode)
+	require.Equal(t, "failed", got.text)
+	require.Equal(t, "p", got.Header.Get("X-Proof"))
+	got = r.get("chat.test", "/empty")
+	require.Equal(t, http.StatusOK, got.StatusCode)
+	require.Empty(t, got.text)
+	require.Equal(t, "p", got.Header.Get("X-Proof"))
+}
+
+// TestStreamBreaks: a stream that ended early does not look complete; before its
+// first event another answer is given.
+func TestStreamBreaks(t *testing.T) {
+	r := newRig(t)
+	broken := errors.New("stream broke")
+	r.Streams = streams(func(_ context.Context, j *streaming.Job, s streaming.Sink) error {
+		s.Head(http.StatusOK, http.Header{"X-Proof": {"p"}})
+		if j.Request.Path == "/late" {
+			if err := s.Events([]byte("data: 1\n\n")); err != nil {
+				return err
+			}
+		}
+		return broken
+	})
+	c := r.call().send("GET /late HTTP/1.1\nHost: chat.test\n\n")
+	got := c.read()
+	require.Equal(t, "data: 1\n\n", got.text)
+	require.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+	got = r.get("chat.test", "/early")
+	require.Equal(t, http.StatusBadGateway, got.StatusCode)
+	require.Empty(t, got.Header.Get("X-Proof"), "a failure of ours with the server's proof")
+}
+
+// TestStop: answers of a stopping box end their connections, and what cannot be
+// expected to end is refused.
+func TestStop(t *testing.T) {
+	r := newRig(t)
+	r.Streams = streams(func(_ context.Context, _ *streaming.Job, s streaming.Sink) error {
+		s.Head(http.StatusOK, http.Header{})
+		return s.Events([]byte("data: 1\n\n"))
+	})
+	rested := r.call()
+	require.False(t, rested.send("GET / HTTP/1.1\nHost: plain.test\n\n").read().Close)
+	r.Stop(r.clock.Now().Add(5 * time.Second))
+	for _, c := range []struct {
+		host, path, header string
+		status             int
+	}{
+		{"plain.test", "/quick/", "", 200},
+		{"plain.test", "/", headerWait + ": 5s", 200},
+		{"plain.test", "/", headerWait + ": 5001ms", 503},
+		{"plain.test", "/", "", 503},
+		// The first event within 500 ms, 11 ms for each token: 409 fit.
+		{"chat.test", "/", headerHint + ": " + strings.Repeat("x", 409), 200},
+		{"chat.test", "/", headerHint + ": " + strings.Repeat("x", 410), 503},
+		{"other.test", "/", "", 404},
+	} {
+		got := r.get(c.host, c.path, c.header)
+		require.Equal(t, c.status, got.StatusCode, "%v", c)
+		require.True(t, got.Close, "%v", c)
+		if c.status == http.StatusServiceUnavailable {
+			require.Equal(t, "0.005", got.Header.Get("Retry-After"))
+		}
+	}
+	got := rested.send("GET /quick/ HTTP/1.1\nHost: plain.test\n\n").read()
+	require.Equal(t, "good", got.text, "a request on its way on a connection that rested")
+	require.True(t, got.Close)
+	rested.awaitClosed()
+}
+
+// TestRunEnds: when the server ends, its connections do.
+func TestRunEnds(t *testing.T) {
+	r := newRig(t)
+	c := r.call()
+	require.Equal(t, "good", c.send("GET / HTTP/1.1\nHost: plain.test\n\n").read().text)
+	r.cancel()
+	c.awaitClosed()
+	require.Zero(t, r.Open())
+}
--- /dev/null
+++ b/internal/front/errors_test.go
@@ -0,0 +1,87 @@
+package front_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/evidence"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/forecast"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/request"
+	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/single"
+	"github.com/dalebend/dalebend/internal/spend"
+	"github.com/dalebend/dalebend/internal/streaming"
+)
+
+// unanswered is an exchanger whose requests may have run.
+type unanswered struct{}
+
+func (unanswered) Do(context.Context, exchange.Target, *exchange.Request) (*exchange.Response, error) {
+	return nil, errors.New("connection reset")
+}
+
+type codec struct{ hop.Codec }
+
+func (codec) Header(*request.Request, *hop.Send) http.Header { return http.Header{} }
+func (codec) Owns(*request.Request) func(http.Header) bool   { return nil }
+
+// failures are the errors of the senders, made by the senders themselves.
+type failures struct{ clock *clockwork.FakeClock }
+
+func (f *failures) chooser(servers ...string) *choose.Chooser {
+	d := &registry.Directory{Clock: f.clock, StoreReturned: func() time.Time { return time.Time{} }}
+	v := &registry.View{Servers: make(map[string]registry.Server)}
+	for _, id := range servers {
+		v.Servers[id] = registry.Server{ID: id, Service: "s"}
+	}
+	d.Set(v)
+	return &choose.Chooser{
+		Directory: d, Evidence: &evidence.Book{Clock: f.clock}, Ledger: engineload.New(), Rand: rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+func (f *failures) budget() *spend.Budget {
+	return &spend.Budget{Clock: f.clock, Boxes: func() int { return 1 }, Terms: spend.Terms{Window: time.Hour}}
+}
+
+// single returns the error of a request that the servers, if any, do not answer.
+func (f *failures) single(t *testing.T, servers ...string) error {
+	c := f.chooser(servers...)
+	s := &single.Sender{
+		Clock: f.clock, Logger: slog.New(slog.DiscardHandler), Chooser: c, Evidence: c.Evidence,
+		Exchanger: unanswered{}, Codec: codec{}, Budget: f.budget(),
+	}
+	_, err := s.Do(context.Background(), &single.Job{
+		Request: &request.Request{}, Route: &routetable.Route{}, Service: &routetable.Service{Name: "s"},
+	})
+	require.Error(t, err)
+	return err
+}
+
+// stream returns the error of a generation that the engines, if any, do not answer.
+func (f *failures) stream(t *testing.T, servers ...string) error {
+	c := f.chooser(servers...)
+	r := &streaming.Relay{
+		Clock: f.clock, Logger: slog.New(slog.DiscardHandler), Chooser: c, Directory: c.Directory, Evidence: c.Evidence,
+		Ledger: c.Ledger, Lengths: &forecast.Book{}, Exchanger: unanswered{}, Codec: codec{}, Budget: f.budget(),
+	}
+	err := r.Serve(context.Background(), &streaming.Job{
+		Request: &request.Request{}, Route: &routetable.Route{},
+		Service: &routetable.Service{Name: "s", Engine: &routetable.Engine{Slots: 1}},
+	}, nil)
+	require.Error(t, err)
+	return err
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -190,9 +190,7 @@
 		Priority: x.priority(), Deadline: deadline,
 	}, s)
 	if err == nil {
-		err = s.finish()
-	}
-	if err == nil {
+		s.finish()
 		x.ended(s.status, s.events)
 		return
 	}
@@ -214,12 +212,23 @@
 		return
 	}
 	status := http.StatusBadGateway
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if timedOut(ctx) {
 		status = http.StatusGatewayTimeout
 	}
 	x.refuse(status, err.Error(), 0)
 }
 
+// timedOut reports whether a context ended at its deadline. The error of one that
+// has not ended is not asked for: with a test clock that waits for the end.
+func timedOut(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return errors.Is(ctx.Err(), context.DeadlineExceeded)
+	default:
+		return false
+	}
+}
+
 // notRun reports whether an error proves that the request has not run, and when
 // to come back.
 func notRun(err error) (retryAfter time.Duration, ok bool) {
--- /dev/null
+++ b/internal/front/rig_test.go
@@ -0,0 +1,209 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/front"
+	"github.com/dalebend/dalebend/internal/request"
+	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/single"
+	"github.com/dalebend/dalebend/internal/streaming"
+)
+
+// Headers of the test's own protocol.
+const (
+	headerID   = "X-Id"
+	headerKey  = "X-Key"
+	headerWait = "X-Wait"
+	headerHint = "X-Hint"
+	headerBad  = "X-Bad"
+)
+
+// wire reads the test's own headers.
+type wire struct{}
+
+func (wire) Parse(r *request.Request) error {
+	r.ID = r.Header.Get(headerID)
+	r.Key = r.Header.Get(headerKey)
+	if r.Header.Get(headerBad) != "" {
+		return errors.New("a header cannot be read")
+	}
+	var err error
+	if text := r.Header.Get(headerWait); text != "" {
+		r.Wait, err = time.ParseDuration(text)
+	}
+	r.HintTokens = len(r.Header.Get(headerHint))
+	return err
+}
+
+func (wire) Identify(h http.Header, id string) { h.Set(headerID, id) }
+
+// singles answers requests with one answer.
+type singles func(ctx context.Context, j *single.Job) (*single.Answer, error)
+
+func (f singles) Do(ctx context.Context, j *single.Job) (*single.Answer, error) { return f(ctx, j) }
+
+// streams answers requests with streams.
+type streams func(ctx context.Context, j *streaming.Job, sink streaming.Sink) error
+
+func (f streams) Serve(ctx context.Context, j *streaming.Job, sink streaming.Sink) error {
+	return f(ctx, j, sink)
+}
+
+// rig is a front with one service for single answers and one with engines.
+type rig struct {
+	*front.Server
+
+	t      *testing.T
+	clock  *clockwork.FakeClock
+	addr   string
+	recent atomic.Bool
+	table  atomic.Pointer[routetable.Table]
+	cancel context.CancelFunc
+	ended  chan error
+}
+
+// newRig begins in a year whose deadlines no real connection reaches.
+func newRig(t *testing.T) *rig {
+	return newRigAt(t, time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC))
+}
+
+func newRigAt(t *testing.T, now time.Time) *rig {
+	r := &rig{t: t, clock: clockwork.NewFakeClockAt(now), ended: make(chan error, 1)}
+	r.recent.Store(true)
+	r.use(spec())
+	r.Server = &front.Server{
+		Clock: r.clock, Logger: slog.New(slog.DiscardHandler), Wire: wire{},
+		Singles: singles(func(context.Context, *single.Job) (*single.Answer, error) { return answer(http.StatusOK, "good"), nil }),
+		Table:   r.table.Load, Recent: r.recent.Load,
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.addr = ln.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	go func() { r.ended <- r.Run(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-r.ended)
+	})
+	return r
+}
+
+// spec is the configuration: plain.test/, plain.test/quick/ and chat.test/.
+func spec() routetable.Spec {
+	return routetable.Spec{
+		Version: 1,
+		Routes: []routetable.Route{
+			{Name: "plain", Host: "plain.test", PathPrefix: "/", Targets: []routetable.Target{{Service: "plain", Weight: 1}}, Priority: 3},
+			{
+				Name: "quick", Host: "plain.test", PathPrefix: "/quick/", Timeout: 2 * time.Second,
+				Targets: []routetable.Target{{Service: "plain", Weight: 1}},
+			},
+			{
+				Name: "chat", Host: "chat.test", PathPrefix: "/", Stream: true, Objective: 500 * time.Millisecond, Priority: 4,
+				Targets: []routetable.Target{{Service: "chat", Weight: 1}}, Timeout: time.Minute,
+			},
+		},
+		Services: []routetable.Service{{Name: "plain"}, {Name: "chat", Engine: &routetable.Engine{Slots: 1}}},
+	}
+}
+
+func (r *rig) use(s routetable.Spec) {
+	table, err := routetable.New(s)
+	require.NoError(r.t, err)
+	r.table.Store(table)
+}
+
+func answer(status int, body string) *single.Answer {
+	return &single.Answer{Status: status, Header: http.Header{}, Body: []byte(body)}
+}
+
+// capture has single answers note their jobs.
+func (r *rig) capture() <-chan *single.Job {
+	jobs := make(chan *single.Job, 10)
+	r.Singles = singles(func(_ context.Context, j *single.Job) (*single.Answer, error) {
+		jobs <- j
+		return answer(http.StatusOK, "good"), nil
+	})
+	return jobs
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	t *testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func (r *rig) call() *caller {
+	conn, err := net.Dial("tcp", r.addr)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = conn.Close() }) // perhaps closed by the test
+	return &caller{t: r.t, Conn: conn, in: bufio.NewReader(conn)}
+}
+
+// send writes a request, whose lines may end with a plain line feed.
+func (c *caller) send(text string) *caller {
+	c.t.Helper()
+	head, body, _ := strings.Cut(text, "\n\n")
+	_, err := io.WriteString(c.Conn, strings.ReplaceAll(head, "\n", "\r\n")+"\r\n\r\n"+body)
+	require.NoError(c.t, err)
+	return c
+}
+
+// reply is an answer that was read to its end.
+type reply struct {
+	*http.Response
+	text string
+	// err is how the body ended, if not well.
+	err error
+}
+
+// head reads the head of an answer.
+func (c *caller) head() *http.Response {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(c.t, err)
+	return resp
+}
+
+func (c *caller) read() *reply {
+	c.t.Helper()
+	resp := c.head()
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close() // its error is that of the read
+	return &reply{Response: resp, text: string(body), err: err}
+}
+
+// get sends a GET and reads the answer.
+func (r *rig) get(host, path string, headers ...string) *reply {
+	r.t.Helper()
+	head := "GET " + path + " HTTP/1.1\nHost: " + host + "\n" + headerID + ": q1"
+	for _, h := range headers {
+		head += "\n" + h
+	}
+	got := r.call().send(head + "\n\n").read()
+	require.NoError(r.t, got.err)
+	return got
+}
+
+// awaitClosed reads until the connection ends.
+func (c *caller) awaitClosed() {
+	c.t.Helper()
+	_, err := io.Copy(io.Discard, c.in)
+	require.NoError(c.t, err)
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -95,7 +96,10 @@
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelDebug),
 	}
-	ended := context.AfterFunc(ctx, func() { server.Close() })
+	ended := context.AfterFunc(ctx, func() {
+		// The listener is closed already when Serve has ended by itself.
+		_ = server.Close()
+	})
 	defer ended()
 	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return err
@@ -128,10 +132,12 @@
 	if _, stopping := s.left(); stopping {
 		w.Header().Set("Connection", "close")
 	}
+	uri := uriOf(r)
+	path, _, _ := strings.Cut(uri, "?")
 	x := &exchange{
 		server: s, w: w, http: r,
 		req: &request.Request{
-			Method: r.Method, Host: hostOf(r.Host), URI: r.URL.RequestURI(), Path: pathOf(r),
+			Method: r.Method, Host: hostOf(r.Host), URI: uri, Path: path,
 			Header: r.Header, HasBody: r.ContentLength != 0, Arrived: s.Clock.Now(),
 		},
 	}
@@ -146,12 +152,14 @@
 	return host
 }
 
-// pathOf returns the path as sent, without its query.
-func pathOf(r *http.Request) string {
-	if r.URL.RawPath != "" {
-		return r.URL.RawPath
+// uriOf returns the path and query byte by byte as sent. A parsed URL would write
+// some characters in another way.
+func uriOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
 	}
-	return r.URL.EscapedPath()
+	// It names the host too.
+	return r.URL.RequestURI()
 }
 
 // draw returns a random number from 0 up to 1.
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -44,17 +44,18 @@
 	return err
 }
 
-// finish ends a stream without any event.
-func (s *sink) finish() error {
+// finish ends a whole answer, which may have had no event.
+func (s *sink) finish() {
 	if !s.begun {
 		s.begin()
 	}
-	return nil
 }
 
 func (s *sink) begin() {
 	s.begun = true
 	to := s.x.w.Header()
+	// Without this, a type would be guessed for an answer that has none.
+	to["Content-Type"] = nil
 	for name, values := range s.header {
 		to[name] = values
 	}
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -118,7 +118,7 @@
 }
 
 func readAll(r *exchange.Response) ([]byte, error) {
-	defer r.Body.Close()
+	defer func() { _ = r.Body.Close() }() // of an exchange it never fails
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer+1))
 	if err != nil {
 		return nil, err
--- a/internal/streaming/answer.go
+++ b/internal/streaming/answer.go
@@ -16,6 +16,6 @@
 func (a *answer) close() {
 	// The body is closed first, so that a connection whose answer was read to its
 	// end is kept.
-	a.Body.Close()
+	_ = a.Body.Close() // of an exchange it never fails
 	a.giveUp()
 }
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -108,10 +108,9 @@
 
 // start begins the generation. It must end within the given time.
 func (r *rig) start(tm terms, within time.Duration) {
-	ctx, cancel := context.WithCancel(context.Background())
-	r.caller = cancel
 	deadline := r.clock.Now().Add(within)
-	ctx, _ = clockwork.WithDeadline(ctx, r.clock, deadline) //nolint:govet // ended with its parent
+	ctx, cancel := clockwork.WithDeadline(context.Background(), r.clock, deadline)
+	r.caller = cancel
 	r.done = make(chan struct{})
 	job := &streaming.Job{
 		Request: &request.Request{
