--- a/internal/streaming/errors.go
+++ b/internal/streaming/errors.go
@@ -11,6 +11,7 @@
 	errBudgetSpent   = errors.New("retry budget is spent")
 	errOfferedEnough = errors.New("it was offered to enough engines")
 	errNoCopy        = errors.New("no engine holds a copy of its memory")
+	errNoEvent       = errors.New("no event was passed on, and it would run a second time")
 	errSilent        = errors.New("the stream fell silent")
 	errSwitched      = errors.New("the stream went on at another engine")
 )
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -67,13 +67,17 @@
 	if at == nil {
 		return nil, errNoCopy
 	}
-	if !x.relay.Budget.Spend(x.job.Service.Name) {
-		return nil, errBudgetSpent
-	}
 	x.mu.Lock()
 	from := x.engine
 	last := x.split.LastID()
+	events := x.split.Events()
 	x.mu.Unlock()
+	if events == 0 {
+		return nil, errNoEvent
+	}
+	if !x.relay.Budget.Spend(x.job.Service.Name) {
+		return nil, errBudgetSpent
+	}
 	start := x.relay.Clock.Now()
 	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Avoid: []string{from.ID}}
 	backup := x.chooseBackup(at.server, need)
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -49,7 +49,10 @@
 			return o.answer, nil
 		}
 		if o.perhapsRun {
-			return x.recover(ctx, o.err)
+			// Not even from a copy: what the engine had read of the prompt may not
+			// have arrived there, and then it would run a second time.
+			x.logLost(o.err)
+			return nil, &PerhapsRun{cause: o.err}
 		}
 		if ctx.Err() != nil {
 			return nil, &NotRun{RetryAfter: comeBack, cause: ctx.Err()}
@@ -61,21 +64,6 @@
 	return nil, &NotRun{RetryAfter: comeBack, cause: errors.Join(errOfferedEnough, cause)}
 }
 
-// recover continues a generation that got no answer from the copy of what its
-// engine had done, if there is one.
-func (x *run) recover(ctx context.Context, cause error) (*answer, error) {
-	if ctx.Err() != nil {
-		return nil, &PerhapsRun{cause: cause}
-	}
-	x.logBroke(cause)
-	a, err := x.continueAt(ctx, x.backupCopy())
-	if err != nil {
-		x.logLost(err)
-		return nil, &PerhapsRun{cause: errors.Join(cause, err)}
-	}
-	return a, nil
-}
-
 // chooseBackup returns the engine that gets a copy of the generation, or nil.
 func (x *run) chooseBackup(engine *registry.Server, need *choose.Need) *registry.Server {
 	e := x.job.Service.Engine
