--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -115,8 +115,8 @@
 
 const (
 	// tokenTime is the time that a stopping box allows for each token of a
-	// generation: a healthy engine takes 8 to 10 ms.
-	tokenTime = 11 * time.Millisecond
+	// generation: a healthy engine takes 8 to 10 ms, a crowded one half more.
+	tokenTime = 13 * time.Millisecond
 	// elsewhere is the time to come back that a caller of a stopping box is told:
 	// another box takes the request at once.
 	elsewhere = 5 * time.Millisecond
@@ -126,20 +126,22 @@
 // before it ends; another box can.
 func (x *exchange) endsInTime() bool {
 	left, stopping := x.server.left()
-	if !stopping || x.expected() <= left {
+	if !stopping || x.expected(x.server.settled()) <= left {
 		return true
 	}
 	x.refuse(http.StatusServiceUnavailable, "this box is stopping", elsewhere)
 	return false
 }
 
-// expected returns how long the answer is expected to take at most.
-func (x *exchange) expected() time.Duration {
+// expected returns how long the answer is expected to take. The caller's guess
+// of a generation's length is often far off, so that with certain set the
+// longest length counts.
+func (x *exchange) expected(certain bool) time.Duration {
 	if !x.route.Stream {
 		return x.deadline().Sub(x.req.Arrived)
 	}
 	tokens := x.req.HintTokens
-	if tokens == 0 {
+	if tokens == 0 || certain {
 		tokens = x.req.MaxTokens
 	}
 	return x.route.Objective + time.Duration(tokens)*tokenTime
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -44,6 +44,9 @@
 	defaultBody = 4 << 20
 	// defaultWait is the time for a request when neither the caller nor its route says.
 	defaultWait = 30 * time.Second
+	// noticed is how long after the order to stop the balancer sends new callers
+	// elsewhere: it asks every second, and twice.
+	noticed = 2500 * time.Millisecond
 	// unknownYet is the time to come back that a caller is told while this box
 	// does not know whether its route and key exist: about two rounds of heartbeats.
 	unknownYet = 400 * time.Millisecond
@@ -83,7 +86,9 @@
 	// stopAt is when the process ends, in nanoseconds of the clock; 0 while it
 	// does not stop.
 	stopAt atomic.Int64
-	open   atomic.Int64
+	// stoppedAt is when that began.
+	stoppedAt atomic.Int64
+	open      atomic.Int64
 }
 
 // Run serves the listener until the context ends, then closes every connection.
@@ -111,7 +116,16 @@
 // ends its connection, and requests that are not expected to end by then are
 // refused. Connections that rest stay open, since a request may be on its way
 // on them.
-func (s *Server) Stop(by time.Time) { s.stopAt.Store(by.UnixNano()) }
+func (s *Server) Stop(by time.Time) {
+	s.stoppedAt.Store(s.Clock.Now().UnixNano())
+	s.stopAt.Store(by.UnixNano())
+}
+
+// settled reports whether the server has been stopping for so long that the
+// balancer and callers have had the time to notice.
+func (s *Server) settled() bool {
+	return s.Clock.Since(time.Unix(0, s.stoppedAt.Load())) > noticed
+}
 
 // left returns the time until the process ends; ok is false while it does not stop.
 func (s *Server) left() (left time.Duration, ok bool) {
