box: settings are reloaded, and a store that was not away has not returned

Seeds, time to stop and retry budget are now taken over while it runs, at a hang-up or when the file has changed. Read in review: the death of the box that follows the store counted as a return of the store, and kept vanished entries; it now takes a failed call.

--- a/internal/box/beliefs.go
+++ b/internal/box/beliefs.go
@@ -32,9 +32,9 @@
 
 // viewInForce is told of newer entries of the backend servers.
 func (b *Box) viewInForce(v registry.View) {
-	if !b.duty.Recent() {
-		// Newer entries than before, and nobody known to be in contact: the store
-		// has just returned.
+	if b.noteFailure() && !b.duty.Recent() {
+		// Newer entries than before, after a failure and with nobody known to be in
+		// contact: the store has just returned.
 		b.returnedAt.Store(b.Clock.Now().UnixNano())
 	}
 	b.noteContact()
@@ -93,6 +93,9 @@
 // heard takes what a peer tells.
 func (b *Box) heard(d *digest.Digest) {
 	b.peers.Heard(d)
+	if d.StoreTried && !d.StoreReachable {
+		b.sawFailure.Store(true)
+	}
 	b.noteContact()
 	b.ledger.Heard(d.Box, d.Loads)
 	for _, t := range d.Troubles {
@@ -114,16 +117,28 @@
 	b.watcher.Wake()
 }
 
-// noteContact notes when the store was found again: by this box or by a peer,
-// after none had been in contact with it.
+// noteContact notes when the store was found again, by this box or by a peer:
+// after none had been in contact with it, and one had tried in vain. A gap
+// without a failure only means that the box that follows the store has changed.
 func (b *Box) noteContact() {
+	failed := b.noteFailure()
 	recent := b.duty.Recent()
-	if recent == b.lastContact.Swap(recent) {
+	if recent == b.lastContact.Swap(recent) || !recent {
 		return
 	}
-	if recent {
+	if failed {
 		b.returnedAt.Store(b.Clock.Now().UnixNano())
+		b.sawFailure.Store(false)
+	}
+}
+
+// noteFailure notes whether this box itself failed to reach the store, and
+// reports whether any box did.
+func (b *Box) noteFailure() bool {
+	if b.duty.Refused() {
+		b.sawFailure.Store(true)
 	}
+	return b.sawFailure.Load()
 }
 
 // log writes one line of the decision log.
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -79,10 +79,15 @@
 	streams   *streaming.Relay
 	front     *front.Server
 
-	started      time.Time
-	stopping     atomic.Bool
-	returnedAt   atomic.Int64
-	lastContact  atomic.Bool
+	started     time.Time
+	running     atomic.Bool
+	stopping    atomic.Bool
+	returnedAt  atomic.Int64
+	lastContact atomic.Bool
+	// sawFailure is set when this box or a peer failed to reach the store since
+	// some box was last in contact with it.
+	sawFailure   atomic.Bool
+	stopGrace    atomic.Int64
 	mostBoxes    atomic.Int64
 	readyLogged  atomic.Bool
 	lastRevision atomic.Int64
@@ -100,7 +105,12 @@
 // boxes returns the number of boxes that share the retry budget: the most that
 // were seen live, since one that cannot be heard may still be at work.
 func (b *Box) boxes() int {
-	n := int64(len(b.live()))
+	return b.most(len(b.live()))
+}
+
+// most returns the most boxes seen, n among them.
+func (b *Box) most(count int) int {
+	n := int64(count)
 	for {
 		most := b.mostBoxes.Load()
 		if n <= most {
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -22,6 +22,7 @@
 // build makes the parts of the box. The listeners must be open.
 func (b *Box) build() {
 	b.started = b.Clock.Now()
+	b.stopGrace.Store(int64(b.Settings.StopGrace))
 	b.buildBeliefs()
 	b.buildPeers()
 	b.buildStore()
@@ -67,7 +68,7 @@
 	s := b.Settings
 	b.budget = &spend.Budget{
 		Clock: b.Clock, Boxes: b.boxes,
-		Terms: spend.Terms{Ratio: s.RetryRatio, Minimum: s.RetryFloor, Window: s.RetryWindow},
+		Terms: budgetTerms(s),
 	}
 	b.streams = &streaming.Relay{
 		Box:   s.Box,
--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -80,6 +80,7 @@
 		return err
 	}
 	b.build()
+	b.running.Store(true)
 	b.log(event.Start, slog.String(event.KeyDomain, b.Settings.Domain), slog.String(event.KeyAddress, b.Settings.Front))
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -112,7 +113,7 @@
 func (b *Box) stop(ctx context.Context) {
 	began := b.Clock.Now()
 	b.stopping.Store(true)
-	by := began.Add(b.Settings.StopGrace - stopMargin)
+	by := began.Add(time.Duration(b.stopGrace.Load()) - stopMargin)
 	b.front.Stop(by)
 	b.node.Kick()
 	b.log(event.StopBegins, slog.Int(event.KeyOpen, b.front.Open()))
@@ -157,6 +158,7 @@
 	if err != nil {
 		return err
 	}
+	b.most(len(boxes))
 	b.node.AddBoxes(boxes)
 	return nil
 }
--- a/internal/boxsettings/settings.go
+++ b/internal/boxsettings/settings.go
@@ -105,3 +105,17 @@
 		{"calls", s.Calls}, {"metrics", s.Metrics}, {"store", s.Store},
 	}
 }
+
+// SameAddresses reports whether both have the same names and addresses.
+func (s *Settings) SameAddresses(o *Settings) bool {
+	if s.Box != o.Box || s.Domain != o.Domain {
+		return false
+	}
+	theirs := o.addresses()
+	for i, a := range s.addresses() {
+		if a != theirs[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -26,7 +26,7 @@
 	conductMs = 300.0
 	// backupFill is the expected fill up to which an engine takes copies of
 	// generations that run elsewhere; the rest is for what runs.
-	backupFill = 0.7
+	backupFill = 0.85
 	// farCopy is the fill that an engine in another failure domain than the one
 	// that is left must be below: a copy takes twice as long to get there.
 	farCopy = 0.35
@@ -96,10 +96,11 @@
 		m := &members[i]
 		load := loads[m.ID]
 		full := fill(load, need, service.Engine)
-		if m.ID == engine.ID || contains(need.Avoid, m.ID) || full > backupFill {
+		conduct := c.conduct(m)
+		if m.ID == engine.ID || contains(need.Avoid, m.ID) || full > backupFill || conduct >= ejectedRank {
 			continue
 		}
-		rank := full + c.conduct(m)
+		rank := full + conduct
 		if best == nil || rank < best.Rank {
 			best = &Candidate{Server: m.Server, Rank: rank, Load: load, Of: len(members)}
 		}
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -38,10 +38,11 @@
 	// Changed, if set, is called after Live changed.
 	Changed func()
 
-	live atomic.Pointer[[]Box]
-	kick chan struct{}
-	list chan []Box
-	once sync.Once
+	live  atomic.Pointer[[]Box]
+	seeds atomic.Pointer[[]string]
+	kick  chan struct{}
+	list  chan []Box
+	once  sync.Once
 
 	incarnation int64
 	seq         uint64
@@ -86,6 +87,17 @@
 	return []Box{n.Self}
 }
 
+// SetSeeds replaces the seeds.
+func (n *Node) SetSeeds(seeds []string) { n.seeds.Store(&seeds) }
+
+// currentSeeds returns the seeds in force.
+func (n *Node) currentSeeds() []string {
+	if p := n.seeds.Load(); p != nil {
+		return *p
+	}
+	return n.Seeds
+}
+
 // Kick says that what Local tells has changed: all live peers get a heartbeat
 // soon. Calls that follow each other closely share one.
 func (n *Node) Kick() {
--- a/internal/member/send.go
+++ b/internal/member/send.go
@@ -137,7 +137,7 @@
 
 func (n *Node) joinSeeds(wanted func(seed string) bool) {
 	var data []byte
-	for _, seed := range n.Seeds {
+	for _, seed := range n.currentSeeds() {
 		if seed == n.Self.Addr || !wanted(seed) {
 			continue
 		}
--- a/internal/program/box.go
+++ b/internal/program/box.go
@@ -43,23 +43,33 @@
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
-	file, err := platform.ReadSettings(path)
+	read := func() (*boxsettings.Settings, error) { return readBoxSettings(path, s.MetricsPort) }
+	file, err := read()
 	if err != nil {
 		fmt.Fprintln(errOut, "dalebend-box:", err)
 		return exitUsage
 	}
-	file.Metrics = net.JoinHostPort(hostOf(file.Front), strconv.Itoa(s.MetricsPort))
 	if s.CheckOnly {
 		fmt.Fprintf(out, "%+v\n", *file)
 		return exitDone
 	}
-	if err := runBox(file, out); err != nil {
+	if err := runBox(file, &settingsFile{path: path, read: read}, out); err != nil {
 		fmt.Fprintln(errOut, "dalebend-box:", err)
 		return exitFailed
 	}
 	return exitDone
 }
 
+// readBoxSettings reads the settings file and adds what the flags say.
+func readBoxSettings(path string, metricsPort int) (*boxsettings.Settings, error) {
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	s.Metrics = net.JoinHostPort(hostOf(s.Front), strconv.Itoa(metricsPort))
+	return s, nil
+}
+
 func hostOf(addr string) string {
 	host, _, err := net.SplitHostPort(addr)
 	if err != nil {
@@ -68,7 +78,7 @@
 	return host
 }
 
-func runBox(s *boxsettings.Settings, out io.Writer) error {
+func runBox(s *boxsettings.Settings, file *settingsFile, out io.Writer) error {
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
@@ -86,7 +96,13 @@
 	}()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	return newBox(s, clock, log).Run(ctx)
+	// From here on a hang-up does not end the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	b := newBox(s, clock, log)
+	go file.follow(ctx, hangup, clock, b)
+	return b.Run(ctx)
 }
 
 func newBox(s *boxsettings.Settings, clock clockwork.Clock, log *decisionlog.Log) *box.Box {
--- a/internal/spend/budget.go
+++ b/internal/spend/budget.go
@@ -41,6 +41,19 @@
 
 	mu       sync.Mutex
 	services map[string]*window
+	// start is when slot 0 began. Slots are counted from it, not by the time of
+	// day, which may be set.
+	start time.Time
+}
+
+// SetTerms replaces the terms. A window of another length begins anew.
+func (b *Budget) SetTerms(t Terms) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.Window != b.Terms.Window {
+		b.services = nil
+	}
+	b.Terms = t
 }
 
 // window counts the attempts for one service.
@@ -87,10 +100,11 @@
 
 // at returns the window of a service with the counters that ran out cleared.
 func (b *Budget) at(service string) *window {
-	slot := b.Clock.Now().UnixNano() / int64(b.Terms.Window/slices)
 	if b.services == nil {
 		b.services = make(map[string]*window)
+		b.start = b.Clock.Now()
 	}
+	slot := int64(b.Clock.Since(b.start) / (b.Terms.Window / slices))
 	w := b.services[service]
 	if w == nil {
 		w = &window{slot: slot}
