--- /dev/null
+++ b/internal/program/reload.go
@@ -0,0 +1,65 @@
+package program
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/box"
+	"github.com/dalebend/dalebend/internal/boxsettings"
+)
+
+// lookEvery is how often the settings file is looked at: it may change without
+// a signal, and what it holds may be in force a second late.
+const lookEvery = time.Second
+
+// settingsFile is the file that the platform lays out.
+type settingsFile struct {
+	path string
+	read func() (*boxsettings.Settings, error)
+
+	modified time.Time
+	size     int64
+}
+
+// follow reloads the settings at each hang-up signal and when the file has
+// changed, until the context ends. A file that cannot be used is logged and
+// changes nothing.
+func (f *settingsFile) follow(ctx context.Context, hangup <-chan os.Signal, clock clockwork.Clock, b *box.Box) {
+	ticker := clock.NewTicker(lookEvery)
+	defer ticker.Stop()
+	f.changed(b)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			f.changed(b)
+		case <-ticker.Chan():
+			if !f.changed(b) {
+				continue
+			}
+		}
+		s, err := f.read()
+		if err != nil {
+			b.Logger.Error("changed settings are not used", "error", err)
+			continue
+		}
+		b.Reload(s)
+	}
+}
+
+// changed reports whether the file differs from when it was last looked at.
+func (f *settingsFile) changed(b *box.Box) bool {
+	info, err := os.Stat(f.path)
+	if err != nil {
+		b.Logger.Error("settings file cannot be looked at", "error", err)
+		return false
+	}
+	same := info.ModTime().Equal(f.modified) && info.Size() == f.size
+	f.modified = info.ModTime()
+	f.size = info.Size()
+	return !same
+}
