decisionlog: the store, peers and refused configurations have events of their own

Losing and finding the store and peers, and a configuration that cannot be used, were free text under keys that docs/LOGS.md lacks. They are the declared events now, a peer stands under its own key, and versions and ages of what the box knows go with them (internal/belief). Tests of the old texts ask for the events, and for their reasons. Metrics of store calls that nobody counted are gone: the client of the store counts in the registry.

--- /dev/null
+++ b/internal/belief/belief.go
@@ -0,0 +1,62 @@
+// Package belief tells how old what a box knows is, for the lines of its decision log.
+package belief
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+)
+
+// State is what a box has and how old that may be.
+type State struct {
+	// ConfigVersion is the configuration version in force, 0 before the first.
+	ConfigVersion int64
+	// ViewRevision is the revision of what is known of the backend servers.
+	ViewRevision int64
+	// Age is the time since both were last known to be the newest: since this box or
+	// a peer that it hears was in contact with the store. It is negative before that.
+	Age time.Duration
+}
+
+// Source returns the present state. A nil Source tells nothing.
+type Source func() State
+
+// Append adds the versions and the age of the view to a line.
+func (s Source) Append(attrs []slog.Attr) []slog.Attr {
+	if s == nil {
+		return attrs
+	}
+	now := s()
+	attrs = append(attrs,
+		slog.Int64(event.KeyConfigVersion, now.ConfigVersion),
+		slog.Int64(event.KeyViewRevision, now.ViewRevision))
+	if now.Age >= 0 {
+		attrs = append(attrs, slog.Int64(event.KeyViewAge, now.Age.Milliseconds()))
+	}
+	return attrs
+}
+
+// AppendView adds the revision and the age of the view to a line.
+func (s Source) AppendView(attrs []slog.Attr) []slog.Attr {
+	if s == nil {
+		return attrs
+	}
+	now := s()
+	attrs = append(attrs, slog.Int64(event.KeyViewRevision, now.ViewRevision))
+	if now.Age >= 0 {
+		attrs = append(attrs, slog.Int64(event.KeyViewAge, now.Age.Milliseconds()))
+	}
+	return attrs
+}
+
+// AppendConfigAge adds the age of the configuration to a line.
+func (s Source) AppendConfigAge(attrs []slog.Attr) []slog.Attr {
+	if s == nil {
+		return attrs
+	}
+	if age := s().Age; age >= 0 {
+		attrs = append(attrs, slog.Int64(event.KeyConfigAge, age.Milliseconds()))
+	}
+	return attrs
+}
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -17,6 +17,7 @@
 	StopBegins       Name = "stop-begins"
 	StopEnds         Name = "stop-ends"
 	SettingsReloaded Name = "settings-reloaded"
+	SettingsRefused  Name = "settings-refused"
 	LinesDropped     Name = "log-lines-dropped"
 )
 
@@ -41,6 +42,7 @@
 	RequestSent    Name = "request-sent"
 	RequestFailed  Name = "request-failed"
 	RequestResent  Name = "request-resent"
+	RequestGivenUp Name = "request-given-up"
 	RequestEnded   Name = "request-ended"
 	CallerLeft     Name = "caller-left"
 )
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -53,7 +53,10 @@
 	KeyRevision = "revision"
 	KeyAdded    = "added"
 	KeyGone     = "gone"
+	// KeyDraining counts the draining servers of a view; KeyLeaving names those that
+	// have begun to drain.
 	KeyDraining = "draining"
+	KeyLeaving  = "leaving"
 	KeyServers  = "servers"
 	KeyPeer     = "peer"
 	KeyLive     = "live"
@@ -70,6 +73,9 @@
 	KeyByEvent    = "by_event"
 )
 
+// CauseStopped is the cause of an answer that was cut when the box ended.
+const CauseStopped = "the box ended before the answer did"
+
 // Values of KeyWay: how a stream came to another server.
 const (
 	// WayBackup continues from the copy that a second server kept.
--- a/internal/member/node_test.go
+++ b/internal/member/node_test.go
@@ -183,7 +183,7 @@
 		time.Sleep(time.Second)
 		f.requireAll(boxes, names(0, 9))
 		require.Equal(t, box(7), boxes[2].Live()[7])
-		require.Equal(t, 1, boxes[0].logged("new peer", name(5)))
+		require.Equal(t, 1, boxes[0].logged("peer-regained", "it is new here", name(5)))
 	})
 }
 
@@ -213,7 +213,7 @@
 		time.Sleep(seconds * time.Second)
 		f.requireAll(boxes, names(0, count))
 		for _, r := range boxes {
-			require.Zero(t, r.logged("lost peer"))
+			require.Zero(t, r.logged("peer-lost"))
 		}
 		perRound := float64(f.sentBy(addr(50))-before) / (seconds / 0.4)
 		require.InDelta(t, 24, perRound, 1)
@@ -230,7 +230,7 @@
 		time.Sleep(time.Minute)
 		f.requireAll(boxes, names(0, 6))
 		for _, r := range boxes {
-			require.Zero(t, r.logged("lost peer"))
+			require.Zero(t, r.logged("peer-lost"))
 		}
 	})
 }
@@ -247,11 +247,11 @@
 		f.requireAll(boxes[:2], names(0, 3))
 		require.Equal(t, []string{name(0), name(2)}, boxes[2].names())
 		time.Sleep(10 * time.Second)
-		require.Equal(t, 1, boxes[2].logged("lost peer", name(1)))
+		require.Equal(t, 1, boxes[2].logged("peer-lost", name(1)))
 		f.setDrop(nil)
 		time.Sleep(500 * time.Millisecond)
 		f.requireAll(boxes, names(0, 3))
-		require.Equal(t, 1, boxes[2].logged("regained peer", name(1)))
+		require.Equal(t, 1, boxes[2].logged("peer-regained", "it is heard again", name(1)))
 	})
 }
 
@@ -268,8 +268,8 @@
 		f.requireAll(boxes[:2], names(0, 3))
 		for _, r := range boxes[:2] {
 			require.Equal(t, moved, r.Live()[2])
-			require.Zero(t, r.logged("lost peer"))
-			require.Equal(t, 1, r.logged("peer restarted", name(2)))
+			require.Zero(t, r.logged("peer-lost"))
+			require.Equal(t, 1, r.logged("peer-regained", "it started anew", name(2)))
 		}
 	})
 }
@@ -368,7 +368,7 @@
 		require.NotContains(t, boxes[0].names(), name(1))
 		time.Sleep(7 * time.Second)
 		f.requireAll(boxes, names(0, 4))
-		require.Zero(t, boxes[1].logged("lost peer"))
+		require.Zero(t, boxes[1].logged("peer-lost"))
 		require.Equal(t, 1, boxes[1].logged("stood still"))
 	})
 }
--- a/internal/member/receive.go
+++ b/internal/member/receive.go
@@ -53,7 +53,9 @@
 	if p == nil {
 		return
 	}
-	n.log(p, news)
+	if news != sameBox {
+		defer n.logHeard(p, news, now)
+	}
 	// A peer that comes back has lost this box too, more often than not.
 	if d.Join || news != sameBox {
 		n.answer(p)
@@ -78,16 +80,3 @@
 		n.send(data, p.addr)
 	}
 }
-
-// log tells of a peer that came or changed.
-func (n *Node) log(p *peer, what news) {
-	switch what {
-	case sameBox:
-	case newPeer:
-		n.Logger.Info("new peer", "box", p.box.Name, "addr", p.box.Addr)
-	case regained:
-		n.Logger.Info("regained peer", "box", p.box.Name, "addr", p.box.Addr)
-	case restarted:
-		n.Logger.Info("peer restarted", "box", p.box.Name, "addr", p.box.Addr)
-	}
-}
--- a/internal/member/send.go
+++ b/internal/member/send.go
@@ -43,10 +43,10 @@
 		n.peers.forgive(late, now)
 	}
 	if lost := n.peers.expire(now); len(lost) > 0 {
+		n.publish()
 		for _, p := range lost {
-			n.Logger.Warn("lost peer", "box", p.box.Name, "addr", p.box.Addr)
+			n.logLost(p, now)
 		}
-		n.publish()
 	}
 	n.join(now)
 	n.beat(now)
--- a/internal/storewatch/status.go
+++ b/internal/storewatch/status.go
@@ -1,12 +1,16 @@
 package storewatch
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/belief"
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 )
 
 // Status says whether the store can be reached.
@@ -26,8 +30,9 @@
 
 // contact keeps the status, and logs when the store is lost and regained.
 type contact struct {
-	clock  clockwork.Clock
-	logger *slog.Logger
+	clock   clockwork.Clock
+	logger  *slog.Logger
+	beliefs belief.Source
 
 	status atomic.Pointer[Status]
 	// mu is held to change the status.
@@ -56,7 +61,7 @@
 	}
 	c.doubted = false
 	if !c.failedAt.IsZero() {
-		c.logger.Info("store is reached again", slog.Duration("away", now.Sub(c.failedAt)))
+		c.log(event.StoreRegained, now.Sub(c.failedAt))
 	}
 	c.failedAt = time.Time{}
 	s.Reachable = true
@@ -84,11 +89,19 @@
 	s.LastFailure = c.clock.Now()
 	if c.failedAt.IsZero() {
 		c.failedAt = s.LastFailure
-		c.logger.Warn("store is not reached", slog.Duration("quiet", c.quiet(s)), slog.Any("error", err))
+		c.log(event.StoreLost, c.quiet(s), slog.String(event.KeyCause, err.Error()))
 	}
 	c.status.Store(&s)
 }
 
+// log writes one line of the decision log: how long the store was away, and what
+// this box knows meanwhile.
+func (c *contact) log(name event.Name, away time.Duration, attrs ...slog.Attr) {
+	attrs = append(attrs, slog.Int64(event.KeyAway, away.Milliseconds()))
+	attrs = c.beliefs.Append(attrs)
+	c.logger.LogAttrs(context.Background(), name.Level(), string(name), attrs...)
+}
+
 // quiet is how long ago the last answer was, 0 if there was none.
 func (c *contact) quiet(s Status) time.Duration {
 	if s.LastContact.IsZero() {
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dalebend/dalebend/internal/belief"
 	"github.com/dalebend/dalebend/internal/registry"
 )
 
@@ -43,6 +44,9 @@
 	Clock clockwork.Clock
 	// Logger gets a line when the store is lost, and when it is reached again.
 	Logger *slog.Logger
+	// Beliefs tells what the box knows, for these lines. Nil is allowed. It is called
+	// while the watcher is locked and must not ask it.
+	Beliefs belief.Source
 	// Active says whether to watch. While it is false no call is made. It is
 	// asked at least after every watch, and after Wake.
 	Active func() bool
@@ -65,6 +69,7 @@
 	w.wake = make(chan struct{}, 1)
 	w.contact.clock = w.Clock
 	w.contact.logger = w.Logger
+	w.contact.beliefs = w.Beliefs
 	w.config = configFeed{source: w.Source, deliver: w.OnConfig}
 	w.servers = serversFeed{source: w.Source, deliver: w.OnServers}
 }
@@ -139,7 +144,7 @@
 			w.answered.Store(true)
 			w.contact.answered()
 		case startsAnew(err):
-			w.Logger.Info("watch of the store starts anew", slog.Any("cause", err))
+			w.Logger.Debug("watch of the store starts anew", slog.Any("cause", err))
 			if errors.Is(err, ErrWatchSilent) {
 				w.contact.doubt()
 			}
--- a/internal/storewatch/watcher_test.go
+++ b/internal/storewatch/watcher_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -261,9 +262,11 @@
 	require.Empty(t, r.docs, "an unchanged document is not delivered again")
 
 	r.stop()
-	away := fmt.Sprintf("away=%s", back.Sub(lastContact)-watchWait)
-	require.Equal(t, 1, strings.Count(r.log.String(), `msg="store is not reached" quiet=2s`))
-	require.Equal(t, 1, strings.Count(r.log.String(), `msg="store is reached again" `+away))
+	away := fmt.Sprintf("away_ms=%d\n", (back.Sub(lastContact) - watchWait).Milliseconds())
+	require.Len(t, regexp.MustCompile(`msg=store-lost cause=.* away_ms=2000\n`).FindAllString(r.log.String(), -1), 1)
+	require.Equal(t, 1, strings.Count(r.log.String(), "msg=store-lost"))
+	require.Equal(t, 1, strings.Count(r.log.String(), "msg=store-regained "+away))
+	require.Equal(t, 1, strings.Count(r.log.String(), "msg=store-regained"))
 }
 
 func TestAnOlderStateIsNeverDelivered(t *testing.T) {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -31,10 +31,6 @@
 	StreamsLost *counters
 	// CallersLeft counts callers that went away before the end, by kind of route.
 	CallersLeft *counters
-	// StoreCalls counts calls to the object API, by call.
-	StoreCalls *counters
-	// StoreFailures counts those that failed, by call and cause.
-	StoreFailures *counters
 	// Ejections counts ejections of backend servers, by cause.
 	Ejections *counters
 
@@ -44,8 +40,6 @@
 	FirstEvent *histograms
 	// MovePause is the time in which a moved stream's caller got nothing, by way.
 	MovePause *histograms
-	// StoreTime is the time that calls to the object API took, by call.
-	StoreTime *histograms
 
 	// ConfigVersion is the configuration version in force.
 	ConfigVersion *gauge
@@ -83,6 +77,18 @@
 	return m
 }
 
+// unseen takes what is counted where nobody gave metrics.
+var unseen = New()
+
+// OrUnseen returns the metrics, or ones that are not shown for nil, so that parts of a
+// box can be used without.
+func (m *Metrics) OrUnseen() *Metrics {
+	if m == nil {
+		return unseen
+	}
+	return m
+}
+
 // Registry is where other packages count. Its names are shown with underscores.
 func (m *Metrics) Registry() metrics.Registry { return m.registry }
 
@@ -95,8 +101,6 @@
 	m.MovesFailed = m.counters("stream_moves_failed_total", "streams that a server could not take over", "cause")
 	m.StreamsLost = m.counters("streams_lost_total", "streams cut at the caller", "cause")
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
-	m.StoreCalls = m.counters("store_calls_total", "calls to the object API", "call")
-	m.StoreFailures = m.counters("store_failures_total", "calls to the object API that failed", "call", "cause")
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
 }
 
@@ -104,7 +108,6 @@
 	m.Answer = m.histograms("answer_seconds", "time from a request to the end of its answer", "kind")
 	m.FirstEvent = m.histograms("first_event_seconds", "time from a request to the first event of its stream", "kind")
 	m.MovePause = m.histograms("move_pause_seconds", "time in which the caller of a moved stream got nothing", "way")
-	m.StoreTime = m.histograms("store_call_seconds", "time that calls to the object API took", "call")
 }
 
 func (m *Metrics) declareGauges() {
--- a/internal/viewshare/fetch.go
+++ b/internal/viewshare/fetch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/digest"
 )
 
@@ -40,7 +41,7 @@
 // finish notes how a fetch ended and begins the next one.
 func (s *Share) finish(job *job, err error) {
 	if err != nil {
-		s.Logger.Warn("cannot fetch from peer", "kind", job.kind, "box", job.teller.name, "err", err)
+		s.Logger.Warn("cannot fetch from peer", event.KeyKind, job.kind, event.KeyPeer, job.teller.name, "err", err)
 	}
 	s.fetches.end(job, err, s.Clock.Now())
 	s.fetchNext(job.kind)
@@ -56,7 +57,7 @@
 	}
 	err := s.fetchView(job, have)
 	if errors.Is(err, errMismatch) {
-		s.Logger.Warn("asking for the whole view", "box", job.teller.name, "err", err)
+		s.Logger.Warn("asking for the whole view", event.KeyPeer, job.teller.name, "err", err)
 		return s.fetchView(job, 0)
 	}
 	return err
@@ -68,7 +69,7 @@
 		return err
 	}
 	job.want = reply.Version
-	if err := s.takeConfig(reply.Data); err != nil {
+	if err := s.takeConfig(reply.Data, job.teller.name); err != nil {
 		return fmt.Errorf("%w: version %d: %w", errRefused, reply.Version, err)
 	}
 	if s.held(configKind) <= have {
@@ -94,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	s.OfferView(view)
+	s.takeView(view, job.teller.name)
 	return nil
 }
 
--- a/internal/viewshare/share.go
+++ b/internal/viewshare/share.go
@@ -9,6 +9,7 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
 )
@@ -39,19 +41,25 @@
 	configMu sync.Mutex
 	config   atomic.Pointer[config]
 
-	viewMu sync.Mutex
-	view   atomic.Pointer[registry.View]
-	log    changeLog
+	viewMu     sync.Mutex
+	view       atomic.Pointer[registry.View]
+	viewSource atomic.Pointer[string]
+	log        changeLog
 
 	fetches fetches
 }
 
-// config is a configuration in both its forms.
+// config is a configuration in both its forms, and where it came from.
 type config struct {
-	doc   []byte
-	table *routetable.Table
+	doc    []byte
+	table  *routetable.Table
+	source string
 }
 
+// fromStore is the source of what was read from the platform's store; other sources
+// are names of boxes.
+const fromStore = "store"
+
 // Table returns the newest configuration, or nil before the first.
 func (s *Share) Table() *routetable.Table {
 	if c := s.config.Load(); c != nil {
@@ -64,14 +72,26 @@
 // It is read only.
 func (s *Share) View() *registry.View { return s.view.Load() }
 
+// Sources tells where the table and the view came from: "store", or the name of a
+// box; empty before the first.
+func (s *Share) Sources() (table, view string) {
+	if c := s.config.Load(); c != nil {
+		table = c.source
+	}
+	if from := s.viewSource.Load(); from != nil {
+		view = *from
+	}
+	return table, view
+}
+
 // OfferConfig takes a configuration document if its version is higher than that
 // of the one that is held. It keeps doc, which must not change afterwards. A
 // document that cannot be decoded is logged and refused.
-func (s *Share) OfferConfig(doc []byte) { _ = s.takeConfig(doc) }
+func (s *Share) OfferConfig(doc []byte) { _ = s.takeConfig(doc, fromStore) }
 
 // takeConfig is OfferConfig; its error, which is logged already, says that the
 // document cannot be decoded.
-func (s *Share) takeConfig(doc []byte) error {
+func (s *Share) takeConfig(doc []byte, source string) error {
 	s.configMu.Lock()
 	defer s.configMu.Unlock()
 	held := s.config.Load()
@@ -80,13 +100,13 @@
 	}
 	table, err := s.Decode(doc)
 	if err != nil {
-		s.Logger.Error("configuration refused", "bytes", len(doc), "err", err)
+		s.logRefused(source, err)
 		return err
 	}
 	if held != nil && table.Version() <= held.table.Version() {
 		return nil
 	}
-	s.config.Store(&config{doc: doc, table: table})
+	s.config.Store(&config{doc: doc, table: table, source: source})
 	s.fetches.progress(configKind)
 	if s.OnTable != nil {
 		s.OnTable(table)
@@ -96,7 +116,9 @@
 
 // OfferView takes a view if its revision is higher than that of the one that is
 // held. The view must not change afterwards.
-func (s *Share) OfferView(v registry.View) {
+func (s *Share) OfferView(v registry.View) { s.takeView(v, fromStore) }
+
+func (s *Share) takeView(v registry.View, source string) {
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
 	held := s.view.Load()
@@ -105,12 +127,19 @@
 	}
 	s.log.add(held, &v)
 	s.view.Store(&v)
+	s.viewSource.Store(&source)
 	s.fetches.progress(viewKind)
 	if s.OnView != nil {
 		s.OnView(v)
 	}
 }
 
+// logRefused tells of a document that cannot be decoded, whose version is unknown.
+func (s *Share) logRefused(source string, cause error) {
+	s.Logger.LogAttrs(context.Background(), event.ConfigRefused.Level(), string(event.ConfigRefused),
+		slog.String(event.KeySource, source), slog.String(event.KeyCause, cause.Error()))
+}
+
 // held returns the version or revision that this box has, 0 for none.
 func (s *Share) held(k kind) int64 {
 	if k == configKind {
--- a/internal/viewshare/share_test.go
+++ b/internal/viewshare/share_test.go
@@ -145,7 +145,7 @@
 	b.OfferConfig(doc(3))
 	b.OfferConfig([]byte("rubbish"))
 	require.Equal(t, int64(3), b.Table().Version())
-	require.Equal(t, 1, b.log.count("configuration refused"))
+	require.Equal(t, 1, b.log.count("config-refused"))
 }
 
 // TestLearnFromPeer: a box that the store does not reach gets everything from a
@@ -265,10 +265,10 @@
 	hear()
 	clock.Advance(againAfter)
 	hear()
-	require.Equal(t, 1, b.log.count("configuration refused"))
+	require.Equal(t, 1, b.log.count("config-refused"))
 	clock.Advance(refuseFor)
 	hear()
-	require.Equal(t, 2, b.log.count("configuration refused"))
+	require.Equal(t, 2, b.log.count("config-refused"))
 }
 
 // TestGrace: a box waits for its own watch before it asks a peer.
