box: tests of a whole box against stand-ins

One box with the store's stand-in, backend servers and callers, on a clock that the test moves: every way in which a server may fail, streams that break, fall silent, crash or leave, moves, a stop, configurations and a lost store. The log line on a newer view of the servers is written once the view is in force.

go test -race -count=40 ./internal/box

--- a/internal/box/beliefs.go
+++ b/internal/box/beliefs.go
@@ -38,6 +38,13 @@
 		b.returnedAt.Store(b.Clock.Now().UnixNano())
 	}
 	b.noteContact()
+	b.node.Kick()
+	b.directory.Set(&v)
+	b.evidence.Retain(b.directory.Known)
+	b.logView(&v)
+}
+
+func (b *Box) logView(v *registry.View) {
 	draining := 0
 	for _, s := range v.Servers {
 		if s.State == registry.Draining {
@@ -46,9 +53,6 @@
 	}
 	b.log(event.ServersView, slog.Int64(event.KeyRevision, v.Revision),
 		slog.Int(event.KeyServers, len(v.Servers)), slog.Int(event.KeyDraining, draining))
-	b.node.Kick()
-	b.directory.Set(&v)
-	b.evidence.Retain(b.directory.Known)
 }
 
 // serversLeft is told of backend servers that have begun to leave or are gone.
--- /dev/null
+++ b/internal/box/box_test.go
@@ -0,0 +1,224 @@
+package box_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/watchduty"
+	"github.com/dalebend/dalebend/platform/standin"
+)
+
+// withServers is a running box that knows some servers.
+func withServers(t *testing.T, service string, ids ...string) (*rig, []*standin.Engine) {
+	r := newRig(t)
+	r.standard()
+	var list []*standin.Engine
+	for _, id := range ids {
+		list = append(list, r.server(id, service))
+	}
+	r.run()
+	r.awaitConfig(1)
+	r.awaitServers(int64(len(ids)), 0)
+	return r, list
+}
+
+// TestReady: a box takes requests once it has a configuration and the servers.
+func TestReady(t *testing.T) {
+	r := newRig(t)
+	r.run()
+	require.False(t, r.ready())
+	got, _ := r.ask(standin.Call{ID: "q1", Host: "once.test", URI: "/"})
+	require.Equal(t, http.StatusServiceUnavailable, got.Status)
+	require.Equal(t, "q1", got.ID)
+	require.NotEmpty(t, got.RetryAfter)
+	r.standard()
+	r.server("a", "plain")
+	r.awaitConfig(1)
+	r.awaitServers(1, 0)
+	require.True(t, r.ready())
+	got, text := r.ask(standin.Call{ID: "q2", Host: "once.test", URI: "/"})
+	require.Equal(t, http.StatusOK, got.Status)
+	require.Equal(t, "answer of a to q2", text)
+}
+
+// TestWhatIsAskedIsWhatRuns: method, target, body, id, time and other headers
+// reach the server as sent; the key does not, the account in its place.
+func TestWhatIsAskedIsWhatRuns(t *testing.T) {
+	r := newRig(t)
+	c := config(1)
+	c.Accounts = []standin.ConfigAccount{{Name: "acme", Keys: []string{"k1"}}}
+	r.store.PutConfig(c)
+	a := r.server("a", "plain")
+	r.run()
+	r.awaitConfig(1)
+	r.awaitServers(1, 0)
+	got, text := r.ask(standin.Call{
+		ID: "q1", Key: "k1", Method: "PUT", Host: "once.test", URI: "/x%2Fy|z?a=%20&b", Body: "body", Wait: 2 * time.Second,
+	})
+	require.Equal(t, "answer of a to q1", text)
+	require.Equal(t, "q1", got.ID)
+	require.Equal(t, "proof of a for q1", got.Proof)
+	require.Equal(t, []standin.Arrival{{
+		ID: "q1", Method: "PUT", URI: "/x%2Fy|z?a=%20&b", Host: "once.test", Body: "body", Account: "acme",
+		WaitMs: "2000", Other: http.Header{"X-From": {"a caller"}},
+	}}, a.Arrivals())
+
+	got, _ = r.ask(standin.Call{ID: "q2", Key: "k2", Host: "once.test", URI: "/"})
+	require.Equal(t, http.StatusUnauthorized, got.Status)
+	got, _ = r.ask(standin.Call{ID: "q3", Key: "k1", Host: "none.test", URI: "/"})
+	require.Equal(t, http.StatusNotFound, got.Status)
+	require.Empty(t, got.Proof)
+	require.Len(t, a.Arrivals(), 1)
+}
+
+// TestOneAnswer: what callers get for each way in which a server may fail, and on
+// how many servers the request ran.
+func TestOneAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		mode standin.AnswerMode
+		// once and many are the status for a request that may run once only and
+		// for one that may run more often; ranOnce and ranMany how often it ran.
+		once, many, ranOnce, ranMany int
+	}{
+		"good":     {mode: standin.Good, once: 200, many: 200, ranOnce: 1, ranMany: 1},
+		"full":     {mode: standin.Full, once: 200, many: 200, ranOnce: 1, ranMany: 1},
+		"failed":   {mode: standin.Failed, once: 500, many: 200, ranOnce: 1, ranMany: 2},
+		"torn":     {mode: standin.Torn, once: 502, many: 200, ranOnce: 1, ranMany: 2},
+		"cut":      {mode: standin.Cut, once: 502, many: 200, ranOnce: 1, ranMany: 2},
+		"unproven": {mode: standin.Unproven, once: 502, many: 200, ranOnce: 1, ranMany: 2},
+		"foreign":  {mode: standin.Foreign, once: 502, many: 200, ranOnce: 1, ranMany: 2},
+		"surplus":  {mode: standin.Surplus, once: 200, many: 200, ranOnce: 1, ranMany: 1},
+		"trailing": {mode: standin.Trailing, once: 200, many: 200, ranOnce: 1, ranMany: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := withServers(t, "plain", "a", "b")
+			for _, host := range []string{"once.test", "many.test"} {
+				r.engines.Answer(c.mode)
+				status, ran := c.once, c.ranOnce
+				if host == "many.test" {
+					status, ran = c.many, c.ranMany
+				}
+				got, text := r.ask(standin.Call{ID: host, Host: host, URI: "/"})
+				require.Equal(t, status, got.Status, host)
+				require.Equal(t, ran, r.engines.Begun(host), host)
+				require.Equal(t, host, got.ID, "the answer is that of the request")
+				if status == http.StatusOK {
+					require.Contains(t, text, "to "+host)
+					require.Contains(t, got.Proof, "for "+host)
+				}
+				if status == http.StatusBadGateway {
+					require.Empty(t, got.Proof)
+					require.Empty(t, got.RetryAfter)
+				}
+			}
+			got, text := r.ask(standin.Call{ID: "after", Host: "once.test", URI: "/"})
+			require.Equal(t, http.StatusOK, got.Status)
+			require.Contains(t, text, "to after", "no answer of another request comes later")
+		})
+	}
+}
+
+// TestSurplusAnswersStayAway: surplus answers on kept connections never reach
+// another request.
+func TestSurplusAnswersStayAway(t *testing.T) {
+	r, _ := withServers(t, "plain", "a")
+	for i, mode := range []standin.AnswerMode{
+		standin.Surplus, standin.Trailing, standin.Trailing, standin.Surplus, standin.Good, standin.Good,
+	} {
+		r.engines.Answer(mode)
+		id := "q" + string(rune('1'+i))
+		_, text := r.ask(standin.Call{ID: id, Host: "once.test", URI: "/"})
+		require.Equal(t, "answer of a to "+id, text)
+	}
+}
+
+// TestNoServerTakesIt: the caller is told that the request did not run, when to
+// come back, and that promise holds.
+func TestNoServerTakesIt(t *testing.T) {
+	r, servers := withServers(t, "plain", "a", "b")
+	r.engines.Answer(standin.Full, standin.Full)
+	got, _ := r.ask(standin.Call{ID: "q1", Host: "once.test", URI: "/"})
+	require.Equal(t, http.StatusServiceUnavailable, got.Status)
+	require.NotEmpty(t, got.RetryAfter)
+	require.Zero(t, r.engines.Begun("q1"))
+	for _, s := range servers {
+		s.Crash()
+	}
+	got, _ = r.ask(standin.Call{ID: "q2", Host: "once.test", URI: "/"})
+	require.Equal(t, http.StatusServiceUnavailable, got.Status)
+	require.Zero(t, r.engines.Begun("q2"))
+}
+
+// TestAnotherServerAtTheAddress: a request for a start of a server that is gone
+// does not run at the next one at its address.
+func TestAnotherServerAtTheAddress(t *testing.T) {
+	r := newRig(t)
+	r.standard()
+	a := r.server("a", "plain")
+	a.Rename("other")
+	b := r.server("b", "plain")
+	r.run()
+	r.awaitServers(2, 0)
+	for range 5 {
+		got, text := r.ask(standin.Call{ID: "q", Host: "once.test", URI: "/"})
+		require.Equal(t, http.StatusOK, got.Status)
+		require.Contains(t, text, "answer of b")
+	}
+	require.Len(t, b.Arrivals(), 5)
+}
+
+// TestDraining: a server that is about to leave gets nothing more.
+func TestDraining(t *testing.T) {
+	r, servers := withServers(t, "plain", "a", "b")
+	servers[0].Drain()
+	r.awaitServers(2, 1)
+	for range 10 {
+		_, text := r.ask(standin.Call{ID: "q", Host: "once.test", URI: "/"})
+		require.Equal(t, "answer of b to q", text)
+	}
+	require.Empty(t, servers[0].Arrivals())
+	servers[1].Drain()
+	r.awaitServers(2, 2)
+	got, _ := r.ask(standin.Call{ID: "q", Host: "once.test", URI: "/"})
+	require.Equal(t, http.StatusServiceUnavailable, got.Status)
+}
+
+// TestConfigurationChanges: a newer configuration is in force at once, an older
+// one never.
+func TestConfigurationChanges(t *testing.T) {
+	r, _ := withServers(t, "plain", "a")
+	next := config(5)
+	next.Routes[0].Host = "new.test"
+	r.store.PutConfig(next)
+	r.awaitConfig(5)
+	got, _ := r.ask(standin.Call{ID: "q1", Host: "new.test", URI: "/"})
+	require.Equal(t, http.StatusOK, got.Status)
+	got, _ = r.ask(standin.Call{ID: "q2", Host: "once.test", URI: "/"})
+	require.Equal(t, http.StatusNotFound, got.Status)
+
+	r.store.PutConfig(config(3))
+	last := config(6)
+	last.Routes[0].Host = "newest.test"
+	r.store.PutConfig(last)
+	r.awaitConfig(6)
+	got, _ = r.ask(standin.Call{ID: "q3", Host: "once.test", URI: "/"})
+	require.Equal(t, http.StatusNotFound, got.Status)
+}
+
+// TestStoreLost: a box that has lost the store serves what it knows and refuses
+// nothing for good.
+func TestStoreLost(t *testing.T) {
+	r, _ := withServers(t, "plain", "a")
+	r.awaitWatches()
+	r.store.SetFault(standin.Fault{Mode: standin.Silent})
+	// Longer than a word from the store counts as recent.
+	r.clock.Advance(watchduty.ContactAge)
+	got, _ := r.ask(standin.Call{ID: "q1", Host: "once.test", URI: "/"})
+	require.Equal(t, http.StatusOK, got.Status)
+	got, _ = r.ask(standin.Call{ID: "q2", Host: "none.test", URI: "/"})
+	require.Equal(t, http.StatusServiceUnavailable, got.Status)
+	require.NotEmpty(t, got.RetryAfter)
+}
--- /dev/null
+++ b/internal/box/rig_test.go
@@ -0,0 +1,249 @@
+package box_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/box"
+	"github.com/dalebend/dalebend/internal/boxsettings"
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/platform"
+	"github.com/dalebend/dalebend/platform/standin"
+)
+
+// tickers is a clock that the test moves and that tells which tickers were made.
+type tickers struct {
+	*clockwork.FakeClock
+
+	made chan time.Duration
+}
+
+func (c *tickers) NewTicker(d time.Duration) clockwork.Ticker {
+	t := c.FakeClock.NewTicker(d)
+	select {
+	case c.made <- d:
+	default:
+	}
+	return t
+}
+
+// journal keeps the lines of the decision log.
+type journal struct {
+	mu      sync.Mutex
+	lines   []line
+	changed chan struct{}
+}
+
+// line is one line of the log.
+type line struct {
+	name  string
+	attrs map[string]slog.Value
+}
+
+func (j *journal) Enabled(context.Context, slog.Level) bool { return true }
+func (j *journal) WithAttrs([]slog.Attr) slog.Handler       { return j }
+func (j *journal) WithGroup(string) slog.Handler            { return j }
+
+func (j *journal) Handle(_ context.Context, r slog.Record) error {
+	l := line{name: r.Message, attrs: make(map[string]slog.Value)}
+	r.Attrs(func(a slog.Attr) bool {
+		l.attrs[a.Key] = a.Value.Resolve()
+		return true
+	})
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.lines = append(j.lines, l)
+	close(j.changed)
+	j.changed = make(chan struct{})
+	return nil
+}
+
+// await returns the first line with a name for which ok holds, once there is one.
+func (j *journal) await(name event.Name, ok func(attrs map[string]slog.Value) bool) {
+	for {
+		j.mu.Lock()
+		for _, l := range j.lines {
+			if l.name == string(name) && (ok == nil || ok(l.attrs)) {
+				j.mu.Unlock()
+				return
+			}
+		}
+		changed := j.changed
+		j.mu.Unlock()
+		<-changed
+	}
+}
+
+// rig is a box with a store and backend servers. Its clock stands still unless
+// the test moves it.
+type rig struct {
+	t       *testing.T
+	clock   *tickers
+	log     *journal
+	store   *standin.Server
+	engines *standin.Engines
+
+	settings *boxsettings.Settings
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+// boxIP is an address of the loopback network that no other process uses: one
+// for each number of a process.
+func boxIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&127, pid>>8&255, pid&255)
+}
+
+func newRig(t *testing.T) *rig {
+	// In this year no deadline of a real connection is over.
+	clock := clockwork.NewFakeClockAt(time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC))
+	r := &rig{
+		t: t, clock: &tickers{FakeClock: clock, made: make(chan time.Duration, 100)},
+		log: &journal{changed: make(chan struct{})}, ended: make(chan error, 1),
+	}
+	r.store = &standin.Server{Clock: r.clock}
+	server := httptest.NewServer(r.store)
+	t.Cleanup(server.Close)
+	r.engines = &standin.Engines{Store: r.store}
+	t.Cleanup(r.engines.Close)
+	ip := boxIP()
+	r.settings = &boxsettings.Settings{
+		Box: "box-1", Domain: "hall", Front: ip + ":7401", Ready: ip + ":7402", Heartbeat: ip + ":7403",
+		Calls: ip + ":7403", Metrics: ip + ":7404", Store: server.Listener.Addr().String(),
+		StopGrace: 10 * time.Second, RetryRatio: 0.1, RetryFloor: 20, RetryWindow: time.Minute,
+	}
+	return r
+}
+
+// run starts the box.
+func (r *rig) run() {
+	logger := slog.New(r.log)
+	client := &exchange.Client{Clock: r.clock, Logger: logger, DialTimeout: time.Second, MaxIdlePerServer: 4}
+	store := &platform.Store{Addr: r.settings.Store, Clock: r.clock, Logger: logger}
+	b := &box.Box{
+		Clock: r.clock, Logger: logger, Settings: r.settings, Exchange: client, Seed: 1,
+		Platform: box.Platform{
+			Source: store, Boxes: store, Decode: platform.DecodeTable, Wire: platform.Requests{},
+			Codec: platform.Requests{}, Mover: &platform.Moves{Exchanger: client},
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.ended <- b.Run(ctx) }()
+	r.t.Cleanup(r.end)
+	r.log.await(event.Start, nil)
+	r.awaitTicker(guardTicker)
+}
+
+// Periods of the box's tickers: the look after streams, and the look at what is
+// open while it stops.
+const (
+	guardTicker = 25 * time.Millisecond
+	stopTicker  = 50 * time.Millisecond
+)
+
+// awaitTicker waits until a ticker with a period was made.
+func (r *rig) awaitTicker(d time.Duration) {
+	for got := range r.clock.made {
+		if got == d {
+			return
+		}
+	}
+}
+
+// end stops the box, if it runs, and requires that it ends well.
+func (r *rig) end() {
+	if r.stop == nil {
+		return
+	}
+	r.stop()
+	r.stop = nil
+	r.awaitTicker(stopTicker)
+	r.clock.Advance(r.settings.StopGrace)
+	require.NoError(r.t, <-r.ended)
+}
+
+// ready asks the box as the balancer does.
+func (r *rig) ready() bool {
+	resp, err := http.Get("http://" + r.settings.Ready + "/")
+	require.NoError(r.t, err)
+	require.NoError(r.t, resp.Body.Close())
+	return resp.StatusCode == http.StatusOK
+}
+
+// standard writes a configuration with a plain service, one whose requests may
+// be repeated, and one of engines.
+func (r *rig) standard() {
+	r.store.PutConfig(config(1))
+}
+
+func config(version int64) standin.Config {
+	return standin.Config{
+		Version: version,
+		Routes: []standin.ConfigRoute{
+			{Name: "once", Host: "once.test", PathPrefix: "/", Type: "non_idempotent", Service: "plain", MostServers: 1, TimeoutMs: 60000, ObjectiveMs: 500, Priority: 2},
+			{Name: "many", Host: "many.test", PathPrefix: "/", Type: "idempotent", Service: "plain", MostServers: 3, TimeoutMs: 60000, ObjectiveMs: 500},
+			{Name: "chat", Host: "chat.test", PathPrefix: "/", Type: "streaming", Service: "chat", MostServers: 1, TimeoutMs: 600000, ObjectiveMs: 500, Priority: 1},
+		},
+		Services: []standin.ConfigService{
+			{Name: "plain", MaxConns: 100},
+			{Name: "chat", MaxConns: 100, Engine: &standin.ConfigEngine{
+				Slots: 8, MemoryTokens: 100000, Moves: true, Backups: true, TokensPerEvent: 4,
+			}},
+		},
+	}
+}
+
+// server starts a backend server.
+func (r *rig) server(id, service string) *standin.Engine {
+	e, err := r.engines.Start(id, service, "hall", service == "chat")
+	require.NoError(r.t, err)
+	return e
+}
+
+// awaitServers waits until the box knows a number of servers, and of those that
+// are about to leave.
+func (r *rig) awaitServers(known, draining int64) {
+	r.log.await(event.ServersView, func(a map[string]slog.Value) bool {
+		servers, ok := a[event.KeyServers]
+		return ok && servers.Int64() == known && a[event.KeyDraining].Int64() == draining
+	})
+}
+
+func (r *rig) awaitConfig(version int64) {
+	r.log.await(event.ConfigInForce, func(a map[string]slog.Value) bool { return a[event.KeyVersion].Int64() == version })
+}
+
+// awaitWatches waits until the box waits for changes of both kinds.
+func (r *rig) awaitWatches() {
+	require.Eventually(r.t, func() bool { return r.store.Waiting() == 2 }, time.Minute, time.Millisecond)
+}
+
+// call sends a request and returns the head of its answer.
+func (r *rig) call(c standin.Call) *standin.Reply {
+	r.t.Helper()
+	got, err := standin.Send(r.t.Context(), r.settings.Front, c)
+	require.NoError(r.t, err)
+	return got
+}
+
+// ask sends a request and reads its whole answer.
+func (r *rig) ask(c standin.Call) (*standin.Reply, string) {
+	r.t.Helper()
+	got := r.call(c)
+	text, err := got.Text()
+	require.NoError(r.t, err)
+	return got, text
+}
--- /dev/null
+++ b/internal/box/stream_test.go
@@ -0,0 +1,312 @@
+package box_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/platform/standin"
+)
+
+// chat is a generation that is expected to be long.
+func chat(id string) standin.Call {
+	return standin.Call{
+		ID: id, Method: "POST", Host: "chat.test", URI: "/chat", Body: "{}", Wait: 10 * time.Minute, Prompt: 100, Most: 400,
+	}
+}
+
+// events returns a part of the events of an answer.
+func events(id string, from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		b.WriteString(standin.Event(id, n))
+	}
+	return b.String()
+}
+
+// generation is a caller that gets a stream.
+type generation struct {
+	t     *testing.T
+	id    string
+	leave context.CancelFunc
+	reply chan *standin.Reply
+	got   *standin.Reply
+}
+
+// begin sends a generation. Its answer begins with the first event.
+func (r *rig) begin(id string) *generation {
+	ctx, cancel := context.WithCancel(r.t.Context())
+	g := &generation{t: r.t, id: id, leave: cancel, reply: make(chan *standin.Reply, 1)}
+	go func() {
+		reply, err := standin.Send(ctx, r.settings.Front, chat(id))
+		if err != nil {
+			close(g.reply)
+			return
+		}
+		g.reply <- reply
+	}()
+	return g
+}
+
+// head returns the head of the answer.
+func (g *generation) head() *standin.Reply {
+	g.t.Helper()
+	if g.got == nil {
+		g.got = <-g.reply
+		require.NotNil(g.t, g.got, "no answer")
+	}
+	return g.got
+}
+
+// expect reads some events.
+func (g *generation) expect(from, to int) {
+	g.t.Helper()
+	want := events(g.id, from, to)
+	got := make([]byte, len(want))
+	_, err := io.ReadFull(g.head().Body, got)
+	require.NoError(g.t, err)
+	require.Equal(g.t, want, string(got))
+}
+
+// whole requires that the answer ends here, whole.
+func (g *generation) whole() {
+	g.t.Helper()
+	rest, err := g.head().Text()
+	require.NoError(g.t, err)
+	require.Empty(g.t, rest)
+}
+
+// brokenOff requires that the answer ends here, and does not look whole.
+func (g *generation) brokenOff() {
+	g.t.Helper()
+	rest, err := g.head().Text()
+	require.Error(g.t, err)
+	require.Empty(g.t, rest)
+}
+
+// either returns the run that begins at one of two engines, and the other engine.
+func either(a, b *standin.Engine) (run *standin.Run, at, other *standin.Engine) {
+	select {
+	case run = <-a.Runs:
+		return run, a, b
+	case run = <-b.Runs:
+		return run, b, a
+	}
+}
+
+// passUntilSent lets time pass, a little at a time, until an engine gets a request.
+// The look after streams may find this one busy with its last event, and comes
+// again only as time passes.
+func (r *rig) passUntilSent(e *standin.Engine) {
+	r.clock.Advance(200 * time.Millisecond)
+	require.Eventually(r.t, func() bool {
+		if len(e.Arrivals()) > 0 {
+			return true
+		}
+		r.clock.Advance(time.Millisecond)
+		return false
+	}, time.Minute, time.Millisecond)
+}
+
+// TestStream: events are passed on as they come, with the server's headers.
+func TestStream(t *testing.T) {
+	r, engines := withServers(t, "chat", "a")
+	g := r.begin("q1")
+	run := <-engines[0].Runs
+	require.NoError(t, run.Say(1))
+	g.expect(1, 1)
+	require.Equal(t, "q1", g.head().ID)
+	require.Equal(t, "proof of a for q1", g.head().Proof)
+	require.NoError(t, run.Say(2))
+	g.expect(2, 3)
+	run.End()
+	g.whole()
+	seen := engines[0].Arrivals()
+	require.Len(t, seen, 1)
+	require.Equal(t, "1", seen[0].Priority)
+	require.Equal(t, "{}", seen[0].Body)
+}
+
+// TestStreamGoesOn: a stream that breaks, falls silent or loses its engine goes on
+// at the engine with its copy, as the same run.
+func TestStreamGoesOn(t *testing.T) {
+	for name, disturb := range map[string]func(r *rig, run *standin.Run, at, other *standin.Engine){
+		"break":   func(_ *rig, run *standin.Run, _, _ *standin.Engine) { run.Break() },
+		"crash":   func(_ *rig, _ *standin.Run, at, _ *standin.Engine) { at.Crash() },
+		"silence": func(r *rig, _ *standin.Run, _, other *standin.Engine) { r.passUntilSent(other) },
+		"drained, then gone": func(r *rig, _ *standin.Run, at, _ *standin.Engine) {
+			at.Drain()
+			r.awaitServers(2, 1)
+			at.Crash()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, engines := withServers(t, "chat", "a", "b")
+			g := r.begin("q1")
+			run, at, other := either(engines[0], engines[1])
+			require.NoError(t, run.Say(2))
+			g.expect(1, 2)
+			disturb(r, run, at, other)
+			next := <-other.Runs
+			<-run.Gone
+			require.NoError(t, next.Say(2))
+			g.expect(3, 4)
+			next.End()
+			g.whole()
+			require.Equal(t, 1, r.engines.Begun("q1"))
+			require.Len(t, at.Arrivals(), 1)
+			require.Len(t, other.Arrivals(), 1)
+		})
+	}
+}
+
+// TestStreamMoves: without copies, a leaving engine's generation is moved.
+func TestStreamMoves(t *testing.T) {
+	r := newRig(t)
+	c := config(1)
+	c.Services[1].Engine.Backups = false
+	r.store.PutConfig(c)
+	a, b := r.server("a", "chat"), r.server("b", "chat")
+	r.run()
+	r.awaitConfig(1)
+	r.awaitServers(2, 0)
+	g := r.begin("q1")
+	run, at, other := either(a, b)
+	require.NoError(t, run.Say(2))
+	g.expect(1, 2)
+	at.Drain()
+	next := <-other.Runs
+	<-run.Gone
+	require.NoError(t, next.Say(1))
+	g.expect(3, 3)
+	next.End()
+	g.whole()
+	require.Equal(t, 1, r.engines.Begun("q1"))
+}
+
+// TestStreamMoveWithoutRoom: a generation that no engine has room for stays.
+func TestStreamMoveWithoutRoom(t *testing.T) {
+	r := newRig(t)
+	c := config(1)
+	c.Services[1].Engine.Backups = false
+	r.store.PutConfig(c)
+	a, b := r.server("a", "chat"), r.server("b", "chat")
+	r.run()
+	r.awaitConfig(1)
+	r.awaitServers(2, 0)
+	g := r.begin("q1")
+	run, at, other := either(a, b)
+	other.NoRoom(true)
+	require.NoError(t, run.Say(2))
+	g.expect(1, 2)
+	at.Drain()
+	r.log.await(event.StreamMoveFailed, nil)
+	require.NoError(t, run.Say(1))
+	g.expect(3, 3)
+	run.End()
+	g.whole()
+	require.Empty(t, other.Arrivals())
+}
+
+// TestStreamLost: a stream that cannot go on is broken off, and does not look whole.
+func TestStreamLost(t *testing.T) {
+	r, engines := withServers(t, "chat", "a", "b")
+	g := r.begin("q1")
+	run, _, other := either(engines[0], engines[1])
+	require.NoError(t, run.Say(2))
+	g.expect(1, 2)
+	other.Answer(standin.Full)
+	run.Break()
+	g.brokenOff()
+	require.Equal(t, 1, r.engines.Begun("q1"))
+}
+
+// TestStreamAnswers: what callers get when no stream begins.
+func TestStreamAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		modes         []standin.AnswerMode
+		status, begun int
+		retry         bool
+	}{
+		"all full":       {modes: []standin.AnswerMode{standin.Full, standin.Full}, status: 503, retry: true},
+		"failed":         {modes: []standin.AnswerMode{standin.Failed}, status: 500, begun: 1},
+		"cut and full":   {modes: []standin.AnswerMode{standin.Cut, standin.Full}, status: 502, begun: 1},
+		"unproven twice": {modes: []standin.AnswerMode{standin.Unproven, standin.Unproven}, status: 502, begun: 1},
+		"foreign twice":  {modes: []standin.AnswerMode{standin.Foreign, standin.Foreign}, status: 502, begun: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := withServers(t, "chat", "a", "b")
+			r.engines.Answer(c.modes...)
+			got, _ := r.ask(chat("q1"))
+			require.Equal(t, c.status, got.Status)
+			require.Equal(t, c.retry, got.RetryAfter != "")
+			require.Equal(t, c.begun, r.engines.Begun("q1"))
+			require.Equal(t, "q1", got.ID)
+			require.Equal(t, c.status == http.StatusInternalServerError, got.Proof != "")
+		})
+	}
+}
+
+// TestTheCallerLeaves: its generation is given up at the engine, before and after
+// its first event.
+func TestTheCallerLeaves(t *testing.T) {
+	r, engines := withServers(t, "chat", "a")
+	g := r.begin("q1")
+	run := <-engines[0].Runs
+	g.leave()
+	<-run.Gone
+	g = r.begin("q2")
+	run = <-engines[0].Runs
+	require.NoError(t, run.Say(1))
+	g.expect(1, 1)
+	g.leave()
+	<-run.Gone
+}
+
+// TestStopServesOn: a box that is told to stop leaves the balancer, ends what runs
+// and then itself.
+func TestStopServesOn(t *testing.T) {
+	r, engines := withServers(t, "chat", "a")
+	plain := r.server("p", "plain")
+	r.awaitServers(2, 0)
+	g := r.begin("q1")
+	run := <-engines[0].Runs
+	require.NoError(t, run.Say(1))
+	g.expect(1, 1)
+	require.True(t, r.ready())
+	stop := r.stop
+	r.stop = nil
+	stop()
+	r.awaitTicker(stopTicker)
+	require.False(t, r.ready())
+	got, _ := r.ask(standin.Call{ID: "q2", Host: "once.test", URI: "/", Wait: 2 * time.Second})
+	require.Equal(t, http.StatusOK, got.Status)
+	require.True(t, got.Last)
+	got, _ = r.ask(standin.Call{ID: "q3", Host: "once.test", URI: "/", Wait: 20 * time.Second})
+	require.Equal(t, http.StatusServiceUnavailable, got.Status, "it may take longer than the box lives")
+	require.Len(t, plain.Arrivals(), 1)
+	require.NoError(t, run.Say(1))
+	g.expect(2, 2)
+	run.End()
+	g.whole()
+	r.clock.Advance(3 * time.Second)
+	require.NoError(t, <-r.ended)
+}
+
+// TestStopEnds: what does not end in time is broken off.
+func TestStopEnds(t *testing.T) {
+	r, engines := withServers(t, "chat", "a")
+	g := r.begin("q1")
+	run := <-engines[0].Runs
+	require.NoError(t, run.Say(1))
+	g.expect(1, 1)
+	r.end()
+	g.brokenOff()
+	<-run.Gone
+}
