single, streaming: lines of a request say what they rested on

Sends name what decided on the server, and the versions and age of what the box knew; failures say whether the server may have run the request, also for a 5xx that leads to a second attempt; further attempts and later copies have lines of their own. Ranks are rounded to three digits. Attempts, resends, moves, pauses and lost streams are counted.

--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -62,6 +62,18 @@
 	Of int
 }
 
+// Reason tells in words what decided on the server.
+func (c *Candidate) Reason() string {
+	switch {
+	case c.Rank >= ejectedRank:
+		return "every server is ejected, its failure is the oldest"
+	case c.Of == 1:
+		return "it is the only one"
+	default:
+		return "lowest rank"
+	}
+}
+
 // Plain returns the server for a plain request, or nil when none may take new
 // work. Avoid names servers that the request was sent to already.
 func (c *Chooser) Plain(service string, avoid []string) *Candidate {
--- a/internal/single/flight.go
+++ b/internal/single/flight.go
@@ -4,12 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/dalebend/dalebend/internal/choose"
-	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -41,13 +39,16 @@
 	// ran is set when the server ran the request or may have.
 	ran bool
 	err error
+	// result names the end in the metrics.
+	result string
 }
 
-// inTurn offers the request to one server after the other.
-func (f *flight) inTurn(ctx context.Context) (*Answer, error) {
+// inTurn offers the request to one server after the other. A second copy of the
+// request says why it is sent.
+func (f *flight) inTurn(ctx context.Context, why resend) (*Answer, error) {
 	var last verdict
 	for ctx.Err() == nil {
-		c, err := f.next()
+		c, err := f.next(why)
 		if err != nil {
 			return f.ended(last, err)
 		}
@@ -61,13 +62,14 @@
 			v.answer = last.answer
 		}
 		last = v
+		why = resend{from: c.ID, cause: v.err, result: v.result}
 	}
 	return f.ended(last, ctx.Err())
 }
 
 // next picks a server that the request was not offered to yet. From the second
 // arrival on it takes from the retry budget.
-func (f *flight) next() (*choose.Candidate, error) {
+func (f *flight) next(why resend) (*choose.Candidate, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.open+f.ran >= f.maxRuns() {
@@ -85,7 +87,7 @@
 	}
 	f.tried = append(f.tried, c.ID)
 	f.open++
-	f.logSend(len(f.tried), c)
+	f.logSend(len(f.tried), c, why)
 	return c, nil
 }
 
@@ -110,12 +112,6 @@
 	}
 }
 
-func (f *flight) logSend(n int, c *choose.Candidate) {
-	f.sender.Logger.LogAttrs(context.Background(), slog.LevelInfo, string(event.RequestSent),
-		slog.String("request", f.job.Request.ID), slog.String("server", c.ID), slog.Int("attempt", n),
-		slog.Int("candidates", c.Of), slog.Float64("rank", c.Rank))
-}
-
 // ended returns what the caller is told when no send gave a final answer.
 func (f *flight) ended(last verdict, cause error) (*Answer, error) {
 	f.mu.Lock()
@@ -151,12 +147,21 @@
 	took := s.Clock.Since(start)
 	good := resp.Status < 500
 	if resp.Status < 300 && !s.Codec.Proven(resp.Header) {
-		return f.failed(ctx, c, errors.New("success without the server's proof"))
+		return f.failed(ctx, c, errUnproven)
 	}
 	s.Evidence.Answered(c.ID, took, !good)
 	answer := &Answer{Status: resp.Status, Header: s.Codec.Answer(resp.Header), Body: body}
-	final := good || f.job.Route.Repeat != routetable.Repeatable
-	return verdict{answer: answer, final: final, arrived: true, ran: true}
+	v := verdict{answer: answer, final: true, arrived: true, ran: true, result: resultAnswered}
+	if !good {
+		v.result = resultStatus
+		v.err = errServerFailed
+		v.final = f.job.Route.Repeat != routetable.Repeatable
+	}
+	f.count(c, v.result)
+	if !v.final {
+		f.logStatus(c, resp.Status)
+	}
+	return v
 }
 
 func (f *flight) target(c *choose.Candidate) exchange.Target {
@@ -189,8 +194,8 @@
 	if err != nil {
 		f.sender.Logger.Debug("refusal could not be read to its end", "server", c.ID, "error", err)
 	}
-	f.logFailed(c, "turned-away", string(body))
-	return verdict{arrived: true, err: errors.New("turned away by " + c.ID)}
+	f.logFailed(c, stageTurnedAway, false, string(body))
+	return verdict{arrived: true, err: errors.New("turned away by " + c.ID), result: stageTurnedAway}
 }
 
 // failed is a send without a whole answer.
@@ -200,21 +205,16 @@
 	if errors.As(err, &failure) {
 		stage = failure.Stage()
 	}
-	f.logFailed(c, stage.String(), err.Error())
-	if stage == exchange.NotSent || stage == exchange.Full {
+	notSent := stage == exchange.NotSent || stage == exchange.Full
+	f.logFailed(c, stage.String(), !notSent, err.Error())
+	if notSent {
 		if ctx.Err() == nil && stage == exchange.NotSent {
 			f.sender.Evidence.Unreachable(c.ID, err.Error())
 		}
-		return verdict{err: err}
+		return verdict{err: err, result: stage.String()}
 	}
 	if ctx.Err() == nil {
 		f.sender.Evidence.Answered(c.ID, 0, true)
 	}
-	return verdict{arrived: true, ran: true, err: err}
-}
-
-func (f *flight) logFailed(c *choose.Candidate, stage, cause string) {
-	f.sender.Logger.LogAttrs(context.Background(), slog.LevelInfo, string(event.RequestFailed),
-		slog.String("request", f.job.Request.ID), slog.String("server", c.ID),
-		slog.String("stage", stage), slog.String("cause", cause))
+	return verdict{arrived: true, ran: true, err: err, result: stage.String()}
 }
--- a/internal/single/hedge.go
+++ b/internal/single/hedge.go
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan outcome, 2)
-	go f.leg(ctx, results)
+	go f.leg(ctx, results, resend{})
 	delay := time.Duration(hedgeAt * float64(f.job.Route.Objective))
 	timer := f.sender.Clock.NewTimer(delay)
 	defer timer.Stop()
@@ -35,7 +35,7 @@
 		return o.answer, o.err
 	case <-timer.Chan():
 	}
-	go f.leg(ctx, results)
+	go f.leg(ctx, results, resend{from: f.firstTried(), cause: errSlow, result: resultSlow})
 	return firstGood(results, 2)
 }
 
@@ -45,8 +45,18 @@
 	err    error
 }
 
-func (f *flight) leg(ctx context.Context, results chan<- outcome) {
-	answer, err := f.inTurn(ctx)
+// firstTried returns the server that the request was offered to first, if any.
+func (f *flight) firstTried() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.tried) == 0 {
+		return ""
+	}
+	return f.tried[0]
+}
+
+func (f *flight) leg(ctx context.Context, results chan<- outcome, why resend) {
+	answer, err := f.inTurn(ctx, why)
 	results <- outcome{answer: answer, err: err}
 }
 
--- /dev/null
+++ b/internal/single/log.go
@@ -0,0 +1,95 @@
+package single
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+)
+
+// How sends end in the log and the metrics, besides the stages of package exchange.
+const (
+	resultAnswered  = "answered"
+	resultStatus    = "failed"
+	resultSlow      = "slow"
+	stageTurnedAway = "turned-away"
+	stageAnswered   = "answered"
+)
+
+var (
+	errUnproven = errors.New("success without the server's proof")
+	errSlow     = errors.New("the first backend server takes long")
+)
+
+// resend is why a request goes to a further server; it is zero for the first.
+type resend struct {
+	// from is the server that had it before.
+	from  string
+	cause error
+	// result names the cause in the metrics.
+	result string
+}
+
+// logSend tells which server was chosen, and on what knowledge.
+func (f *flight) logSend(attempt int, c *choose.Candidate, why resend) {
+	if attempt > 1 {
+		f.logResent(attempt, c, why)
+	}
+	attrs := make([]slog.Attr, 0, sentAttrs)
+	attrs = append(attrs,
+		slog.String(event.KeyServer, c.ID), slog.Int(event.KeyAttempt, attempt),
+		slog.String(event.KeyCause, c.Reason()), slog.Int(event.KeyCandidates, c.Of),
+		slog.Float64(event.KeyRank, round(c.Rank)))
+	f.log(event.RequestSent, f.sender.Beliefs.Append(attrs))
+}
+
+// sentAttrs is the most attributes that a line of a send has.
+const sentAttrs = 9
+
+func (f *flight) logResent(attempt int, c *choose.Candidate, why resend) {
+	f.sender.Metrics.OrUnseen().Resends.Inc(why.result)
+	attrs := []slog.Attr{
+		slog.String(event.KeyFrom, why.from), slog.String(event.KeyTo, c.ID),
+		slog.Int(event.KeyAttempt, attempt),
+		slog.Int(event.KeyBudgetLeft, f.sender.Budget.Left(f.job.Service.Name)),
+	}
+	if why.cause != nil {
+		attrs = append(attrs, slog.String(event.KeyCause, why.cause.Error()))
+	}
+	f.log(event.RequestResent, attrs)
+}
+
+// logFailed tells of a send without an answer.
+func (f *flight) logFailed(c *choose.Candidate, stage string, perhapsRun bool, cause string) {
+	f.count(c, stage)
+	f.log(event.RequestFailed, []slog.Attr{
+		slog.String(event.KeyServer, c.ID), slog.String(event.KeyStage, stage),
+		slog.Bool(event.KeyPerhapsRun, perhapsRun), slog.String(event.KeyCause, cause),
+	})
+}
+
+// logStatus tells of an answer that says "failed" while another server may be tried.
+func (f *flight) logStatus(c *choose.Candidate, status int) {
+	f.log(event.RequestFailed, []slog.Attr{
+		slog.String(event.KeyServer, c.ID), slog.String(event.KeyStage, stageAnswered),
+		slog.Int(event.KeyStatus, status), slog.Bool(event.KeyPerhapsRun, true),
+		slog.String(event.KeyCause, errServerFailed.Error()),
+	})
+}
+
+// count counts the end of a send.
+func (f *flight) count(c *choose.Candidate, result string) {
+	f.sender.Metrics.OrUnseen().Attempts.Inc(c.ID, result)
+}
+
+// log writes one line of the decision log about the request.
+func (f *flight) log(name event.Name, attrs []slog.Attr) {
+	attrs = append(attrs, slog.String(event.KeyRequest, f.job.Request.ID))
+	f.sender.Logger.LogAttrs(context.Background(), name.Level(), string(name), attrs...)
+}
+
+// round keeps three digits after the point: more says nothing of a rank.
+func round(rank float64) float64 { return math.Round(rank*1000) / 1000 }
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -15,6 +15,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/belief"
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/exchange"
@@ -22,6 +23,7 @@
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/spend"
+	"github.com/dalebend/dalebend/internal/telemetry"
 )
 
 const (
@@ -51,6 +53,10 @@
 	Exchanger Exchanger
 	Codec     hop.Codec
 	Budget    *spend.Budget
+	// Beliefs tells what the box knows, for the decision log; Metrics counts. Both
+	// may be nil.
+	Beliefs belief.Source
+	Metrics *telemetry.Metrics
 }
 
 // Job is a request with what the configuration says of it.
@@ -77,6 +83,7 @@
 	errBudgetSpent   = errors.New("retry budget is spent")
 	errRanEnough     = errors.New("it may not run on another backend server")
 	errOfferedEnough = errors.New("it was offered to enough backend servers")
+	errServerFailed  = errors.New("the backend server answered that it failed")
 )
 
 // NotRun is a request that no server ran.
@@ -114,7 +121,7 @@
 	if f.mayHedge() {
 		return f.hedged(ctx)
 	}
-	return f.inTurn(ctx)
+	return f.inTurn(ctx, resend{})
 }
 
 func readAll(r *exchange.Response) ([]byte, error) {
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -97,6 +97,7 @@
 		x.relay.Left([]string{at.server.ID})
 	}
 	x.moves.Add(1)
+	x.logBackup(at.server, backup)
 	x.logMoved(from, at, x.relay.Clock.Since(start))
 	return o.answer, nil
 }
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -10,6 +10,9 @@
 	"github.com/dalebend/dalebend/internal/registry"
 )
 
+// sentAttrs is the most attributes that a line of a send has.
+const sentAttrs = 12
+
 // log writes one line of the decision log about the generation.
 func (x *run) log(name event.Name, attrs ...slog.Attr) {
 	attrs = append(attrs, slog.String(event.KeyRequest, x.job.Request.ID))
@@ -17,45 +20,89 @@
 }
 
 func (x *run) logSent(attempt int, c *choose.Candidate, backup *registry.Server) {
-	x.log(event.RequestSent,
+	attrs := make([]slog.Attr, 0, sentAttrs)
+	attrs = append(attrs,
 		slog.String(event.KeyServer, c.ID), slog.Int(event.KeyAttempt, attempt),
+		slog.String(event.KeyCause, c.Reason()),
 		slog.Int(event.KeyCandidates, c.Of), slog.Int(event.KeyLoad, c.Load.Peak()),
-		slog.Int(event.KeyExpectedTokens, x.expected), slog.String(event.KeyBackup, idOf(backup)),
-		slog.Int64(event.KeyViewRevision, x.relay.revision()))
+		slog.Int(event.KeyExpectedTokens, x.expected))
+	if backup != nil {
+		attrs = append(attrs, slog.String(event.KeyBackup, backup.ID))
+	}
+	x.log(event.RequestSent, x.relay.Beliefs.Append(attrs)...)
+}
+
+func (x *run) logResent(from string, to *registry.Server, attempt int, cause error) {
+	x.relay.Metrics.OrUnseen().Resends.Inc(class(cause))
+	x.log(event.RequestResent,
+		slog.String(event.KeyFrom, from), slog.String(event.KeyTo, to.ID),
+		slog.Int(event.KeyAttempt, attempt), slog.String(event.KeyCause, cause.Error()),
+		slog.Int(event.KeyBudgetLeft, x.relay.Budget.Left(x.job.Service.Name)))
 }
 
-func (x *run) logFailed(engine *registry.Server, stage string, err error) {
+func (x *run) logFailed(engine *registry.Server, stage string, perhapsRun bool, err error) {
+	x.relay.Metrics.OrUnseen().Attempts.Inc(engine.ID, stage)
 	x.log(event.RequestFailed,
 		slog.String(event.KeyServer, engine.ID), slog.String(event.KeyStage, stage),
-		slog.String(event.KeyCause, err.Error()))
+		slog.Bool(event.KeyPerhapsRun, perhapsRun), slog.String(event.KeyCause, err.Error()))
 }
 
-func (x *run) logBroke(cause error) {
+// countAnswered counts an engine's answer.
+func (x *run) countAnswered(engine *registry.Server, status int) {
+	result := resultAnswered
+	if status >= failedStatus {
+		result = resultFailed
+	}
+	x.relay.Metrics.OrUnseen().Attempts.Inc(engine.ID, result)
+}
+
+// logBackup tells of the engine that gets a copy after a move. The first one stands
+// in the line of the send.
+func (x *run) logBackup(engine, backup *registry.Server) {
+	if backup == nil {
+		return
+	}
+	attrs := []slog.Attr{
+		slog.String(event.KeyServer, engine.ID), slog.String(event.KeyBackup, backup.ID),
+		slog.String(event.KeyReason, "the stream has moved"),
+	}
+	x.log(event.StreamBackupChosen, x.relay.Beliefs.AppendView(attrs)...)
+}
+
+// engineAndEvents returns where the generation is and how many events were passed on.
+func (x *run) engineAndEvents() (engine, backup string, events int) {
 	x.mu.Lock()
-	engine, events := idOf(x.engine), x.split.Events()
-	x.mu.Unlock()
+	defer x.mu.Unlock()
+	return idOf(x.engine), idOf(x.backup), x.split.Events()
+}
+
+func (x *run) logBroke(cause error) {
+	engine, backup, events := x.engineAndEvents()
 	x.log(event.StreamBroke,
 		slog.String(event.KeyServer, engine), slog.Int(event.KeyEvents, events),
-		slog.String(event.KeyCause, cause.Error()))
+		slog.String(event.KeyBackup, backup), slog.String(event.KeyCause, cause.Error()),
+		slog.Int64(event.KeyElapsed, x.relay.Clock.Since(x.began).Milliseconds()))
 }
 
 func (x *run) logLost(cause error) {
-	x.mu.Lock()
-	engine, events := idOf(x.engine), x.split.Events()
-	x.mu.Unlock()
-	x.log(event.StreamLost,
+	x.relay.Metrics.OrUnseen().StreamsLost.Inc(class(cause))
+	engine, _, events := x.engineAndEvents()
+	x.log(event.StreamLost, x.relay.Beliefs.AppendView([]slog.Attr{
 		slog.String(event.KeyServer, engine), slog.Int(event.KeyEvents, events),
-		slog.String(event.KeyCauses, cause.Error()))
+		slog.String(event.KeyCauses, cause.Error()),
+		slog.Int64(event.KeyElapsed, x.relay.Clock.Since(x.began).Milliseconds()),
+	})...)
 }
 
 func (x *run) logMoved(from *registry.Server, at *copyAt, took time.Duration) {
-	way := "move"
+	way := event.WayMove
 	if at.name == x.job.Request.ID {
-		way = "backup"
+		way = event.WayBackup
 	}
-	x.mu.Lock()
-	events := x.split.Events()
-	x.mu.Unlock()
+	metrics := x.relay.Metrics.OrUnseen()
+	metrics.StreamsMoved.Inc(way)
+	metrics.MovePause.Observe(took, way)
+	_, _, events := x.engineAndEvents()
 	x.log(event.StreamMoved,
 		slog.String(event.KeyFrom, from.ID), slog.String(event.KeyTo, at.server.ID),
 		slog.String(event.KeyWay, way), slog.Int64(event.KeyPause, took.Milliseconds()),
@@ -70,15 +117,8 @@
 }
 
 func (x *run) logMoveFailed(from, to *registry.Server, cause error) {
+	x.relay.Metrics.OrUnseen().MovesFailed.Inc(class(cause))
 	x.log(event.StreamMoveFailed,
 		slog.String(event.KeyFrom, from.ID), slog.String(event.KeyTo, to.ID),
 		slog.String(event.KeyCause, cause.Error()))
 }
-
-// revision returns the revision of the view that decisions are made on.
-func (r *Relay) revision() int64 {
-	if v := r.Directory.View(); v != nil {
-		return v.Revision
-	}
-	return 0
-}
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -33,6 +33,7 @@
 	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected}
 	cause := errNoEngine
 	arrived := false
+	from := ""
 	for n := range maxOffers {
 		c := x.relay.Chooser.Engine(x.job.Service, need)
 		if c == nil {
@@ -43,6 +44,9 @@
 		}
 		backup := x.chooseBackup(c.Server, need)
 		x.count(c.Server, backup)
+		if n > 0 {
+			x.logResent(from, c.Server, n+1, cause)
+		}
 		x.logSent(n+1, c, backup)
 		o := x.offer(ctx, c.Server, backup, nil)
 		if o.answer != nil {
@@ -59,6 +63,7 @@
 		}
 		arrived = arrived || o.arrived
 		cause = o.err
+		from = c.ID
 		need.Avoid = append(need.Avoid, c.ID)
 	}
 	return nil, &NotRun{RetryAfter: comeBack, cause: errors.Join(errOfferedEnough, cause)}
@@ -100,7 +105,7 @@
 	a := &answer{Response: resp, giveUp: giveUp}
 	if x.relay.Codec.NotRun(resp.Status, resp.Header) {
 		a.close()
-		x.logFailed(engine, "turned-away", errTurnedAway)
+		x.logFailed(engine, stageTurnedAway, false, errTurnedAway)
 		if x.relay.Codec.Moved(resp.Status) {
 			x.relay.Evidence.Unreachable(engine.ID, "another server has its address")
 		}
@@ -108,10 +113,11 @@
 	}
 	if resp.Status < 300 && !x.relay.Codec.Proven(resp.Header) {
 		a.close()
-		x.logFailed(engine, "foreign", errUnproven)
+		x.logFailed(engine, stageForeign, true, errUnproven)
 		return offered{arrived: true, perhapsRun: true, err: errUnproven}
 	}
 	x.relay.Evidence.Answered(engine.ID, x.relay.Clock.Since(start), resp.Status >= 500)
+	x.countAnswered(engine, resp.Status)
 	return offered{answer: a}
 }
 
@@ -126,8 +132,8 @@
 	if errors.As(err, &failure) {
 		stage = failure.Stage()
 	}
-	x.logFailed(engine, stage.String(), err)
 	notSent := stage == exchange.NotSent || stage == exchange.Full
+	x.logFailed(engine, stage.String(), !notSent, err)
 	if ctx.Err() == nil && stage != exchange.Full {
 		x.relay.Evidence.Unreachable(engine.ID, err.Error())
 	}
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -21,6 +21,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/belief"
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
@@ -31,6 +32,7 @@
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/spend"
+	"github.com/dalebend/dalebend/internal/telemetry"
 )
 
 // Exchanger sends one request to one backend server.
@@ -72,6 +74,10 @@
 	Budget    *spend.Budget
 	// LoadChanged, if set, is called when this box's share of an engine's load changed.
 	LoadChanged func()
+	// Beliefs tells what the box knows, for the decision log; Metrics counts. Both
+	// may be nil.
+	Beliefs belief.Source
+	Metrics *telemetry.Metrics
 
 	mu   sync.Mutex
 	runs map[*run]struct{}
