streaming: stories of events that come in parts

Two changes of the code on purpose were not noticed: bytes of a begun event kept over a switch, and dropped after the whole events they came with.

--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -321,9 +321,24 @@
 
 // say gives the next events, the first of them after the bytes that were said of it.
 func (s *stream) say(n int) {
-	if s.isOver() {
+	if !s.isOver() {
+		go s.give(piece{data: s.text(n)})
+	}
+}
+
+// sayPart gives the next events, if any, and the first bytes of the one after
+// them, at once.
+func (s *stream) sayPart(n int) {
+	if s.isOver() || n == 0 && s.rest != nil {
 		return
 	}
+	text := s.text(n)
+	s.rest = []byte(event(s.run, s.next)[:5])
+	go s.give(piece{data: append(text, s.rest...)})
+}
+
+// text returns the bytes of the next events that were not said yet.
+func (s *stream) text(n int) []byte {
 	var b strings.Builder
 	for range n {
 		b.WriteString(event(s.run, s.next))
@@ -331,16 +346,7 @@
 	}
 	said := len(s.rest)
 	s.rest = nil
-	go s.give(piece{data: []byte(b.String()[said:])})
-}
-
-// sayPart gives the first bytes of the next event.
-func (s *stream) sayPart() {
-	if s.isOver() || s.rest != nil {
-		return
-	}
-	s.rest = []byte(event(s.run, s.next)[:5])
-	go s.give(piece{data: s.rest})
+	return []byte(b.String()[said:])
 }
 
 func (s *stream) give(p piece) {
--- a/internal/streaming/property_test.go
+++ b/internal/streaming/property_test.go
@@ -36,7 +36,7 @@
 // What happens; events and time come most often.
 var (
 	actionNames = []string{
-		"say", "say", "say", "say", "part", "break", "break", "advance", "advance", "advance",
+		"say", "say", "say", "part", "part", "break", "advance", "advance", "silence", "silence",
 		"drain", "drain", "gone", "release", "release", "say-old", "break-old", "leave", "deaf",
 	}
 	answerModes = []string{
@@ -124,9 +124,11 @@
 	case "say-old":
 		e.older().tell(a.n)
 	case "part":
-		if s := e.newest(); s != nil && s.next <= wholeLength {
-			s.sayPart()
+		if s := e.newest(); s != nil && s.next+a.n-1 <= wholeLength {
+			s.sayPart(a.n - 1)
 		}
+	case "silence":
+		x.advance(200 * time.Millisecond)
 	case "break":
 		e.newest().fail()
 	case "break-old":
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -29,7 +29,7 @@
 //	start [within=DURATION]      the caller sends its generation
 //	answers ENGINE MODE...       how the engine answers the next requests
 //	moves ENGINE MODE...         how the engine answers the next copy calls
-//	say ENGINE N / part ENGINE   the engine's newest stream gives N events / a part of one
+//	say ENGINE N / part ENGINE [N]   the engine's newest stream gives N events / N and a part of one
 //	end ENGINE / break ENGINE    it ends cleanly / breaks
 //	old say|end|break ENGINE     the same of the stream before the newest
 //	release ENGINE               calls that hang there go on
@@ -140,7 +140,13 @@
 		require.NoError(s.t, err)
 		stream.say(n)
 	case "part":
-		stream.sayPart()
+		n := 0
+		if len(args) > 0 {
+			var err error
+			n, err = strconv.Atoi(args[0])
+			require.NoError(s.t, err)
+		}
+		stream.sayPart(n)
 	case "end":
 		stream.end(io.EOF)
 	case "break":
