box: metrics are served, and changes of belief say where they come from

The metrics of a box are served on the address of its settings; one that cannot be opened is logged and the box serves on. Two errors that the linter missed a word on are ignored by name. Run: go test -race of box, spend, evidence, watchduty, storewatch, telemetry, front, streaming, single, platform.

--- a/internal/belief/belief.go
+++ b/internal/belief/belief.go
@@ -31,10 +31,7 @@
 	attrs = append(attrs,
 		slog.Int64(event.KeyConfigVersion, now.ConfigVersion),
 		slog.Int64(event.KeyViewRevision, now.ViewRevision))
-	if now.Age >= 0 {
-		attrs = append(attrs, slog.Int64(event.KeyViewAge, now.Age.Milliseconds()))
-	}
-	return attrs
+	return now.appendAge(attrs, event.KeyViewAge)
 }
 
 // AppendView adds the revision and the age of the view to a line.
@@ -44,10 +41,15 @@
 	}
 	now := s()
 	attrs = append(attrs, slog.Int64(event.KeyViewRevision, now.ViewRevision))
-	if now.Age >= 0 {
-		attrs = append(attrs, slog.Int64(event.KeyViewAge, now.Age.Milliseconds()))
+	return now.appendAge(attrs, event.KeyViewAge)
+}
+
+// AppendViewAge adds the age of the view to a line.
+func (s Source) AppendViewAge(attrs []slog.Attr) []slog.Attr {
+	if s == nil {
+		return attrs
 	}
-	return attrs
+	return s().appendAge(attrs, event.KeyViewAge)
 }
 
 // AppendConfigAge adds the age of the configuration to a line.
@@ -55,8 +57,12 @@
 	if s == nil {
 		return attrs
 	}
-	if age := s().Age; age >= 0 {
-		attrs = append(attrs, slog.Int64(event.KeyConfigAge, age.Milliseconds()))
+	return s().appendAge(attrs, event.KeyConfigAge)
+}
+
+func (s State) appendAge(attrs []slog.Attr, key string) []slog.Attr {
+	if s.Age < 0 {
+		return attrs
 	}
-	return attrs
+	return append(attrs, slog.Int64(key, s.Age.Milliseconds()))
 }
--- a/internal/box/beliefs.go
+++ b/internal/box/beliefs.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/dalebend/dalebend/internal/belief"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/digest"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -16,7 +17,45 @@
 const troubleAge = time.Second
 
 // follows reports whether this box follows the store now.
-func (b *Box) follows() bool { return b.duty.Active() }
+func (b *Box) follows() bool {
+	active, reason := b.duty.Decide()
+	if active != b.following.Swap(active) {
+		name := event.WatchGivenUp
+		if active {
+			name = event.WatchTaken
+		}
+		b.log(name, slog.String(event.KeyReason, reason), slog.Int(event.KeyLive, len(b.live())))
+	}
+	return active
+}
+
+// beliefs tells what this box has and how old it may be.
+func (b *Box) beliefs() belief.State {
+	s := belief.State{Age: -1}
+	if t := b.share.Table(); t != nil {
+		s.ConfigVersion = t.Version()
+	}
+	if v := b.share.View(); v != nil {
+		s.ViewRevision = v.Revision
+	}
+	contact := b.watcher.Status().LastContact
+	if at := b.peerContact.Load(); at != 0 && time.Unix(0, at).After(contact) {
+		contact = time.Unix(0, at)
+	}
+	if !contact.IsZero() {
+		s.Age = max(0, b.Clock.Since(contact))
+	}
+	return s
+}
+
+// notePeerContact keeps when a peer was in contact with the store.
+func (b *Box) notePeerContact(d *digest.Digest) {
+	if !d.StoreReachable || d.StoreAgeMs < 0 {
+		return
+	}
+	at := b.Clock.Now().Add(-time.Duration(d.StoreAgeMs) * time.Millisecond).UnixNano()
+	b.peerContact.Store(max(at, b.peerContact.Load()))
+}
 
 // configRead takes a configuration from the store.
 func (b *Box) configRead(doc []byte) { b.share.OfferConfig(doc) }
@@ -26,7 +65,10 @@
 
 // tableInForce is told of a newer configuration.
 func (b *Box) tableInForce(t *routetable.Table) {
-	b.log(event.ConfigInForce, slog.Int64(event.KeyVersion, t.Version()))
+	source, _ := b.share.Sources()
+	b.log(event.ConfigInForce, belief.Source(b.beliefs).AppendConfigAge([]slog.Attr{
+		slog.Int64(event.KeyVersion, t.Version()), slog.String(event.KeySource, source),
+	})...)
 	b.node.Kick()
 }
 
@@ -44,30 +86,20 @@
 	b.logView(&v)
 }
 
-func (b *Box) logView(v *registry.View) {
-	draining := 0
-	for _, s := range v.Servers {
-		if s.State == registry.Draining {
-			draining++
-		}
-	}
-	b.log(event.ServersView, slog.Int64(event.KeyRevision, v.Revision),
-		slog.Int(event.KeyServers, len(v.Servers)), slog.Int(event.KeyDraining, draining))
-}
-
 // serversLeft is told of backend servers that have begun to leave or are gone.
 func (b *Box) serversLeft(ids []string) {
-	for _, id := range ids {
-		b.log(event.ServersView, slog.String(event.KeyGone, id))
-	}
 	b.streams.Left(ids)
 }
 
+// unreachable is the one cause of ejections in the metrics.
+const unreachable = "unreachable"
+
 // serverChanged is told of a backend server that was ejected or readmitted.
 func (b *Box) serverChanged(server string, ejected bool, cause string) {
 	name := event.ServerReadmitted
 	if ejected {
 		name = event.ServerEjected
+		b.Metrics.OrUnseen().Ejections.Inc(unreachable)
 	}
 	b.log(name, slog.String(event.KeyServer, server), slog.String(event.KeyCause, cause))
 }
@@ -97,6 +129,7 @@
 // heard takes what a peer tells.
 func (b *Box) heard(d *digest.Digest) {
 	b.peers.Heard(d)
+	b.notePeerContact(d)
 	if d.StoreTried && !d.StoreReachable {
 		b.sawFailure.Store(true)
 	}
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -29,6 +29,7 @@
 	"github.com/dalebend/dalebend/internal/spend"
 	"github.com/dalebend/dalebend/internal/storewatch"
 	"github.com/dalebend/dalebend/internal/streaming"
+	"github.com/dalebend/dalebend/internal/telemetry"
 	"github.com/dalebend/dalebend/internal/viewshare"
 	"github.com/dalebend/dalebend/internal/watchduty"
 )
@@ -57,6 +58,8 @@
 type Box struct {
 	Clock  clockwork.Clock
 	Logger *slog.Logger
+	// Metrics, if set, are counted and served on the settings' address.
+	Metrics *telemetry.Metrics
 
 	Settings *boxsettings.Settings
 	Platform Platform
@@ -86,11 +89,16 @@
 	lastContact atomic.Bool
 	// sawFailure is set when this box or a peer failed to reach the store since
 	// some box was last in contact with it.
-	sawFailure   atomic.Bool
-	stopGrace    atomic.Int64
-	mostBoxes    atomic.Int64
-	readyLogged  atomic.Bool
-	lastRevision atomic.Int64
+	sawFailure  atomic.Bool
+	stopGrace   atomic.Int64
+	mostBoxes   atomic.Int64
+	readyLogged atomic.Bool
+	// following is what was last decided of following the store.
+	following atomic.Bool
+	// peerContact is when a peer was last in contact with the store, as heard.
+	peerContact atomic.Int64
+	// loggedView is the view that the last line told of. Views come one at a time.
+	loggedView *registry.View
 }
 
 // self returns this box as its peers know it.
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -27,6 +27,7 @@
 	b.buildPeers()
 	b.buildStore()
 	b.buildRequests()
+	b.buildMetrics()
 }
 
 // buildBeliefs makes what the box believes of backend servers.
@@ -56,7 +57,7 @@
 func (b *Box) buildStore() {
 	b.watcher = &storewatch.Watcher{
 		Source: b.Platform.Source, Clock: b.Clock, Logger: b.Logger,
-		Active: b.follows, OnConfig: b.configRead, OnServers: b.serversRead,
+		Beliefs: b.beliefs, Active: b.follows, OnConfig: b.configRead, OnServers: b.serversRead,
 	}
 	b.duty = &watchduty.Duty{
 		Clock: b.Clock, Self: b.self(), Live: b.live, Store: b.watcher.Status, Peers: b.peers,
@@ -75,15 +76,17 @@
 		Clock: b.Clock, Logger: b.Logger, Chooser: b.chooser, Directory: b.directory,
 		Evidence: b.evidence, Ledger: b.ledger, Lengths: &forecast.Book{},
 		Exchanger: b.Exchange, Codec: b.Platform.Codec, Mover: b.Platform.Mover,
-		Budget: b.budget, LoadChanged: b.node.Kick,
+		Budget: b.budget, LoadChanged: b.node.Kick, Beliefs: b.beliefs, Metrics: b.Metrics,
 	}
 	b.front = &front.Server{
 		Clock: b.Clock, Logger: b.Logger, Wire: b.Platform.Wire,
 		Singles: &single.Sender{
 			Clock: b.Clock, Logger: b.Logger, Chooser: b.chooser, Evidence: b.evidence,
 			Exchanger: b.Exchange, Codec: b.Platform.Codec, Budget: b.budget,
+			Beliefs: b.beliefs, Metrics: b.Metrics,
 		},
 		Streams: b.streams, Table: b.share.Table, Recent: b.duty.Recent,
+		Beliefs: b.beliefs, Metrics: b.Metrics,
 	}
 }
 
--- /dev/null
+++ b/internal/box/metrics.go
@@ -0,0 +1,57 @@
+package box
+
+import (
+	"context"
+	"net"
+)
+
+// buildMetrics lets the gauges ask the parts of the box.
+func (b *Box) buildMetrics() {
+	m := b.Metrics
+	if m == nil {
+		return
+	}
+	m.ConfigVersion.Compute(func() float64 { return float64(b.beliefs().ConfigVersion) })
+	m.ViewRevision.Compute(func() float64 { return float64(b.beliefs().ViewRevision) })
+	// Both ages are that of the last contact with the store.
+	m.ConfigAge.Compute(b.ageSeconds)
+	m.ViewAge.Compute(b.ageSeconds)
+	m.LiveBoxes.Compute(func() float64 { return float64(len(b.live())) })
+	m.Servers.Compute(b.serverCount)
+	m.ServersEjected.Compute(func() float64 { return float64(b.evidence.Ejected()) })
+	m.RetryBudgetLeft.Compute(func() float64 { return float64(b.budget.LeftInAll()) })
+	m.OpenConnections.Compute(func() float64 { return float64(b.front.Connections()) })
+	m.OpenStreams.Compute(func() float64 { return float64(b.streams.Open()) })
+}
+
+// ageSeconds returns the age of what the box knows, -1 if the store was never reached.
+func (b *Box) ageSeconds() float64 {
+	age := b.beliefs().Age
+	if age < 0 {
+		return -1
+	}
+	return age.Seconds()
+}
+
+func (b *Box) serverCount() float64 {
+	if v := b.share.View(); v != nil {
+		return float64(len(v.Servers))
+	}
+	return 0
+}
+
+// serveMetrics serves the metrics until the context ends. A box without them serves
+// its callers all the same, so that failures are logged only.
+func (b *Box) serveMetrics(ctx context.Context) {
+	if b.Metrics == nil || b.Settings.Metrics == "" {
+		return
+	}
+	ln, err := net.Listen("tcp", b.Settings.Metrics)
+	if err != nil {
+		b.Logger.Warn("metrics are not served", "error", err)
+		return
+	}
+	if err := b.Metrics.Serve(ctx, ln); err != nil {
+		b.Logger.Warn("metrics are served no more", "error", err)
+	}
+}
--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -67,7 +67,8 @@
 func (l *listeners) close() {
 	for _, c := range []interface{ Close() error }{l.heartbeat, l.calls, l.ready, l.front} {
 		if c != nil {
-			c.Close()
+			// They were opened in vain; nothing was sent on them.
+			_ = c.Close()
 		}
 	}
 }
@@ -92,6 +93,7 @@
 	g.Go(func() error { return b.serveReady(inner) })
 	g.Go(func() error { return b.front.Run(inner, b.listeners.front) })
 	g.Go(func() error { b.streams.Guard(inner); return nil })
+	g.Go(func() error { b.serveMetrics(inner); return nil })
 	g.Go(func() error {
 		defer cancel()
 		select {
@@ -166,7 +168,10 @@
 // serveReady answers the balancer: 200 while the box takes requests.
 func (b *Box) serveReady(ctx context.Context) error {
 	server := &http.Server{Handler: http.HandlerFunc(b.answerReady), ReadHeaderTimeout: time.Second}
-	ended := context.AfterFunc(ctx, func() { server.Close() })
+	ended := context.AfterFunc(ctx, func() {
+		// The listener is closed already when Serve has ended by itself.
+		_ = server.Close()
+	})
 	defer ended()
 	if err := server.Serve(b.listeners.ready); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve the balancer: %w", err)
@@ -177,17 +182,29 @@
 func (b *Box) answerReady(w http.ResponseWriter, _ *http.Request) {
 	ready := b.ready()
 	if ready != b.readyLogged.Swap(ready) {
-		name := event.NotReady
-		if ready {
-			name = event.Ready
-		}
-		b.log(name)
+		b.logReady(ready)
 	}
 	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// logReady tells that the box takes requests, or no longer.
+func (b *Box) logReady(ready bool) {
+	now := b.beliefs()
+	version := slog.Int64(event.KeyConfigVersion, now.ConfigVersion)
+	if ready {
+		b.log(event.Ready, version, slog.Int64(event.KeyViewRevision, now.ViewRevision),
+			slog.Int64(event.KeyElapsed, b.Clock.Since(b.started).Milliseconds()))
+		return
+	}
+	reason := "the box is stopping"
+	if !b.stopping.Load() {
+		reason = "the configuration or the servers are not known yet"
+	}
+	b.log(event.NotReady, slog.String(event.KeyReason, reason), version)
+}
+
 // ready reports whether the box takes requests. A fresh box first takes the
 // newest configuration that the store or a peer has.
 func (b *Box) ready() bool {
--- a/internal/evidence/book.go
+++ b/internal/evidence/book.go
@@ -130,6 +130,20 @@
 	}
 }
 
+// Ejected returns the number of servers that are ejected now.
+func (b *Book) Ejected() int {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, r := range b.servers {
+		if now.Before(r.ejectedUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // Failures visits the servers that were unreachable within the last while.
 func (b *Book) Failures(within time.Duration, visit func(server string, age time.Duration)) {
 	now := b.Clock.Now()
--- a/internal/program/box.go
+++ b/internal/program/box.go
@@ -19,6 +19,7 @@
 	"github.com/dalebend/dalebend/internal/decisionlog"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/settings"
+	"github.com/dalebend/dalebend/internal/telemetry"
 	"github.com/dalebend/dalebend/platform"
 )
 
@@ -107,12 +108,15 @@
 
 func newBox(s *boxsettings.Settings, clock clockwork.Clock, log *decisionlog.Log) *box.Box {
 	logger := log.Logger()
+	figures := telemetry.New()
+	figures.LogLinesDropped.Compute(func() float64 { return float64(log.Dropped()) })
 	client := &exchange.Client{
-		Clock: clock, Logger: logger, DialTimeout: dialTimeout, MaxIdlePerServer: idlePerServer,
+		Clock: clock, Logger: logger, Metrics: figures.Registry(),
+		DialTimeout: dialTimeout, MaxIdlePerServer: idlePerServer,
 	}
-	store := &platform.Store{Addr: s.Store, Clock: clock, Logger: logger}
+	store := &platform.Store{Addr: s.Store, Clock: clock, Logger: logger, Metrics: figures.Registry()}
 	return &box.Box{
-		Clock: clock, Logger: logger, Settings: s, Exchange: client,
+		Clock: clock, Logger: logger, Metrics: figures, Settings: s, Exchange: client,
 		Seed: uint64(clock.Now().UnixNano()),
 		Platform: box.Platform{
 			Source: store, Boxes: store, Decode: platform.DecodeTable,
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/dalebend/dalebend/internal/box"
 	"github.com/dalebend/dalebend/internal/boxsettings"
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 )
 
 // lookEvery is how often the settings file is looked at: it may change without
@@ -44,18 +46,24 @@
 		}
 		s, err := f.read()
 		if err != nil {
-			b.Logger.Error("changed settings are not used", "error", err)
+			logRefused(b.Logger, err)
 			continue
 		}
 		b.Reload(s)
 	}
 }
 
+// logRefused tells that the file cannot be read or used, so that nothing changes.
+func logRefused(logger *slog.Logger, cause error) {
+	logger.LogAttrs(context.Background(), event.SettingsRefused.Level(), string(event.SettingsRefused),
+		slog.String(event.KeyCause, cause.Error()))
+}
+
 // changed reports whether the file differs from when it was last looked at.
 func (f *settingsFile) changed(b *box.Box) bool {
 	info, err := os.Stat(f.path)
 	if err != nil {
-		b.Logger.Error("settings file cannot be looked at", "error", err)
+		logRefused(b.Logger, err)
 		return false
 	}
 	same := info.ModTime().Equal(f.modified) && info.Size() == f.size
--- a/internal/spend/budget.go
+++ b/internal/spend/budget.go
@@ -88,10 +88,26 @@
 func (b *Budget) Left(service string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.left(service)
+}
+
+func (b *Budget) left(service string) int {
 	w := b.at(service)
 	return max(0, int(b.allowed(w))-sum(w.second[:]))
 }
 
+// LeftInAll returns how many second attempts are left now for all services that had
+// a first one.
+func (b *Budget) LeftInAll() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	total := 0
+	for service := range b.services {
+		total += b.left(service)
+	}
+	return total
+}
+
 func (b *Budget) allowed(w *window) float64 {
 	boxes := max(1, b.Boxes())
 	earned := b.Terms.Ratio * float64(sum(w.first[:]))
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -45,7 +45,7 @@
 	// Logger gets a line when the store is lost, and when it is reached again.
 	Logger *slog.Logger
 	// Beliefs tells what the box knows, for these lines. Nil is allowed. It is called
-	// while the watcher is locked and must not ask it.
+	// while the status is locked; it may call Status.
 	Beliefs belief.Source
 	// Active says whether to watch. While it is false no call is made. It is
 	// asked at least after every watch, and after Wake.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -118,7 +118,7 @@
 	m.LiveBoxes = m.gauge("live_boxes", "boxes believed to live, this one among them")
 	m.Servers = m.gauge("servers", "backend servers known")
 	m.ServersEjected = m.gauge("servers_ejected", "backend servers out of use for failures")
-	m.RetryBudgetLeft = m.gauge("retry_budget_left", "attempts that this box may repeat now")
+	m.RetryBudgetLeft = m.gauge("retry_budget_left", "attempts that this box may repeat now, for all services together")
 	m.OpenConnections = m.gauge("open_connections", "open connections of callers")
 	m.OpenStreams = m.gauge("open_streams", "running streams")
 	m.LogLinesDropped = m.gauge("log_lines_dropped", "lines that the decision log left out since the start")
--- a/internal/watchduty/duty.go
+++ b/internal/watchduty/duty.go
@@ -46,9 +46,24 @@
 
 // Active reports whether this box should follow the store now.
 func (d *Duty) Active() bool {
+	active, _ := d.Decide()
+	return active
+}
+
+// Decide reports whether this box should follow the store now, and why.
+func (d *Duty) Decide() (active bool, reason string) {
 	if !d.Peers.InContact(ContactAge) {
-		return true
+		return true, "no other box is known to be in contact with the store"
 	}
+	if first := d.first(); first != d.Self.Name {
+		return false, "another box ranks first in the failure domain: " + first
+	}
+	return true, "this box ranks first in its failure domain"
+}
+
+// first returns the box that ranks first in the failure domain of this one, empty
+// if the store refuses all of them.
+func (d *Duty) first() string {
 	first := ""
 	best := uint64(0)
 	for _, b := range d.Live() {
@@ -60,7 +75,7 @@
 			best = rank
 		}
 	}
-	return first == d.Self.Name
+	return first
 }
 
 func (d *Duty) passedOver(box string) bool {
