box: tests hold every line to its declared keys, and read the metrics

Every test of a whole box now checks at its end that no line of an event has a key that is not declared for it. Run: go test -race -count=5 ./internal/box.

--- a/internal/box/rig_test.go
+++ b/internal/box/rig_test.go
@@ -18,6 +18,7 @@
 	"github.com/dalebend/dalebend/internal/boxsettings"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/telemetry"
 	"github.com/dalebend/dalebend/platform"
 	"github.com/dalebend/dalebend/platform/standin"
 )
@@ -93,6 +94,7 @@
 	log     *journal
 	store   *standin.Server
 	engines *standin.Engines
+	metrics *telemetry.Metrics
 
 	settings *boxsettings.Settings
 	stop     context.CancelFunc
@@ -111,7 +113,7 @@
 	clock := clockwork.NewFakeClockAt(time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC))
 	r := &rig{
 		t: t, clock: &tickers{FakeClock: clock, made: make(chan time.Duration, 100)},
-		log: &journal{changed: make(chan struct{})}, ended: make(chan error, 1),
+		log: &journal{changed: make(chan struct{})}, ended: make(chan error, 1), metrics: telemetry.New(),
 	}
 	r.store = &standin.Server{Clock: r.clock}
 	server := httptest.NewServer(r.store)
@@ -130,10 +132,12 @@
 // run starts the box.
 func (r *rig) run() {
 	logger := slog.New(r.log)
-	client := &exchange.Client{Clock: r.clock, Logger: logger, DialTimeout: time.Second, MaxIdlePerServer: 4}
-	store := &platform.Store{Addr: r.settings.Store, Clock: r.clock, Logger: logger}
+	client := &exchange.Client{
+		Clock: r.clock, Logger: logger, Metrics: r.metrics.Registry(), DialTimeout: time.Second, MaxIdlePerServer: 4,
+	}
+	store := &platform.Store{Addr: r.settings.Store, Clock: r.clock, Logger: logger, Metrics: r.metrics.Registry()}
 	b := &box.Box{
-		Clock: r.clock, Logger: logger, Settings: r.settings, Exchange: client, Seed: 1,
+		Clock: r.clock, Logger: logger, Metrics: r.metrics, Settings: r.settings, Exchange: client, Seed: 1,
 		Platform: box.Platform{
 			Source: store, Boxes: store, Decode: platform.DecodeTable, Wire: platform.Requests{},
 			Codec: platform.Requests{}, Mover: &platform.Moves{Exchanger: client},
@@ -173,6 +177,7 @@
 	r.awaitTicker(stopTicker)
 	r.clock.Advance(r.settings.StopGrace)
 	require.NoError(r.t, <-r.ended)
+	r.log.requireDeclared(r.t)
 }
 
 // ready asks the box as the balancer does.
