streaming: a generation that may not go on elsewhere is not stopped

With the retry budget spent, a leaving engine's generation was stopped for a move and then lost, since going on at the target takes from the same budget. It is left to its engine now, which may yet end it in its notice.

The new story in testdata/stories/move failed before. go test -race ./internal/streaming

--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -184,6 +184,10 @@
 func (x *run) copyAhead(ctx context.Context, source *registry.Server) (*registry.Server, error) {
 	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Avoid: []string{source.ID}}
 	target := source
+	if x.relay.Budget.Left(x.job.Service.Name) == 0 {
+		// Once stopped, it could not go on elsewhere.
+		return target, errBudgetSpent
+	}
 	for {
 		c := x.relay.Chooser.Refuge(x.job.Service, source, need)
 		if c == nil {
