--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -18,8 +18,10 @@
 	// fullMs is the cost of an engine whose memory is expected to be full: work
 	// would be pushed out and read again.
 	fullMs = 20000.0
-	// comfortable is the expected fill up to which memory costs nothing.
-	comfortable = 0.75
+	// comfortable is the expected fill up to which memory costs nothing. Below it,
+	// prompts that wait to be read matter more: at 0.75 the emptiest engine got
+	// every prompt, and first events came seconds late.
+	comfortable = 0.9
 	// farMs is the cost of an engine in another failure domain: bytes between domains.
 	farMs = 25.0
 	// conductMs turns the rank of a server's behaviour into time.
--- a/internal/engineload/ledger.go
+++ b/internal/engineload/ledger.go
@@ -28,8 +28,9 @@
 	Bare int
 }
 
-// Peak returns the memory that is expected to be held at most.
-func (l Load) Peak() int { return l.Tokens + l.Growth + l.Copies }
+// Peak returns the memory that is expected to be held at most. Generations end
+// at different times: when one is at its longest, the others are halfway there.
+func (l Load) Peak() int { return l.Tokens + l.Growth/2 + l.Copies }
 
 func (l *Load) add(o Load, sign int) {
 	l.Streams += sign * o.Streams
--- a/internal/engineload/run.go
+++ b/internal/engineload/run.go
@@ -71,7 +71,7 @@
 	if r.backup == "" || r.moving {
 		own.Bare = 1
 	}
-	return own, Load{Copies: held + growth}
+	return own, Load{Copies: held + growth/2}
 }
 
 // growthFloor is the part of the expected length that a generation is still
