single: the log tells why a server's own failure is passed on

Without it an operator could not tell a spent budget from a route that allows one server only. Run: go test -race ./internal/single ./internal/decisionlog/...

--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -78,6 +78,8 @@
 			KeyRequest, KeyServer, KeyAttempt, KeyStatus, KeyStage, KeyPerhapsRun, KeyCause, KeyElapsed),
 		info(RequestResent, "another server is tried after a failed attempt, or beside a slow one",
 			KeyRequest, KeyFrom, KeyTo, KeyAttempt, KeyCause, KeyBudgetLeft),
+		info(RequestNotResent, "a server's own failure is passed on, as no further server may be tried",
+			KeyRequest, KeyFrom, KeyAttempt, KeyCause, KeyBudgetLeft),
 		warn(RequestGivenUp, "the caller got 502 or 504: there is no answer, and a server may have run the request",
 			KeyRequest, KeyRoute, KeyAccount, KeyStatus, KeyReason, KeyConfigVersion, KeyConfigAge,
 			KeyViewRevision, KeyViewAge, KeyElapsed),
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -38,13 +38,14 @@
 
 // A request on its way.
 const (
-	RequestRefused Name = "request-refused"
-	RequestSent    Name = "request-sent"
-	RequestFailed  Name = "request-failed"
-	RequestResent  Name = "request-resent"
-	RequestGivenUp Name = "request-given-up"
-	RequestEnded   Name = "request-ended"
-	CallerLeft     Name = "caller-left"
+	RequestRefused   Name = "request-refused"
+	RequestSent      Name = "request-sent"
+	RequestFailed    Name = "request-failed"
+	RequestResent    Name = "request-resent"
+	RequestGivenUp   Name = "request-given-up"
+	RequestNotResent Name = "request-not-resent"
+	RequestEnded     Name = "request-ended"
+	CallerLeft       Name = "caller-left"
 )
 
 // A stream after its first byte.
--- a/internal/single/flight.go
+++ b/internal/single/flight.go
@@ -50,6 +50,9 @@
 	for ctx.Err() == nil {
 		c, err := f.next(why)
 		if err != nil {
+			if last.answer != nil {
+				f.logNotResent(why.from, err)
+			}
 			return f.ended(last, err)
 		}
 		v := f.send(ctx, c)
--- a/internal/single/log.go
+++ b/internal/single/log.go
@@ -62,6 +62,18 @@
 	f.log(event.RequestResent, attrs)
 }
 
+// logNotResent tells why a server's answer that it failed is passed on.
+func (f *flight) logNotResent(from string, cause error) {
+	f.mu.Lock()
+	attempts := len(f.tried)
+	f.mu.Unlock()
+	f.log(event.RequestNotResent, []slog.Attr{
+		slog.String(event.KeyFrom, from), slog.Int(event.KeyAttempt, attempts),
+		slog.String(event.KeyCause, cause.Error()),
+		slog.Int(event.KeyBudgetLeft, f.sender.Budget.Left(f.job.Service.Name)),
+	})
+}
+
 // logFailed tells of a send without an answer.
 func (f *flight) logFailed(c *choose.Candidate, stage string, perhapsRun bool, cause string) {
 	f.count(c, stage)
