--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -74,7 +74,7 @@
 // and moved before the next one is safe whatever happens to the rest. The boxes
 // take turns in an order that all of them know.
 func (r *Relay) empty(engine *registry.Server, runs []*run) {
-	sort.Slice(runs, func(i, j int) bool { return runs[i].left() > runs[j].left() })
+	sort.Slice(runs, func(i, j int) bool { return runs[i].size() < runs[j].size() })
 	r.awaitTurn(runs[0].ctx, engine)
 	for len(runs) > 0 {
 		x := runs[0]
@@ -134,12 +134,12 @@
 
 func turnOrder(box, engine string) uint64 { return xxhash.Sum64String(engine + "/" + box) }
 
-// left returns how many more tokens are expected: those that are most likely to
-// end by themselves before the engine goes are moved last.
-func (x *run) left() int {
+// size returns the memory that is to be copied, in tokens. The smallest is moved
+// first: more generations get out before the engine goes.
+func (x *run) size() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.expected - x.split.Events()*x.job.Service.Engine.TokensPerEvent
+	return x.job.Request.PromptTokens + x.split.Events()*x.job.Service.Engine.TokensPerEvent
 }
 
 func (x *run) pending() *move {
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -133,9 +133,11 @@
 }
 
 // drain makes an engine leave.
-func (r *rig) drain(id string) {
+func (r *rig) drain(id string) { r.setState(id, registry.Draining) }
+
+func (r *rig) setState(id string, state registry.State) {
 	s := r.servers[id]
-	s.State = registry.Draining
+	s.State = state
 	r.servers[id] = s
 	r.showServers()
 	synctest.Wait()
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -242,24 +242,20 @@
 	return c.answer != nil
 }
 
-// endedWhole reports whether a clean end of a body ends the whole answer: not
-// if the engine may have stopped the generation for a move, or an event is
-// incomplete.
-func (x *run) endedWhole(ctx context.Context) bool {
+// take makes an engine's answer the stream that is passed on. The lock is held.
+func (x *run) take(resp *exchange.Response) {
+	x.body = resp.Body
+	x.unframed = resp.Unframed()
+}
+
+// endedWhole reports whether a clean end of the body ends the whole answer. An
+// engine that stops a generation for a move breaks its stream off, so that only
+// a stream without framing has a clean end then too.
+func (x *run) endedWhole() bool {
 	x.mu.Lock()
-	m := x.move
-	stopped := m != nil && m.stopping
-	partial := x.split.Partial()
-	x.mu.Unlock()
-	if partial || !stopped {
-		return !partial
-	}
-	select {
-	case <-m.done:
-		return m.tooLate
-	case <-ctx.Done():
-		return false
-	}
+	defer x.mu.Unlock()
+	stopped := x.unframed && x.move != nil && x.move.stopping
+	return !stopped && !x.split.Partial()
 }
 
 // finished learns from a stream that ended by itself.
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/registry"
 )
 
 // script runs one data file.
@@ -33,7 +35,7 @@
 //	end ENGINE / break ENGINE    it ends cleanly / breaks
 //	old say|end|break ENGINE     the same of the stream before the newest
 //	release ENGINE               calls that hang there go on
-//	drain ENGINE / gone ENGINE   it is about to leave / its entry is removed
+//	drain ENGINE / ready ENGINE / gone ENGINE   it is about to leave / is not any more / its entry is removed
 //	advance DURATION / leave / deaf   time passes / the caller leaves / it takes no more bytes
 func TestScripts(t *testing.T) {
 	unsent, shed := notSent(t), full(t)
@@ -115,6 +117,8 @@
 		r.fleet.release(args[0])
 	case "drain":
 		r.drain(args[0])
+	case "ready":
+		r.setState(args[0], registry.Ready)
 	case "gone":
 		r.gone(args[0])
 	case "advance":
