--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -18,6 +18,9 @@
 	if lost := c.last(event.StreamLost); lost != nil {
 		return c.causeLost(lost)
 	}
+	if given := c.last(event.RequestGivenUp); given != nil {
+		return c.causeUnknown(given)
+	}
 	if refused := c.last(event.RequestRefused); refused != nil {
 		return c.causeRefused(refused)
 	}
@@ -45,7 +48,8 @@
 func (c *chronicle) whyNoMove(lost *line) string {
 	var failed []string
 	for _, l := range c.own {
-		if l.Event == event.StreamMoveFailed && !l.Time.After(lost.Time) {
+		// A move under way fails a moment after the stream.
+		if l.Event == event.StreamMoveFailed && !l.Time.After(lost.Time.Add(after)) {
 			failed = append(failed, fmt.Sprintf("%s failed to (%s)", l.To, flat(l.Cause)))
 		}
 	}
@@ -73,9 +77,6 @@
 
 // causeRefused explains an answer of the box's own.
 func (c *chronicle) causeRefused(refused *line) string {
-	if refused.NotRun != nil && !*refused.NotRun {
-		return c.causeUnknown(refused)
-	}
 	text := fmt.Sprintf("refused by %s with status %d before any server had it: %s", refused.Box, refused.Status, flat(refused.Reason))
 	if c.last(event.RequestSent) != nil {
 		text = fmt.Sprintf("refused by %s with status %d after attempts that did not run: %s", refused.Box, refused.Status, flat(refused.Reason))
@@ -97,10 +98,12 @@
 func (c *chronicle) causeEnded(ended *line) string {
 	server := c.server()
 	switch {
+	case ended.Cause == event.CauseStopped:
+		return fmt.Sprintf("%s stopped and cut the answer%s, after %s", ended.Box, elapsedText(ended.Elapsed), count(ended.Events, "event"))
 	case ended.Cause != "":
 		return fmt.Sprintf("the answer broke off: %s; %s", flat(ended.Cause), c.fate(server, ended.Time))
 	case ended.Status >= http.StatusInternalServerError:
-		return fmt.Sprintf("%s itself answered %d; the answer was passed on after %s", server, ended.Status, c.attempts())
+		return fmt.Sprintf("%s itself answered %d; the answer was passed on after %s%s", server, ended.Status, c.attempts(), c.whyNotResent())
 	case ended.Status >= http.StatusBadRequest:
 		return fmt.Sprintf("%s itself answered %d: the request was not acceptable to it", server, ended.Status)
 	case c.last(event.StreamMoved) != nil:
@@ -110,6 +113,15 @@
 	}
 }
 
+// whyNotResent tells why a failure was passed on, if the log says so.
+func (c *chronicle) whyNotResent() string {
+	l := c.last(event.RequestNotResent)
+	if l == nil {
+		return ""
+	}
+	return ": " + flat(l.Cause)
+}
+
 // attempts counts the request's attempts and names their servers.
 func (c *chronicle) attempts() string {
 	var servers []string
@@ -126,12 +138,6 @@
 	if server == "" {
 		return fmt.Sprintf("the caller left%s, before a server was chosen", elapsedText(left.Elapsed))
 	}
-	stopped := c.lastContext(func(l *line) bool {
-		return l.Event == event.StopEnds && l.Box == left.Box && !l.Time.After(left.Time) && l.Time.After(left.Time.Add(-after))
-	})
-	if stopped != nil {
-		return fmt.Sprintf("%s stopped and cut the connection%s, while %s was at work", left.Box, elapsedText(left.Elapsed), server)
-	}
 	return fmt.Sprintf("the caller left%s, while %s was at work", elapsedText(left.Elapsed), server)
 }
 
--- a/internal/explain/chronicle.go
+++ b/internal/explain/chronicle.go
@@ -61,7 +61,7 @@
 
 // says reports whether a view tells that a server is leaving or gone.
 func (l *line) says(server string) bool {
-	return l.Event == event.ServersView && (l.Gone.has(server) || l.Draining.has(server))
+	return l.Event == event.ServersView && (l.Gone.has(server) || l.Leaving.has(server))
 }
 
 // span returns the times of the request's first and last line.
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -24,6 +24,7 @@
 	Cause   string `json:"cause"`
 	Causes  names  `json:"causes"`
 	Stage   string `json:"stage"`
+	Source  string `json:"source"`
 
 	Server     string `json:"server"`
 	From       string `json:"from"`
@@ -35,7 +36,6 @@
 	Events     int    `json:"events"`
 	Moves      int    `json:"moves"`
 
-	NotRun     *bool  `json:"not_run"`
 	PerhapsRun *bool  `json:"perhaps_run"`
 	RetryAfter *int64 `json:"retry_after_ms"`
 	Pause      *int64 `json:"pause_ms"`
@@ -48,8 +48,8 @@
 	ViewAge       *int64 `json:"view_age_ms"`
 	Version       *int64 `json:"version"`
 
-	Gone     names `json:"gone"`
-	Draining names `json:"draining"`
+	Gone    names `json:"gone"`
+	Leaving names `json:"leaving"`
 
 	QueueFull  int `json:"queue_full"`
 	OverBudget int `json:"over_budget"`
--- a/internal/explain/sentence.go
+++ b/internal/explain/sentence.go
@@ -16,8 +16,12 @@
 		return fmt.Sprintf("the attempt on %s fails, %s (%s): %s", l.Server, l.Stage, runText(l.mayHaveRun()), flat(l.Cause))
 	case event.RequestResent:
 		return fmt.Sprintf("it is tried again on %s instead of %s: %s", l.To, l.From, flat(l.Cause))
+	case event.RequestNotResent:
+		return fmt.Sprintf("it is not tried again after %s: %s", l.From, flat(l.Cause))
 	case event.RequestRefused:
 		return l.sentenceRefused()
+	case event.RequestGivenUp:
+		return fmt.Sprintf("the box answers %d by itself%s: %s (%s)", l.Status, elapsedText(l.Elapsed), flat(l.Reason), runText(true)) + beliefText(l)
 	case event.RequestEnded:
 		return l.sentenceEnded()
 	case event.CallerLeft:
@@ -49,6 +53,9 @@
 
 func (l *line) sentenceSent() string {
 	text := fmt.Sprintf("attempt %d goes to %s, one of %s", l.Attempt, l.Server, count(l.Candidates, "candidate"))
+	if l.Cause != "" {
+		text += " (" + l.Cause + ")"
+	}
 	if l.Backup != "" {
 		text += ", with " + l.Backup + " as backup"
 	}
@@ -56,10 +63,7 @@
 }
 
 func (l *line) sentenceRefused() string {
-	text := fmt.Sprintf("the box answers %d by itself%s: %s", l.Status, elapsedText(l.Elapsed), flat(l.Reason))
-	if l.NotRun != nil {
-		text += " (" + runText(!*l.NotRun) + ")"
-	}
+	text := fmt.Sprintf("the box answers %d by itself%s: %s (%s)", l.Status, elapsedText(l.Elapsed), flat(l.Reason), runText(false))
 	if l.RetryAfter != nil && *l.RetryAfter > 0 {
 		text += ", come back in " + duration(l.RetryAfter)
 	}
@@ -84,9 +88,9 @@
 	case event.ServerReadmitted:
 		return l.Server + " gets requests again"
 	case event.ConfigInForce:
-		return fmt.Sprintf("configuration version %d is in force", value(l.Version))
+		return fmt.Sprintf("configuration version %d is in force%s", value(l.Version), sourceText(l.Source))
 	case event.ConfigRefused:
-		return fmt.Sprintf("configuration version %d cannot be used: %s", value(l.Version), flat(l.Cause))
+		return fmt.Sprintf("a configuration%s cannot be used: %s", sourceText(l.Source), flat(l.Cause))
 	case event.StoreLost:
 		return "the object API is not reached: " + flat(l.Cause)
 	case event.StoreRegained:
--- a/internal/explain/words.go
+++ b/internal/explain/words.go
@@ -36,6 +36,13 @@
 	return " (" + duration(ms) + " old)"
 }
 
+func sourceText(source string) string {
+	if source == "" {
+		return ""
+	}
+	return ", from " + source
+}
+
 func runText(mayHaveRun bool) string {
 	if mayHaveRun {
 		return "may have run"
