--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -93,6 +93,8 @@
 	stopGrace   atomic.Int64
 	mostBoxes   atomic.Int64
 	readyLogged atomic.Bool
+	// cutAtEnd counts requests that ran when the time to stop was over.
+	cutAtEnd atomic.Int64
 	// following is what was last decided of following the store.
 	following atomic.Bool
 	// peerContact is when a peer was last in contact with the store, as heard.
--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -106,7 +106,7 @@
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
-	b.log(event.StopEnds, slog.Int(event.KeyOpen, b.front.Open()))
+	b.log(event.StopEnds, slog.Int64(event.KeyOpen, b.cutAtEnd.Load()))
 	return nil
 }
 
@@ -128,6 +128,7 @@
 		case <-ticker.Chan():
 		}
 		if !b.Clock.Now().Before(by) {
+			b.cutAtEnd.Store(int64(b.front.Open()))
 			return
 		}
 		if b.Clock.Since(began) >= stopLeast && b.front.Open() == 0 {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -25,6 +25,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dalebend/dalebend/internal/belief"
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/single"
@@ -49,6 +50,9 @@
 	// noticed is how long after the order to stop the balancer sends new callers
 	// elsewhere: it asks every second, and twice.
 	noticed = 2500 * time.Millisecond
+	// cutTime bounds the wait for requests whose connections were closed. They need
+	// some milliseconds; the process has a few hundred left.
+	cutTime = 150 * time.Millisecond
 	// unknownYet is the time to come back that a caller is told while this box
 	// does not know whether its route and key exist: about two rounds of heartbeats.
 	unknownYet = 400 * time.Millisecond
@@ -94,7 +98,8 @@
 	stopAt atomic.Int64
 	// stoppedAt is when that began.
 	stoppedAt atomic.Int64
-	open      atomic.Int64
+	// requests counts what is being answered.
+	requests running
 	// connections counts those of callers.
 	connections atomic.Int64
 	// closing is set when every connection is about to be closed.
@@ -121,9 +126,20 @@
 	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
+	s.awaitCut()
 	return nil
 }
 
+// awaitCut waits until requests whose connections were closed have noticed, so that
+// the log tells what became of them.
+func (s *Server) awaitCut() {
+	select {
+	case <-s.requests.none():
+	case <-s.Clock.After(cutTime):
+		s.Logger.Warn("requests go on after their connections were closed", event.KeyOpen, s.Open())
+	}
+}
+
 // Stop asks callers to come back on other connections: every answer from now on
 // ends its connection, and requests that are not expected to end by then are
 // refused. Connections that rest stay open, since a request may be on its way
@@ -149,7 +165,7 @@
 }
 
 // Open returns the number of requests that are being answered.
-func (s *Server) Open() int { return int(s.open.Load()) }
+func (s *Server) Open() int { return s.requests.count() }
 
 // Connections returns the number of open connections of callers.
 func (s *Server) Connections() int { return int(s.connections.Load()) }
@@ -166,8 +182,8 @@
 
 // serve answers one request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	s.open.Add(1)
-	defer s.open.Add(-1)
+	s.requests.begin()
+	defer s.requests.end()
 	if _, stopping := s.left(); stopping {
 		w.Header().Set("Connection", "close")
 	}
