--- a/internal/evidence/book_test.go
+++ b/internal/evidence/book_test.go
@@ -132,3 +132,17 @@
 	}
 	require.Less(t, book.Opinion("never").Errors, 0.01)
 }
+
+// TestEjected counts servers until their time out of use is over or they answer.
+func TestEjected(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	book := &evidence.Book{Clock: clock}
+	require.Zero(t, book.Ejected())
+	book.Unreachable("a", "refused")
+	book.Unreachable("b", "refused")
+	require.Equal(t, 2, book.Ejected())
+	book.Answered("b", time.Millisecond, false)
+	require.Equal(t, 1, book.Ejected())
+	clock.Advance(time.Minute)
+	require.Zero(t, book.Ejected())
+}
--- a/internal/spend/budget_test.go
+++ b/internal/spend/budget_test.go
@@ -177,3 +177,14 @@
 		}
 	})
 }
+
+// TestLeftInAll: what is left is the sum over the services that were asked for.
+func TestLeftInAll(t *testing.T) {
+	b := fleet(clockwork.NewFakeClock(), 1, spend.Terms{Minimum: 8, Window: window})[0]
+	require.Zero(t, b.LeftInAll())
+	b.First("chat")
+	require.Equal(t, 6, b.LeftInAll())
+	b.First("plain")
+	require.True(t, b.Spend("plain"))
+	require.Equal(t, 11, b.LeftInAll())
+}
--- a/internal/watchduty/duty_test.go
+++ b/internal/watchduty/duty_test.go
@@ -149,3 +149,20 @@
 	r.store.Reachable = false
 	require.False(t, r.duty.Recent(), "a store that was lost is not in contact")
 }
+
+// TestReasons: a decision says what it follows from.
+func TestReasons(t *testing.T) {
+	a, b := member.Box{Name: "a", Domain: "x"}, member.Box{Name: "b", Domain: "x"}
+	reasons := make(map[string]bool)
+	for _, self := range []member.Box{a, b} {
+		r := newRig(self, a, b)
+		_, reason := r.duty.Decide()
+		reasons[reason] = true
+		r.peers.contact = false
+		active, reason := r.duty.Decide()
+		require.True(t, active)
+		require.Equal(t, "no other box is known to be in contact with the store", reason)
+	}
+	require.Len(t, reasons, 2)
+	require.True(t, reasons["this box ranks first in its failure domain"])
+}
