streaming: a stream with a clean end is whole, also when its engine was to be stopped

Only without framing the outcome of the move decides. A copy on a leaving engine is no longer used (read in review: a request may not reach it that late).

--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -51,11 +51,12 @@
 	return m.at
 }
 
-// backupCopy returns the copy at the backup engine, or nil.
+// backupCopy returns the copy at the backup engine, or nil if there is none or
+// the engine is leaving.
 func (x *run) backupCopy() *copyAt {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.backup == nil {
+	if x.backup == nil || !x.relay.Directory.Takes(x.backup.ID) {
 		return nil
 	}
 	return &copyAt{server: x.backup, holder: x.backup.Addr, name: x.job.Request.ID}
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -133,7 +133,7 @@
 		if passErr != nil {
 			return &Broken{cause: passErr}
 		}
-		if errors.Is(err, io.EOF) && x.endedWhole(ctx) {
+		if errors.Is(err, io.EOF) && x.endedWhole(ctx, a) {
 			x.finished()
 			return nil
 		}
@@ -242,20 +242,24 @@
 	return c.answer != nil
 }
 
-// take makes an engine's answer the stream that is passed on. The lock is held.
-func (x *run) take(resp *exchange.Response) {
-	x.body = resp.Body
-	x.unframed = resp.Unframed()
-}
-
 // endedWhole reports whether a clean end of the body ends the whole answer. An
-// engine that stops a generation for a move breaks its stream off, so that only
-// a stream without framing has a clean end then too.
-func (x *run) endedWhole() bool {
+// engine that stops a generation for a move breaks its stream off. Only without
+// framing that looks like a clean end, and then the move's outcome decides.
+func (x *run) endedWhole(ctx context.Context, a *answer) bool {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	stopped := x.unframed && x.move != nil && x.move.stopping
-	return !stopped && !x.split.Partial()
+	m := x.move
+	stopped := m != nil && m.stopping && a.Unframed()
+	partial := x.split.Partial()
+	x.mu.Unlock()
+	if partial || !stopped {
+		return !partial
+	}
+	select {
+	case <-m.done:
+		return m.tooLate
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // finished learns from a stream that ended by itself.
