--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -239,10 +239,7 @@
 			return "", ctx.Err()
 		}
 	}
-	name, err := f.copied(source, target, mode, stop)
-	if name == "" && !errors.Is(err, hop.ErrNotRunning) {
-	}
-	return name, err
+	return f.copied(source, target, mode, stop)
 }
 
 func (f *fleet) copied(source *registry.Server, target, mode string, stop bool) (string, error) {
