single: a server that hangs is told by the time it was silent

Cause: read in review: when a hedge won, or the deadline came, the server that had hung gathered no evidence, and got the next request too. Longer than the route's objective without an answer now counts like a failed answer.

--- a/internal/single/flight.go
+++ b/internal/single/flight.go
@@ -138,19 +138,19 @@
 	start := s.Clock.Now()
 	resp, err := s.Exchanger.Do(ctx, f.target(c), f.exchangeRequest(c, start))
 	if err != nil {
-		return f.failed(ctx, c, err)
+		return f.failed(ctx, c, start, err)
 	}
 	if s.Codec.NotRun(resp.Status, resp.Header) {
 		return f.turnedAway(c, resp)
 	}
 	body, err := readAll(resp)
 	if err != nil {
-		return f.failed(ctx, c, err)
+		return f.failed(ctx, c, start, err)
 	}
 	took := s.Clock.Since(start)
 	good := resp.Status < 500
 	if resp.Status < 300 && !s.Codec.Proven(resp.Header) {
-		return f.failed(ctx, c, errUnproven)
+		return f.failed(ctx, c, start, errUnproven)
 	}
 	s.Evidence.Answered(c.ID, took, !good)
 	answer := &Answer{Status: resp.Status, Header: s.Codec.Answer(resp.Header), Body: body}
@@ -202,7 +202,7 @@
 }
 
 // failed is a send without a whole answer.
-func (f *flight) failed(ctx context.Context, c *choose.Candidate, err error) verdict {
+func (f *flight) failed(ctx context.Context, c *choose.Candidate, start time.Time, err error) verdict {
 	stage := exchange.Unanswered
 	var failure *exchange.Failure
 	if errors.As(err, &failure) {
@@ -216,8 +216,11 @@
 		}
 		return verdict{err: err, result: stage.String()}
 	}
-	if ctx.Err() == nil {
-		f.sender.Evidence.Answered(c.ID, 0, true)
+	took := f.sender.Clock.Since(start)
+	if goal := f.job.Route.Objective; ctx.Err() == nil || goal > 0 && took > goal {
+		// Given up while it was silent for longer than answers may take: a server
+		// that hangs is told by nothing else.
+		f.sender.Evidence.Answered(c.ID, took, true)
 	}
 	return verdict{arrived: true, ran: true, err: err, result: stage.String()}
 }
