tcpopt: one function sets the user timeout of a connection

Limits are durations now; their values are as before. The tests of exchange compare the same values in the new unit.

--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -2,23 +2,22 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/dalebend/dalebend/internal/tcpopt"
 )
 
 const (
-	// userTimeoutMS is the time in milliseconds that sent bytes may remain
-	// unacknowledged. It leaves room for two retransmissions between regions, and
-	// most deadlines leave time for another server after it.
-	userTimeoutMS = 1500
-	// uploadTimeoutMS takes its place, in milliseconds, while a body doesn't fit the
-	// buffers of the connection. The kernel can't tell a peer that is gone from one
-	// that doesn't read yet, and a busy server may let a body wait for seconds.
-	uploadTimeoutMS = 10_000
+	// userTimeout is how long sent bytes may remain unacknowledged. It leaves room
+	// for two retransmissions between regions, and most deadlines leave time for
+	// another server after it.
+	userTimeout = 1500 * time.Millisecond
+	// uploadTimeout takes its place while a body doesn't fit the buffers of the
+	// connection. The kernel can't tell a peer that is gone from one that doesn't
+	// read yet, and a busy server may let a body wait for seconds.
+	uploadTimeout = 10 * time.Second
 	// keepAliveIdle and keepAliveInterval time the probes on a silent connection.
 	// A second is the shortest that the kernel takes.
 	keepAliveIdle     = time.Second
@@ -50,7 +49,7 @@
 func (c *Client) dialer() *net.Dialer {
 	return &net.Dialer{
 		Control: func(_, addr string, raw syscall.RawConn) error {
-			c.setUserTimeout(raw, addr, userTimeoutMS)
+			c.setUserTimeout(raw, addr, userTimeout)
 			return nil
 		},
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -64,12 +63,8 @@
 
 // setUserTimeout makes the kernel give up, after this time, on a peer that
 // acknowledges nothing. The connection works without it, so a failure is only logged.
-func (c *Client) setUserTimeout(raw syscall.RawConn, addr string, ms int) {
-	var set error
-	err := raw.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, ms)
-	})
-	if err = errors.Join(err, set); err != nil {
-		c.log().Warn("user timeout of a connection not set", "server", addr, "ms", ms, "err", err)
+func (c *Client) setUserTimeout(raw syscall.RawConn, addr string, limit time.Duration) {
+	if err := tcpopt.SetUserTimeout(raw, limit); err != nil {
+		c.log().Warn("user timeout of a connection not set", "server", addr, "ms", limit.Milliseconds(), "err", err)
 	}
 }
--- a/internal/exchange/internal_test.go
+++ b/internal/exchange/internal_test.go
@@ -64,7 +64,7 @@
 	raw, err := nc.SyscallConn()
 	require.NoError(t, err)
 	options := map[int]int{
-		unix.TCP_USER_TIMEOUT: userTimeoutMS,
+		unix.TCP_USER_TIMEOUT: int(userTimeout / time.Millisecond),
 		unix.TCP_KEEPIDLE:     int(keepAliveIdle / time.Second),
 		unix.TCP_KEEPINTVL:    int(keepAliveInterval / time.Second),
 		unix.TCP_KEEPCNT:      keepAliveCount,
@@ -93,19 +93,19 @@
 	x := start(context.Background(), c, conn, "s1.example")
 	resp, err := x.run(&Request{Method: "POST", URI: "/", Host: "h", Body: make([]byte, 8<<20)})
 	require.NoError(t, err)
-	require.Equal(t, uploadTimeoutMS, userTimeout(t, conn))
+	require.Equal(t, uploadTimeout, userTimeoutOf(t, conn))
 	require.NoError(t, resp.Body.Close())
 	require.Empty(t, c.pools, "kept a connection with half a request")
 }
 
-func userTimeout(t *testing.T, c *conn) int {
+func userTimeoutOf(t *testing.T, c *conn) time.Duration {
 	var got int
 	var err error
 	require.NoError(t, c.raw.Control(func(fd uintptr) {
 		got, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
 	}))
 	require.NoError(t, err)
-	return got
+	return time.Duration(got) * time.Millisecond
 }
 
 // A request of which no byte fits the connection's buffers was not sent.
--- a/internal/exchange/sending.go
+++ b/internal/exchange/sending.go
@@ -34,7 +34,7 @@
 		writeBuffers.Put(buf)
 		return s
 	}
-	x.client.setUserTimeout(c.raw, x.addr, uploadTimeoutMS)
+	x.client.setUserTimeout(c.raw, x.addr, uploadTimeout)
 	s.done = make(chan struct{})
 	go func() {
 		defer close(s.done)
--- a/internal/viewshare/caller.go
+++ b/internal/viewshare/caller.go
@@ -12,20 +12,20 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"golang.org/x/sys/unix"
+
+	"github.com/dalebend/dalebend/internal/tcpopt"
 )
 
 const (
-	// dialTimeout covers several round trips between zones; a peer behind a cut
+	// dialTimeout covers several round trips between failure domains; a peer behind a cut
 	// does not answer at all.
 	dialTimeout = 200 * time.Millisecond
 	// callTimeout adds to that the time a busy peer with a spent processor quota
 	// takes, twice, and the transfer of a large document.
 	callTimeout = 400 * time.Millisecond
-	// userTimeoutMS is the time in milliseconds that sent bytes may remain
-	// unacknowledged. It lets a connection live through a lost packet, but not
-	// through the death of a machine.
-	userTimeoutMS = 1000
+	// userTimeout is how long sent bytes may remain unacknowledged. It lets a
+	// connection live through a lost packet, but not through the death of a box.
+	userTimeout = time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveCount end connections that rest
 	// and whose peer lost power, within 25 s; they cost little until then.
 	keepAliveIdle     = 15 * time.Second
@@ -94,7 +94,7 @@
 	timer := c.clock.AfterFunc(dialTimeout, func() { cancel(errDialTimeout) })
 	defer timer.Stop()
 	dialer := &net.Dialer{
-		Control: func(_, _ string, raw syscall.RawConn) error { return userTimeout(raw) },
+		Control: func(_, _ string, raw syscall.RawConn) error { return tcpopt.SetUserTimeout(raw, userTimeout) },
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
@@ -144,13 +144,5 @@
 	if err != nil {
 		return err
 	}
-	return userTimeout(raw)
-}
-
-func userTimeout(raw syscall.RawConn) error {
-	var set error
-	err := raw.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMS)
-	})
-	return errors.Join(err, set)
+	return tcpopt.SetUserTimeout(raw, userTimeout)
 }
