runerr: NotRun and PerhapsRun stand once

Single and streaming had a pair each, alike but for the comments, and front asked for both. Messages and causes are as before. Run: go test -race of single, streaming, front, box and runerr, green.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/runerr"
 	"github.com/dalebend/dalebend/internal/single"
 	"github.com/dalebend/dalebend/internal/streaming"
 )
@@ -247,13 +248,9 @@
 // notRun reports whether an error proves that the request has not run, and when
 // to come back.
 func notRun(err error) (retryAfter time.Duration, ok bool) {
-	var whole *single.NotRun
-	if errors.As(err, &whole) {
-		return whole.RetryAfter, true
+	var e *runerr.NotRun
+	if !errors.As(err, &e) {
+		return 0, false
 	}
-	var stream *streaming.NotRun
-	if errors.As(err, &stream) {
-		return stream.RetryAfter, true
-	}
-	return 0, false
+	return e.RetryAfter, true
 }
--- a/internal/single/flight.go
+++ b/internal/single/flight.go
@@ -11,6 +11,7 @@
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/runerr"
 )
 
 // flight is one request on its way.
@@ -126,9 +127,9 @@
 		cause = fmt.Errorf("%w, after: %w", cause, last.err)
 	}
 	if f.ran > 0 {
-		return nil, &PerhapsRun{cause: cause}
+		return nil, &runerr.PerhapsRun{Cause: cause}
 	}
-	return nil, &NotRun{RetryAfter: comeBack, cause: cause}
+	return nil, &runerr.NotRun{RetryAfter: comeBack, Cause: cause}
 }
 
 // send offers the request to one server and waits for the whole answer.
--- a/internal/single/hedge.go
+++ b/internal/single/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/runerr"
 )
 
 // hedgeAt is the part of the route's objective after which a request that may
@@ -78,7 +79,7 @@
 
 // tells ranks outcomes by what they say of the request.
 func (o *outcome) tells() int {
-	var perhaps *PerhapsRun
+	var perhaps *runerr.PerhapsRun
 	switch {
 	case o.answer != nil:
 		return 3
--- a/internal/single/script_test.go
+++ b/internal/single/script_test.go
@@ -22,6 +22,7 @@
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/runerr"
 	"github.com/dalebend/dalebend/internal/single"
 	"github.com/dalebend/dalebend/internal/spend"
 )
@@ -196,7 +197,7 @@
 	synctest.Wait()
 	require.Zero(s.t, s.servers.open, "bodies stay open")
 	require.LessOrEqual(s.t, s.servers.runs, s.route.MaxServers, "too many servers may have run it")
-	var notRun *single.NotRun
+	var notRun *runerr.NotRun
 	if errors.As(s.err, &notRun) {
 		require.Zero(s.t, s.servers.runs, "the caller is told that no server ran it")
 		require.Positive(s.t, notRun.RetryAfter)
@@ -225,8 +226,8 @@
 }
 
 func (s *script) outcome() string {
-	var notRun *single.NotRun
-	var perhaps *single.PerhapsRun
+	var notRun *runerr.NotRun
+	var perhaps *runerr.PerhapsRun
 	switch {
 	case s.err == nil && len(s.answer.Body) > 100:
 		return fmt.Sprintf("%d, %d bytes\n", s.answer.Status, len(s.answer.Body))
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -86,35 +86,13 @@
 	errServerFailed  = errors.New("the backend server answered that it failed")
 )
 
-// NotRun is a request that no server ran.
-type NotRun struct {
-	// RetryAfter is when to come back.
-	RetryAfter time.Duration
-	cause      error
-}
-
-// Error says why.
-func (e *NotRun) Error() string { return "not run: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *NotRun) Unwrap() error { return e.cause }
-
-// PerhapsRun is a request without an answer that a server may have run.
-type PerhapsRun struct{ cause error }
-
-// Error says why there is no answer.
-func (e *PerhapsRun) Error() string { return "perhaps run: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *PerhapsRun) Unwrap() error { return e.cause }
-
 // comeBack is the time to come back that a caller is told when no server took
 // its request: a connection that is shed finds room again within some steps of
 // the queue, tens of milliseconds on the users' sheets.
 const comeBack = 50 * time.Millisecond
 
-// Do returns the answer for the caller, or *NotRun or *PerhapsRun. The context
-// ends when the caller leaves or at the job's deadline.
+// Do returns the answer for the caller, or *runerr.NotRun or *runerr.PerhapsRun.
+// The context ends when the caller leaves or at the job's deadline.
 func (s *Sender) Do(ctx context.Context, j *Job) (*Answer, error) {
 	s.Budget.First(j.Service.Name)
 	f := &flight{sender: s, job: j}
--- a/internal/streaming/errors.go
+++ b/internal/streaming/errors.go
@@ -1,9 +1,6 @@
 package streaming
 
-import (
-	"errors"
-	"time"
-)
+import "errors"
 
 // Why a generation was not offered to another engine.
 var (
@@ -16,28 +13,6 @@
 	errSwitched      = errors.New("the stream went on at another engine")
 )
 
-// NotRun is a generation that no engine started.
-type NotRun struct {
-	// RetryAfter is when to come back.
-	RetryAfter time.Duration
-	cause      error
-}
-
-// Error says why.
-func (e *NotRun) Error() string { return "not run: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *NotRun) Unwrap() error { return e.cause }
-
-// PerhapsRun is a generation without an answer that an engine may have started.
-type PerhapsRun struct{ cause error }
-
-// Error says why there is no answer.
-func (e *PerhapsRun) Error() string { return "perhaps run: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *PerhapsRun) Unwrap() error { return e.cause }
-
 // Broken is a stream that ended early after a part was passed on.
 type Broken struct{ cause error }
 
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -9,6 +9,7 @@
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/runerr"
 )
 
 const (
@@ -37,10 +38,10 @@
 	for n := range maxOffers {
 		c := x.relay.Chooser.Engine(x.job.Service, need)
 		if c == nil {
-			return nil, &NotRun{RetryAfter: comeBack, cause: cause}
+			return nil, &runerr.NotRun{RetryAfter: comeBack, Cause: cause}
 		}
 		if arrived && !x.relay.Budget.Spend(x.job.Service.Name) {
-			return nil, &NotRun{RetryAfter: comeBack, cause: errBudgetSpent}
+			return nil, &runerr.NotRun{RetryAfter: comeBack, Cause: errBudgetSpent}
 		}
 		backup := x.chooseBackup(c.Server, need)
 		x.count(c.Server, backup)
@@ -56,17 +57,17 @@
 			// Not even from a copy: what the engine had read of the prompt may not
 			// have arrived there, and then it would run a second time.
 			x.logLost(o.err)
-			return nil, &PerhapsRun{cause: o.err}
+			return nil, &runerr.PerhapsRun{Cause: o.err}
 		}
 		if ctx.Err() != nil {
-			return nil, &NotRun{RetryAfter: comeBack, cause: ctx.Err()}
+			return nil, &runerr.NotRun{RetryAfter: comeBack, Cause: ctx.Err()}
 		}
 		arrived = arrived || o.arrived
 		cause = o.err
 		from = c.ID
 		need.Avoid = append(need.Avoid, c.ID)
 	}
-	return nil, &NotRun{RetryAfter: comeBack, cause: errors.Join(errOfferedEnough, cause)}
+	return nil, &runerr.NotRun{RetryAfter: comeBack, Cause: errors.Join(errOfferedEnough, cause)}
 }
 
 // chooseBackup returns the engine that gets a copy of the generation, or nil.
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -96,9 +96,9 @@
 }
 
 // Serve relays the answer to the sink. It returns nil after a whole answer was
-// passed on; *NotRun or *PerhapsRun if nothing was passed on yet; *Broken if
-// the stream ended early after that. The context ends when the caller leaves or
-// at the job's deadline.
+// passed on; *runerr.NotRun or *runerr.PerhapsRun if nothing was passed on yet;
+// *Broken if the stream ended early after that. The context ends when the caller
+// leaves or at the job's deadline.
 func (r *Relay) Serve(ctx context.Context, j *Job, sink Sink) error {
 	ctx, cancel := context.WithCancel(ctx)
 	r.Budget.First(j.Service.Name)
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -21,6 +21,7 @@
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/runerr"
 	"github.com/dalebend/dalebend/internal/spend"
 	"github.com/dalebend/dalebend/internal/streaming"
 )
@@ -172,8 +173,8 @@
 
 // kind names how Serve ended.
 func kind(err error) string {
-	var notRun *streaming.NotRun
-	var perhaps *streaming.PerhapsRun
+	var notRun *runerr.NotRun
+	var perhaps *runerr.PerhapsRun
 	var broken *streaming.Broken
 	switch {
 	case err == nil:
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/runerr"
 	"github.com/dalebend/dalebend/internal/sse"
 )
 
@@ -101,7 +102,7 @@
 	defer a.close()
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole))
 	if err != nil {
-		return &PerhapsRun{cause: err}
+		return &runerr.PerhapsRun{Cause: err}
 	}
 	x.sink.Head(a.Status, x.relay.Codec.Answer(a.Header))
 	if err := x.sink.Events(body); err != nil {
