--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/dalebend/dalebend/internal/engineload"
@@ -83,7 +84,7 @@
 	var best *Candidate
 	for i := range members {
 		m := &members[i]
-		if contains(avoid, m.ID) {
+		if slices.Contains(avoid, m.ID) {
 			continue
 		}
 		rank := float64(c.inFlight[m.ID])/float64(max(1, m.Slots)) + c.conduct(m)
@@ -130,12 +131,3 @@
 	}
 	return rank
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -1,6 +1,8 @@
 package choose
 
 import (
+	"slices"
+
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -52,7 +54,7 @@
 	var best *Candidate
 	for i := range members {
 		m := &members[i]
-		if contains(need.Avoid, m.ID) {
+		if slices.Contains(need.Avoid, m.ID) {
 			continue
 		}
 		load := loads[m.ID]
@@ -99,7 +101,7 @@
 		load := loads[m.ID]
 		full := fill(load, need, service.Engine)
 		conduct := c.conduct(m)
-		if m.ID == engine.ID || contains(need.Avoid, m.ID) || full > backupFill || conduct >= ejectedRank {
+		if m.ID == engine.ID || slices.Contains(need.Avoid, m.ID) || full > backupFill || conduct >= ejectedRank {
 			continue
 		}
 		rank := full + conduct
@@ -120,7 +122,7 @@
 	var best *Candidate
 	for i := range members {
 		m := &members[i]
-		if m.ID == leaving.ID || contains(need.Avoid, m.ID) {
+		if m.ID == leaving.ID || slices.Contains(need.Avoid, m.ID) {
 			continue
 		}
 		load := loads[m.ID]
--- a/internal/program/router.go
+++ b/internal/program/router.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -41,7 +40,7 @@
 	r := &router.Router{
 		Box: s.Box, Domain: s.Domain, Policy: chosen, Yield: s.Yield,
 		Controller: &peerrpc.Client{Addr: s.Controller, TLS: tls, Clock: clock},
-		LoadLag:    s.LoadLag, PollEvery: s.PollEvery, Clock: clock, Seed: uint64(time.Now().UnixNano()),
+		LoadLag:    s.LoadLag, PollEvery: s.PollEvery, Clock: clock, Seed: uint64(clock.Now().UnixNano()),
 		Logger: p.logger.With("box", s.Box), Tracer: p.tracer,
 		Gateway: gateway.Server{
 			MaxConns: s.MaxConns, ResumeGrace: s.ResumeGrace, StopLag: s.StopLag, StopLimit: s.StopLimit,
