member: a peer is not lost while its turn grows with the fleet

By reading: a box that joins tells the turn of the few peers that it knows yet, and its next heartbeat comes a longer turn later. A peer's deadline is now no shorter than this box's own turn asks for; the new test fails before.

--- a/internal/member/node_test.go
+++ b/internal/member/node_test.go
@@ -339,21 +339,23 @@
 	bubble(t, func(t *testing.T, f *fleet) {
 		boxes := f.startAll(5, addr(0))
 		time.Sleep(1010 * time.Millisecond)
-		rounds := func(during time.Duration) int {
+		// rounds counts the heartbeats that follow what is done.
+		rounds := func(during time.Duration, done func()) int {
 			before := f.between(addr(0), addr(3))
+			done()
 			time.Sleep(during)
 			synctest.Wait()
 			return f.between(addr(0), addr(3)) - before
 		}
-		boxes[0].Kick()
-		require.Equal(t, 1, rounds(0))
+		nothing := func() {}
+		require.Equal(t, 1, rounds(0, boxes[0].Kick))
 		for range 10 {
 			boxes[0].Kick()
 			synctest.Wait()
 		}
-		require.Zero(t, rounds(15*time.Millisecond))
-		require.Equal(t, 1, rounds(10*time.Millisecond))
-		require.Zero(t, rounds(350*time.Millisecond))
+		require.Zero(t, rounds(15*time.Millisecond, nothing))
+		require.Equal(t, 1, rounds(10*time.Millisecond, nothing))
+		require.Zero(t, rounds(350*time.Millisecond, nothing))
 	})
 }
 
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -54,8 +54,13 @@
 	next time.Time
 }
 
-// deadline is when a live peer counts as lost.
-func (p *peer) deadline() time.Time { return p.heard.Add(p.liveFor) }
+// deadline is when a live peer counts as lost. While a fleet grows, a peer may
+// have told of a shorter turn than the one that it needs by now; no turn is
+// shorter than this box's own.
+func (t *table) deadline(p *peer) time.Time {
+	own := liveFor(int32(t.turnTime().Milliseconds()))
+	return p.heard.Add(max(p.liveFor, own))
+}
 
 // news says what a digest changed.
 type news uint8
@@ -167,7 +172,7 @@
 func (t *table) expire(now time.Time) []*peer {
 	var lost []*peer
 	t.order = slices.DeleteFunc(t.order, func(p *peer) bool {
-		if now.Before(p.deadline()) {
+		if now.Before(t.deadline(p)) {
 			return false
 		}
 		p.live, p.lost, p.next = false, now, now
@@ -234,7 +239,7 @@
 	for _, p := range t.byName {
 		at := p.next
 		if p.live {
-			at = p.deadline()
+			at = t.deadline(p)
 		}
 		if at.Before(later) {
 			later = at
--- /dev/null
+++ b/internal/member/table_test.go
@@ -0,0 +1,22 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestGrowth: a peer that told of the short turn of a small fleet is not lost
+// while its turn grows with the fleet.
+func TestGrowth(t *testing.T) {
+	small := &peer{heard: time.Unix(100, 0), liveFor: liveFor(400)}
+	tab := newTable(Box{Name: "self"})
+	require.Equal(t, small.heard.Add(1500*time.Millisecond), tab.deadline(small))
+	for range 100 {
+		tab.order = append(tab.order, &peer{})
+	}
+	own := liveFor(int32(tab.turnTime().Milliseconds()))
+	require.Greater(t, own, small.liveFor)
+	require.Equal(t, small.heard.Add(own), tab.deadline(small))
+}
