--- a/internal/watchduty/duty.go
+++ b/internal/watchduty/duty.go
@@ -44,12 +44,6 @@
 	Peers Peers
 }
 
-// Active reports whether this box should follow the store now.
-func (d *Duty) Active() bool {
-	active, _ := d.Decide()
-	return active
-}
-
 // Decide reports whether this box should follow the store now, and why.
 func (d *Duty) Decide() (active bool, reason string) {
 	if !d.Peers.InContact(ContactAge) {
--- a/internal/watchduty/duty_test.go
+++ b/internal/watchduty/duty_test.go
@@ -55,7 +55,7 @@
 		if r.peers.refused[box.Name] {
 			r.store = storewatch.Status{LastFailure: r.clock.Now()}
 		}
-		if r.duty.Active() {
+		if follows, _ := r.duty.Decide(); follows {
 			names = append(names, box.Name)
 		}
 	}
