--- a/internal/explain/belief.go
+++ b/internal/explain/belief.go
@@ -7,12 +7,12 @@
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 )
 
-// fate tells what the boxes knew of a server around the time that it failed.
-func (c *chronicle) fate(server string, at time.Time) string {
-	if view := c.firstContext(func(l *line) bool { return l.says(server) && near(l, at) }); view != nil {
+// serverState tells what the boxes knew of a server around the time that it failed.
+func (t *timeline) serverState(server string, at time.Time) string {
+	if view := t.firstContext(func(l *line) bool { return l.says(server) && near(l, at) }); view != nil {
 		return fmt.Sprintf("%s was leaving: %s heard so from the list of servers %s", server, view.Box, relative(view.Time, at))
 	}
-	ejected := c.firstContext(func(l *line) bool {
+	ejected := t.firstContext(func(l *line) bool {
 		return l.Event == event.ServerEjected && l.Server == server && near(l, at)
 	})
 	if ejected != nil {
@@ -20,13 +20,13 @@
 			server, ejected.Box, relative(ejected.Time, at), flat(ejected.Cause))
 	}
 	return fmt.Sprintf("%s had given no notice and no box ejected it, %s on it failed around then",
-		server, count(c.othersFailed(server, at), "other attempt"))
+		server, count(t.othersFailed(server, at), "other attempt"))
 }
 
 // othersFailed counts attempts of other requests that failed on a server.
-func (c *chronicle) othersFailed(server string, at time.Time) int {
+func (t *timeline) othersFailed(server string, at time.Time) int {
 	n := 0
-	for _, l := range c.context {
+	for _, l := range t.context {
 		if l.Event == event.RequestFailed && l.Server == server && near(l, at) {
 			n++
 		}
@@ -49,18 +49,18 @@
 
 // configState tells how long the box had had its configuration, and whether another
 // box had a newer one by then.
-func (c *chronicle) configState(at *line) string {
+func (t *timeline) configState(at *line) string {
 	if at.ConfigVersion == nil {
 		return ""
 	}
 	text := fmt.Sprintf("; its configuration was version %d", *at.ConfigVersion)
-	own := c.lastContext(func(l *line) bool {
+	own := t.lastContext(func(l *line) bool {
 		return l.Event == event.ConfigInForce && l.Box == at.Box && value(l.Version) == *at.ConfigVersion && !l.Time.After(at.Time)
 	})
 	if own != nil {
 		text += fmt.Sprintf(", in force there for %s", gap(own.Time, at.Time))
 	}
-	newer := c.firstContext(func(l *line) bool {
+	newer := t.firstContext(func(l *line) bool {
 		return l.Event == event.ConfigInForce && value(l.Version) > *at.ConfigVersion && !l.Time.After(at.Time)
 	})
 	if newer != nil {
@@ -70,8 +70,8 @@
 }
 
 // storeState tells whether the box was without the object API.
-func (c *chronicle) storeState(at *line) string {
-	change := c.lastContext(func(l *line) bool {
+func (t *timeline) storeState(at *line) string {
+	change := t.lastContext(func(l *line) bool {
 		return (l.Event == event.StoreLost || l.Event == event.StoreRegained || l.Event == event.Start) &&
 			l.Box == at.Box && !l.Time.After(at.Time)
 	})
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -11,43 +11,43 @@
 
 // cause names why the request ended as it did. The first answer that fits goes: what
 // broke at a server explains the lines that follow from it.
-func (c *chronicle) cause() string {
-	if len(c.own) == 0 {
+func (t *timeline) cause() string {
+	if len(t.own) == 0 {
 		return "unknown: no line names this request; it may have reached no box, its box may not be among these logs, or its lines were dropped (see log-lines-dropped)"
 	}
-	if lost := c.last(event.StreamLost); lost != nil {
-		return c.causeLost(lost)
+	if lost := t.last(event.StreamLost); lost != nil {
+		return t.causeLost(lost)
 	}
-	if given := c.last(event.RequestGivenUp); given != nil {
-		return c.causeUnknown(given)
+	if given := t.last(event.RequestGivenUp); given != nil {
+		return t.causeUnknown(given)
 	}
-	if refused := c.last(event.RequestRefused); refused != nil {
-		return c.causeRefused(refused)
+	if refused := t.last(event.RequestRefused); refused != nil {
+		return t.causeRefused(refused)
 	}
-	if ended := c.last(event.RequestEnded); ended != nil {
-		return c.causeEnded(ended)
+	if ended := t.last(event.RequestEnded); ended != nil {
+		return t.causeEnded(ended)
 	}
-	if left := c.last(event.CallerLeft); left != nil {
-		return c.causeCallerLeft(left)
+	if left := t.last(event.CallerLeft); left != nil {
+		return t.causeCallerLeft(left)
 	}
-	return c.causeNoEnd()
+	return t.causeNoEnd()
 }
 
 // causeLost explains a stream that was cut: what became of its server, and why no
 // other one went on with it.
-func (c *chronicle) causeLost(lost *line) string {
+func (t *timeline) causeLost(lost *line) string {
 	at := lost.Time
-	if broke := c.last(event.StreamBroke); broke != nil {
+	if broke := t.last(event.StreamBroke); broke != nil {
 		at = broke.Time
 	}
 	return fmt.Sprintf("the stream was cut after %s when its connection to %s broke; %s; no other server went on with it: %s",
-		count(lost.Events, "event"), lost.Server, c.fate(lost.Server, at), c.whyNoMove(lost))
+		count(lost.Events, "event"), lost.Server, t.serverState(lost.Server, at), t.whyNoMove(lost))
 }
 
 // whyNoMove tells what stood in the way of another server.
-func (c *chronicle) whyNoMove(lost *line) string {
+func (t *timeline) whyNoMove(lost *line) string {
 	var failed []string
-	for _, l := range c.own {
+	for _, l := range t.own {
 		// A move under way fails a moment after the stream.
 		if l.Event == event.StreamMoveFailed && !l.Time.After(lost.Time.Add(after)) {
 			failed = append(failed, fmt.Sprintf("%s failed to (%s)", l.To, flat(l.Cause)))
@@ -56,7 +56,7 @@
 	if len(failed) > 0 {
 		return strings.Join(failed, ", ")
 	}
-	switch backup := c.backup(); backup {
+	switch backup := t.backup(); backup {
 	case "":
 		return lost.lastCause() + ", no backup had been chosen"
 	case lost.Server:
@@ -76,37 +76,37 @@
 }
 
 // causeRefused explains an answer of the box's own.
-func (c *chronicle) causeRefused(refused *line) string {
+func (t *timeline) causeRefused(refused *line) string {
 	text := fmt.Sprintf("refused by %s with status %d before any server had it: %s", refused.Box, refused.Status, flat(refused.Reason))
-	if c.last(event.RequestSent) != nil {
+	if t.last(event.RequestSent) != nil {
 		text = fmt.Sprintf("refused by %s with status %d after attempts that did not run: %s", refused.Box, refused.Status, flat(refused.Reason))
 	}
-	return text + c.configState(refused) + c.storeState(refused)
+	return text + t.configState(refused) + t.storeState(refused)
 }
 
 // causeUnknown explains a request whose server may have run it.
-func (c *chronicle) causeUnknown(end *line) string {
-	failed := lastOf(c.own, func(l *line) bool { return l.Event == event.RequestFailed && l.mayHaveRun() })
+func (t *timeline) causeUnknown(end *line) string {
+	failed := lastOf(t.own, func(l *line) bool { return l.Event == event.RequestFailed && l.mayHaveRun() })
 	if failed == nil {
 		return fmt.Sprintf("the outcome is unknown: the box answered %d, %s", end.Status, flat(end.Reason))
 	}
 	return fmt.Sprintf("the outcome is unknown: the attempt on %s failed at the stage %q after it was sent, so it may have run and was not repeated (%s); %s",
-		failed.Server, failed.Stage, flat(failed.Cause), c.fate(failed.Server, failed.Time))
+		failed.Server, failed.Stage, flat(failed.Cause), t.serverState(failed.Server, failed.Time))
 }
 
 // causeEnded explains an answer that was passed on, whole or in part.
-func (c *chronicle) causeEnded(ended *line) string {
-	server := c.server()
+func (t *timeline) causeEnded(ended *line) string {
+	server := t.server()
 	switch {
 	case ended.Cause == event.CauseStopped:
 		return fmt.Sprintf("%s stopped and cut the answer%s, after %s", ended.Box, elapsedText(ended.Elapsed), count(ended.Events, "event"))
 	case ended.Cause != "":
-		return fmt.Sprintf("the answer broke off: %s; %s", flat(ended.Cause), c.fate(server, ended.Time))
+		return fmt.Sprintf("the answer broke off: %s; %s", flat(ended.Cause), t.serverState(server, ended.Time))
 	case ended.Status >= http.StatusInternalServerError:
-		return fmt.Sprintf("%s itself answered %d; the answer was passed on after %s%s", server, ended.Status, c.attempts(), c.whyNotResent())
+		return fmt.Sprintf("%s itself answered %d; the answer was passed on after %s%s", server, ended.Status, t.attempts(), t.whyNotResent())
 	case ended.Status >= http.StatusBadRequest:
 		return fmt.Sprintf("%s itself answered %d: the request was not acceptable to it", server, ended.Status)
-	case c.last(event.StreamMoved) != nil:
+	case t.last(event.StreamMoved) != nil:
 		return "no failure: the stream was moved and ended whole"
 	default:
 		return "no failure: the caller has its whole answer"
@@ -114,8 +114,8 @@
 }
 
 // whyNotResent tells why a failure was passed on, if the log says so.
-func (c *chronicle) whyNotResent() string {
-	l := c.last(event.RequestNotResent)
+func (t *timeline) whyNotResent() string {
+	l := t.last(event.RequestNotResent)
 	if l == nil {
 		return ""
 	}
@@ -123,9 +123,9 @@
 }
 
 // attempts counts the request's attempts and names their servers.
-func (c *chronicle) attempts() string {
+func (t *timeline) attempts() string {
 	var servers []string
-	for _, l := range c.own {
+	for _, l := range t.own {
 		if l.Event == event.RequestSent {
 			servers = append(servers, l.Server)
 		}
@@ -133,8 +133,8 @@
 	return count(len(servers), "attempt") + " (" + strings.Join(servers, ", ") + ")"
 }
 
-func (c *chronicle) causeCallerLeft(left *line) string {
-	server := c.server()
+func (t *timeline) causeCallerLeft(left *line) string {
+	server := t.server()
 	if server == "" {
 		return fmt.Sprintf("the caller left%s, before a server was chosen", elapsedText(left.Elapsed))
 	}
@@ -142,20 +142,20 @@
 }
 
 // causeNoEnd explains a request whose last line is not its end.
-func (c *chronicle) causeNoEnd() string {
-	end := c.own[len(c.own)-1]
+func (t *timeline) causeNoEnd() string {
+	end := t.own[len(t.own)-1]
 	where := "before it was sent to a server"
-	if server := c.server(); server != "" {
+	if server := t.server(); server != "" {
 		where = "while " + server + " had it, so it may have run"
 	}
-	restart := c.firstContext(func(l *line) bool {
+	restart := t.firstContext(func(l *line) bool {
 		return l.Event == event.Start && l.Box == end.Box && l.Time.After(end.Time) && l.Time.Before(end.Time.Add(restartLimit))
 	})
 	if restart != nil {
 		return fmt.Sprintf("the outcome is unknown: the process of %s ended %s (it started anew %s after the request's last line)",
 			end.Box, where, gap(end.Time, restart.Time))
 	}
-	if dropped := c.firstContext(func(l *line) bool {
+	if dropped := t.firstContext(func(l *line) bool {
 		return l.Event == event.LinesDropped && l.Box == end.Box && l.Time.After(end.Time)
 	}); dropped != nil {
 		return fmt.Sprintf("unknown: lines of %s were dropped, the last one of this request may be among them", end.Box)
--- a/internal/explain/reader.go
+++ b/internal/explain/reader.go
@@ -91,6 +91,6 @@
 	byTime := func(a, b *line) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(r.own, byTime)
 	slices.SortStableFunc(r.context, byTime)
-	c := &chronicle{own: r.own, context: r.context}
+	c := &timeline{own: r.own, context: r.context}
 	return &Story{Request: r.Request, Steps: c.steps(), Cause: c.cause()}
 }
--- a/internal/explain/chronicle.go
+++ b/internal/explain/timeline.go
@@ -7,34 +7,34 @@
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 )
 
-// chronicle holds a request's lines and what happened around them, each ordered by
+// timeline holds a request's lines and what happened around them, each ordered by
 // time.
-type chronicle struct {
+type timeline struct {
 	own     []*line
 	context []*line
 }
 
 // steps returns the story's lines.
-func (c *chronicle) steps() []Step {
-	if len(c.own) == 0 {
+func (t *timeline) steps() []Step {
+	if len(t.own) == 0 {
 		return nil
 	}
 	var steps []Step
-	for _, l := range c.own {
+	for _, l := range t.own {
 		steps = append(steps, Step{Time: l.Time, Box: l.Box, Text: l.sentence(), Own: true})
 	}
-	servers := c.servers()
-	for _, l := range c.context {
-		steps = append(steps, c.contextSteps(l, servers)...)
+	servers := t.servers()
+	for _, l := range t.context {
+		steps = append(steps, t.contextSteps(l, servers)...)
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return a.Time.Compare(b.Time) })
 	return steps
 }
 
 // contextSteps returns what a line tells that matters to the request.
-func (c *chronicle) contextSteps(l *line, servers []string) []Step {
-	begin, end := c.span()
-	if l.Time.Before(begin.Add(-before)) || l.Time.After(end.Add(after)) || !slices.Contains(c.boxes(), l.Box) {
+func (t *timeline) contextSteps(l *line, servers []string) []Step {
+	begin, end := t.span()
+	if l.Time.Before(begin.Add(-before)) || l.Time.After(end.Add(after)) || !slices.Contains(t.boxes(), l.Box) {
 		return nil
 	}
 	var steps []Step
@@ -65,18 +65,18 @@
 }
 
 // span returns the times of the request's first and last line.
-func (c *chronicle) span() (begin, end time.Time) {
-	return c.own[0].Time, c.own[len(c.own)-1].Time
+func (t *timeline) span() (begin, end time.Time) {
+	return t.own[0].Time, t.own[len(t.own)-1].Time
 }
 
 // servers returns the backend servers that the request's lines name.
-func (c *chronicle) servers() []string {
-	return distinct(c.own, (*line).servers)
+func (t *timeline) servers() []string {
+	return distinct(t.own, (*line).servers)
 }
 
 // boxes returns the boxes that handled the request.
-func (c *chronicle) boxes() []string {
-	return distinct(c.own, func(l *line) []string { return []string{l.Box} })
+func (t *timeline) boxes() []string {
+	return distinct(t.own, func(l *line) []string { return []string{l.Box} })
 }
 
 func distinct(lines []*line, of func(*line) []string) []string {
@@ -92,8 +92,8 @@
 }
 
 // server returns the backend server that had the request last, "" if none had.
-func (c *chronicle) server() string {
-	l := lastOf(c.own, func(l *line) bool { return l.Event == event.RequestSent || l.Event == event.StreamMoved })
+func (t *timeline) server() string {
+	l := lastOf(t.own, func(l *line) bool { return l.Event == event.RequestSent || l.Event == event.StreamMoved })
 	switch {
 	case l == nil:
 		return ""
@@ -105,8 +105,8 @@
 }
 
 // backup returns the server that was to keep a copy, as last chosen, "" if none was.
-func (c *chronicle) backup() string {
-	l := lastOf(c.own, func(l *line) bool { return l.Backup != "" })
+func (t *timeline) backup() string {
+	l := lastOf(t.own, func(l *line) bool { return l.Backup != "" })
 	if l == nil {
 		return ""
 	}
@@ -114,19 +114,19 @@
 }
 
 // last returns the request's last line of an event, nil if there is none.
-func (c *chronicle) last(name event.Name) *line {
-	return lastOf(c.own, func(l *line) bool { return l.Event == name })
+func (t *timeline) last(name event.Name) *line {
+	return lastOf(t.own, func(l *line) bool { return l.Event == name })
 }
 
 // lastContext returns the last line around the request that fits.
-func (c *chronicle) lastContext(fits func(*line) bool) *line {
-	return lastOf(c.context, fits)
+func (t *timeline) lastContext(fits func(*line) bool) *line {
+	return lastOf(t.context, fits)
 }
 
 // firstContext returns the first line around the request that fits.
-func (c *chronicle) firstContext(fits func(*line) bool) *line {
-	if i := slices.IndexFunc(c.context, fits); i >= 0 {
-		return c.context[i]
+func (t *timeline) firstContext(fits func(*line) bool) *line {
+	if i := slices.IndexFunc(t.context, fits); i >= 0 {
+		return t.context[i]
 	}
 	return nil
 }
