--- a/internal/choose/chooser_test.go
+++ b/internal/choose/chooser_test.go
@@ -189,6 +189,20 @@
 	}
 }
 
+// TestEnginePrompts: an engine on which prompts wait to be read is passed over for
+// one that is well filled, though not full.
+func TestEnginePrompts(t *testing.T) {
+	r := newRig(engineServer("a"), engineServer("b"))
+	need := &choose.Need{Prompt: 500, Expected: 100}
+	r.Ledger.Heard("box-2", []digest.Load{
+		{Server: "a", Streams: 1, Tokens: 4000, Prefill: 4000},
+		{Server: "b", Streams: 1, Tokens: 8000},
+	})
+	for range 20 {
+		require.Equal(t, "b", r.Engine(engineService, need).ID)
+	}
+}
+
 // TestEngineNone: engines that are to be avoided or drain are no candidates, and
 // full ones are better than none.
 func TestEngineNone(t *testing.T) {
