--- a/internal/spend/budget.go
+++ b/internal/spend/budget.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// slices is the number of counters that a window is kept in. Ten keep the
+	// windowSlots is the number of counters that a window is kept in. Ten keep the
 	// error of the oldest one to a tenth of the window.
-	slices = 10
+	windowSlots = 10
 	// caution is the part of the budget that is used. The rest covers boxes that
 	// were restarted within the window and forgot what they spent.
 	caution = 0.75
@@ -59,9 +59,9 @@
 // window counts the attempts for one service.
 type window struct {
 	slot  int64
-	first [slices]int
+	first [windowSlots]int
 	// second has one counter more: a sliding window that ends now began within it.
-	second [slices + 1]int
+	second [windowSlots + 1]int
 }
 
 // First notes a first attempt for a service.
@@ -69,7 +69,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.at(service)
-	w.first[w.slot%slices]++
+	w.first[w.slot%windowSlots]++
 }
 
 // Spend takes a second attempt and reports whether there was one left.
@@ -120,7 +120,7 @@
 		b.services = make(map[string]*window)
 		b.start = b.Clock.Now()
 	}
-	slot := int64(b.Clock.Since(b.start) / (b.Terms.Window / slices))
+	slot := int64(b.Clock.Since(b.start) / (b.Terms.Window / windowSlots))
 	w := b.services[service]
 	if w == nil {
 		w = &window{slot: slot}
@@ -129,7 +129,7 @@
 	for ; w.slot < slot; w.slot++ {
 		w.slot = max(w.slot, slot-int64(len(w.second)))
 		next := w.slot + 1
-		w.first[next%slices] = 0
+		w.first[next%windowSlots] = 0
 		w.second[next%int64(len(w.second))] = 0
 	}
 	return w
