--- a/internal/program/box.go
+++ b/internal/program/box.go
@@ -102,6 +102,7 @@
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
 	b := newBox(s, clock, log)
+	file.logger = b.Logger
 	go file.follow(ctx, hangup, clock, b)
 	return b.Run(ctx)
 }
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -8,7 +8,6 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/dalebend/dalebend/internal/box"
 	"github.com/dalebend/dalebend/internal/boxsettings"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 )
@@ -17,10 +16,14 @@
 // a signal, and what it holds may be in force a second late.
 const lookEvery = time.Second
 
+// reloader takes changed settings.
+type reloader interface{ Reload(s *boxsettings.Settings) }
+
 // settingsFile is the file that the platform lays out.
 type settingsFile struct {
-	path string
-	read func() (*boxsettings.Settings, error)
+	path   string
+	read   func() (*boxsettings.Settings, error)
+	logger *slog.Logger
 
 	modified time.Time
 	size     int64
@@ -29,27 +32,27 @@
 // follow reloads the settings at each hang-up signal and when the file has
 // changed, until the context ends. A file that cannot be used is logged and
 // changes nothing.
-func (f *settingsFile) follow(ctx context.Context, hangup <-chan os.Signal, clock clockwork.Clock, b *box.Box) {
+func (f *settingsFile) follow(ctx context.Context, hangup <-chan os.Signal, clock clockwork.Clock, to reloader) {
 	ticker := clock.NewTicker(lookEvery)
 	defer ticker.Stop()
-	f.changed(b)
+	f.changed()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
-			f.changed(b)
+			f.changed()
 		case <-ticker.Chan():
-			if !f.changed(b) {
+			if !f.changed() {
 				continue
 			}
 		}
 		s, err := f.read()
 		if err != nil {
-			logRefused(b.Logger, err)
+			logRefused(f.logger, err)
 			continue
 		}
-		b.Reload(s)
+		to.Reload(s)
 	}
 }
 
@@ -60,10 +63,10 @@
 }
 
 // changed reports whether the file differs from when it was last looked at.
-func (f *settingsFile) changed(b *box.Box) bool {
+func (f *settingsFile) changed() bool {
 	info, err := os.Stat(f.path)
 	if err != nil {
-		logRefused(b.Logger, err)
+		logRefused(f.logger, err)
 		return false
 	}
 	same := info.ModTime().Equal(f.modified) && info.Size() == f.size
--- /dev/null
+++ b/internal/program/reload_test.go
@@ -0,0 +1,72 @@
+package program
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/boxsettings"
+)
+
+// taken collects the settings that were reloaded.
+type taken chan *boxsettings.Settings
+
+func (t taken) Reload(s *boxsettings.Settings) { t <- s }
+
+// TestFollow: settings are reloaded at a hang-up, also if the file is the same,
+// and when the file has changed without one; a file that cannot be used changes
+// nothing.
+func TestFollow(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write("one")
+	var log bytes.Buffer
+	refused := make(chan struct{}, 1)
+	f := &settingsFile{path: path, logger: slog.New(slog.NewTextHandler(&log, nil))}
+	f.read = func() (*boxsettings.Settings, error) {
+		text, err := os.ReadFile(path)
+		if string(text) == "bad" {
+			refused <- struct{}{}
+			return nil, errors.New("not usable")
+		}
+		return &boxsettings.Settings{Box: string(text)}, err
+	}
+	clock := clockwork.NewFakeClock()
+	ctx, cancel := context.WithCancel(t.Context())
+	hangup := make(chan os.Signal)
+	got := make(taken)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.follow(ctx, hangup, clock, got)
+	}()
+	look := func() {
+		require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+		clock.Advance(lookEvery)
+	}
+
+	hangup <- syscall.SIGHUP
+	require.Equal(t, "one", (<-got).Box)
+	write("two, and longer")
+	look()
+	require.Equal(t, "two, and longer", (<-got).Box)
+	write("bad")
+	look()
+	<-refused
+	write("three")
+	require.NoError(t, os.Chtimes(path, time.Time{}, time.Unix(1, 0)))
+	hangup <- syscall.SIGHUP
+	require.Equal(t, "three", (<-got).Box)
+	cancel()
+	<-ended
+	require.Contains(t, log.String(), "not usable")
+}
