--- a/internal/boxsettings/settings_test.go
+++ b/internal/boxsettings/settings_test.go
@@ -13,9 +13,9 @@
 // sound returns settings that can be used.
 func sound() *boxsettings.Settings {
 	return &boxsettings.Settings{
-		Box: "box-a", Domain: "hall-1", Front: "10.1.0.19:8740", Ready: "10.1.0.19:8749",
-		Heartbeat: "10.1.0.19:7200", Calls: "10.1.0.19:7200", Metrics: "10.1.0.19:7215",
-		Store: "10.200.1.7:8742", StopGrace: 8 * time.Second,
+		Box: "box-a", Domain: "hall-1", Front: "10.9.0.1:8740", Ready: "10.9.0.1:8749",
+		Heartbeat: "10.9.0.1:7200", Calls: "10.9.0.1:7200", Metrics: "10.9.0.1:7215",
+		Store: "10.9.9.9:8742", StopGrace: 8 * time.Second,
 		RetryRatio: 0.2, RetryFloor: 58, RetryWindow: 10 * time.Second,
 	}
 }
@@ -30,11 +30,11 @@
 		{"name of the box", func(s *boxsettings.Settings) { s.Box = "" }},
 		{"failure domain", func(s *boxsettings.Settings) { s.Domain = "" }},
 		{"front address", func(s *boxsettings.Settings) { s.Front = "" }},
-		{"ready address", func(s *boxsettings.Settings) { s.Ready = "10.1.0.19" }},
+		{"ready address", func(s *boxsettings.Settings) { s.Ready = "10.9.0.1" }},
 		{"heartbeat address", func(s *boxsettings.Settings) { s.Heartbeat = ":7200" }},
-		{"calls address", func(s *boxsettings.Settings) { s.Calls = "10.1.0.19:" }},
-		{"metrics address", func(s *boxsettings.Settings) { s.Metrics = "10.1.0.19:65536" }},
-		{"store address", func(s *boxsettings.Settings) { s.Store = "10.1.0.19:http" }},
+		{"calls address", func(s *boxsettings.Settings) { s.Calls = "10.9.0.1:" }},
+		{"metrics address", func(s *boxsettings.Settings) { s.Metrics = "10.9.0.1:65536" }},
+		{"store address", func(s *boxsettings.Settings) { s.Store = "10.9.0.1:http" }},
 		{"limits", func(s *boxsettings.Settings) { s.MemoryBytes = -1 }},
 		{"limits", func(s *boxsettings.Settings) { s.Descriptors = -1 }},
 		{"time to stop", func(s *boxsettings.Settings) { s.StopGrace = 0 }},
