--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -40,7 +40,6 @@
 	RetryAfter *int64 `json:"retry_after_ms"`
 	Pause      *int64 `json:"pause_ms"`
 	Elapsed    *int64 `json:"ms"`
-	Away       *int64 `json:"away_ms"`
 
 	ConfigVersion *int64 `json:"config_version"`
 	ConfigAge     *int64 `json:"config_age_ms"`
