--- a/internal/decisionlog/handler.go
+++ b/internal/decisionlog/handler.go
@@ -11,9 +11,9 @@
 	render slog.Handler
 }
 
-// Enabled reports whether the level is written: info and above.
+// Enabled reports whether the level is written.
 func (h *handler) Enabled(_ context.Context, level slog.Level) bool {
-	return level >= slog.LevelInfo
+	return level >= h.log.Level
 }
 
 // Handle queues a line. It returns no error: dropped lines are reported in the log.
--- a/internal/decisionlog/log.go
+++ b/internal/decisionlog/log.go
@@ -33,6 +33,10 @@
 
 // Log is the decision log of a process. A nil *Log drops every line uncounted.
 type Log struct {
+	// Level is the least level that is written; set it before use. The zero value
+	// is info.
+	Level slog.Level
+
 	clock   clockwork.Clock
 	out     io.Writer
 	queue   *queue
@@ -70,7 +74,7 @@
 
 // Emit writes the line of an event. It never blocks on the reader.
 func (l *Log) Emit(name event.Name, attrs ...slog.Attr) {
-	if l == nil {
+	if l == nil || name.Level() < l.Level {
 		return
 	}
 	r := slog.NewRecord(l.clock.Now(), name.Level(), string(name), 0)
--- a/internal/decisionlog/log_test.go
+++ b/internal/decisionlog/log_test.go
@@ -106,6 +106,33 @@
 `, out.String())
 }
 
+// TestLevel: lines below the level are left out and not counted as dropped.
+func TestLevel(t *testing.T) {
+	for level, want := range map[slog.Level][]string{
+		slog.LevelDebug: {"details", "start", "peer-lost"},
+		slog.LevelInfo:  {"start", "peer-lost"},
+		slog.LevelWarn:  {"peer-lost"},
+		slog.LevelError: nil,
+	} {
+		var out bytes.Buffer
+		log := decisionlog.New(&out, clockwork.NewFakeClockAt(start), "box-1")
+		log.Level = level
+		stop := run(log)
+		log.Logger().Debug("details")
+		log.Logger().Info(string(event.Start))
+		log.Emit(event.PeerLost)
+		stop()
+		var got []string
+		for text := range strings.Lines(out.String()) {
+			var l line
+			require.NoError(t, json.Unmarshal([]byte(text), &l))
+			got = append(got, l.Event)
+		}
+		require.Equal(t, want, got, level)
+		require.Zero(t, log.Dropped(), level)
+	}
+}
+
 // TestBatch sees lines come without a stop, together in one write.
 func TestBatch(t *testing.T) {
 	defer goleak.VerifyNone(t)
--- a/internal/program/box.go
+++ b/internal/program/box.go
@@ -54,7 +54,12 @@
 		fmt.Fprintf(out, "%+v\n", *file)
 		return exitDone
 	}
-	if err := runBox(file, &settingsFile{path: path, read: read}, out); err != nil {
+	log := decisionlog.New(out, clockwork.NewRealClock(), file.Box)
+	if err := log.Level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		fmt.Fprintln(errOut, "dalebend-box:", err)
+		return exitUsage
+	}
+	if err := runBox(file, &settingsFile{path: path, read: read}, log); err != nil {
 		fmt.Fprintln(errOut, "dalebend-box:", err)
 		return exitFailed
 	}
@@ -79,12 +84,11 @@
 	return host
 }
 
-func runBox(s *boxsettings.Settings, file *settingsFile, out io.Writer) error {
+func runBox(s *boxsettings.Settings, file *settingsFile, log *decisionlog.Log) error {
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
 	clock := clockwork.NewRealClock()
-	log := decisionlog.New(out, clock, s.Box)
 	logCtx, logStop := context.WithCancel(context.Background())
 	logged := make(chan struct{})
 	go func() {
