--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -34,14 +34,16 @@
 )
 
 const (
-	// headerTime bounds how long a caller may take to send a request's head. The
-	// configuration's own bound is shorter; this one holds before any is known.
+	// headerTime bounds how long a caller may take to send a request's head. It
+	// lies above the bounds that configurations set. Those are not applied:
+	// connections are accepted before a configuration is known.
 	headerTime = 10 * time.Second
-	// idleTime bounds how long a connection may rest. It lies above the bounds
-	// that configurations set, since closing a connection that a caller still
-	// counts on costs it a request.
+	// idleTime bounds how long a connection may rest. It lies above the
+	// bounds that configurations set, which are not applied either: closing a
+	// connection that a caller still counts on costs it a request.
 	idleTime = 90 * time.Second
-	// maxHeader bounds a request's head, in bytes, before a configuration is known.
+	// maxHeader bounds a request's head, in bytes. It lies above the bounds that
+	// configurations set, which are not applied.
 	maxHeader = 64 << 10
 	// defaultBody bounds a request's body, in bytes, if the configuration does not.
 	defaultBody = 4 << 20
