front: connections may rest for ten minutes

Cause: read in review: callers may take up a connection that has rested for four fifths of the configuration's bound, which is not applied; with a bound above 112 s the fixed 90 s would have cut them. Resting connections cost a descriptor each, and there are thousands.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -41,7 +41,7 @@
 	// idleTime bounds how long a connection may rest. It lies above the
 	// bounds that configurations set, which are not applied either: closing a
 	// connection that a caller still counts on costs it a request.
-	idleTime = 90 * time.Second
+	idleTime = 10 * time.Minute
 	// maxHeader bounds a request's head, in bytes. It lies above the bounds that
 	// configurations set, which are not applied.
 	maxHeader = 64 << 10
