streaming: one evacuation an engine, whatever the view it was placed under

Cause: read in review: generations of a leaving engine were grouped by the entry of the registry's view, and every view has entries of its own, so that those placed under different views were copied at once again. They are grouped by the engine's id; the test fails before.

--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -39,15 +39,34 @@
 	for _, id := range ids {
 		leaving[id] = true
 	}
-	stranded := make(map[*registry.Server][]*run)
+	for _, e := range r.evacuations(leaving) {
+		go r.empty(e.engine, e.runs)
+	}
+}
+
+// evacuation is what is to be moved off one engine.
+type evacuation struct {
+	engine *registry.Server
+	runs   []*run
+}
+
+// evacuations returns the generations that are to be moved, by the id of their
+// engine: each view of the registry has entries of its own for the same server.
+func (r *Relay) evacuations(leaving map[string]bool) map[string]*evacuation {
+	byEngine := make(map[string]*evacuation)
 	for _, x := range r.all() {
-		if engine := x.stranded(leaving); engine != nil {
-			stranded[engine] = append(stranded[engine], x)
+		engine := x.stranded(leaving)
+		if engine == nil {
+			continue
 		}
+		e := byEngine[engine.ID]
+		if e == nil {
+			e = &evacuation{engine: engine}
+			byEngine[engine.ID] = e
+		}
+		e.runs = append(e.runs, x)
 	}
-	for engine, runs := range stranded {
-		go r.empty(engine, runs)
-	}
+	return byEngine
 }
 
 // stranded returns the generation's engine if that leaves and no copy of the
