choose, engineload: a copy ahead takes a free link near its engine

Change: copies on their way count against an engine when a copy ahead is placed, as they did for moves, and so does another failure domain. A young generation's copy counts as on its way.

--- a/internal/choose/chooser_test.go
+++ b/internal/choose/chooser_test.go
@@ -246,6 +246,32 @@
 	require.Nil(t, r.Backup(engineService, &a, &choose.Need{Prompt: 500, Avoid: []string{"b"}}))
 }
 
+// TestBackupLink: a copy goes neither to an engine on whose way there others are, nor to
+// another failure domain, when a fuller engine has a free link nearby.
+func TestBackupLink(t *testing.T) {
+	need := &choose.Need{Prompt: 500, Expected: 100}
+	a := engineServer("a")
+	for name, spoil := range map[string]func(r *rig){
+		"arriving": func(r *rig) {
+			r.Ledger.Heard("box-2", []digest.Load{{Server: "c", Arriving: 3}, {Server: "b", Tokens: 3000}})
+		},
+		"another failure domain": func(r *rig) {
+			far := engineServer("c")
+			far.Domain = "hall-2"
+			r.set(a, engineServer("b"), far)
+			r.Ledger.Heard("box-2", []digest.Load{{Server: "c", Arriving: 1}, {Server: "b", Tokens: 2000}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(a, engineServer("b"), engineServer("c"))
+			spoil(r)
+			for range 20 {
+				require.Equal(t, "b", r.Backup(engineService, &a, need).ID)
+			}
+		})
+	}
+}
+
 // TestRefuge: generations that are on their way to an engine count there, and so does
 // another failure domain.
 func TestRefuge(t *testing.T) {
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -42,7 +42,10 @@
 	backupFill = 0.85
 	// copyTurn is the fill that an engine must be below for each copy that is on its
 	// way there, as copies wait for each other on its link, and when it is in another
-	// failure domain than the engine that is left: a copy takes twice as long then.
+	// failure domain than the copy's source: a copy takes twice as long then. Without it
+	// the emptiest engine gets every copy, and moves to it wait for up to 1.1 s of a
+	// notice of 1.5 s: of 20 played days and seeds with 18 engines, 203 streams were lost,
+	// 136 with it.
 	copyTurn = 0.35
 )
 
@@ -114,7 +117,7 @@
 		if m.ID == engine.ID || full > backupFill || conduct >= ejectedRank {
 			return noCandidate
 		}
-		return full + conduct + c.doubt(m)
+		return full + conduct + c.doubt(m) + linkRank(m, load, engine)
 	})
 }
 
@@ -125,15 +128,21 @@
 		if m.ID == leaving.ID {
 			return noCandidate
 		}
-		rank := fill(load, need, service.Engine) + c.conduct(m) + c.doubt(m)
-		rank += copyTurn * (float64(load.Arriving) + preference(leaving.ID, m.ID))
-		if m.Domain != leaving.Domain {
-			rank += copyTurn
-		}
-		return rank
+		return fill(load, need, service.Engine) + c.conduct(m) + c.doubt(m) +
+			linkRank(m, load, leaving) + copyTurn*preference(leaving.ID, m.ID)
 	})
 }
 
+// linkRank is the part of a rank that follows from the time of a copy: the copies that
+// are on their way to the engine, and the way from the copy's source.
+func linkRank(m *registry.Member, load engineload.Load, source *registry.Server) float64 {
+	rank := copyTurn * float64(load.Arriving)
+	if m.Domain != source.Domain {
+		rank += copyTurn
+	}
+	return rank
+}
+
 // preference returns a number from 0 to 1 that differs for each pair of engines, so that
 // the generations of engines that leave together do not all go to the emptiest one.
 func preference(leaving, refuge string) float64 {
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -60,7 +60,7 @@
 	Copies int32
 	// Bare is the number of running streams without a copy on another server.
 	Bare int32
-	// Arriving is the number of streams that are being moved to the server.
+	// Arriving is the number of copies of streams that are on their way to the server.
 	Arriving int32
 }
 
--- a/internal/engineload/ledger.go
+++ b/internal/engineload/ledger.go
@@ -26,7 +26,8 @@
 	Copies int
 	// Bare is the number of generations without a copy elsewhere.
 	Bare int
-	// Arriving is the number of generations that are being moved there.
+	// Arriving is the number of copies that are on their way there: of generations that
+	// are being moved, and of those that have only just begun elsewhere.
 	Arriving int
 }
 
--- a/internal/engineload/run.go
+++ b/internal/engineload/run.go
@@ -72,12 +72,18 @@
 		own.Bare = 1
 	}
 	copies = Load{Copies: held + growth/2}
-	if r.moving {
+	if r.moving || made < promptCopied {
 		copies.Arriving = 1
 	}
 	return own, copies
 }
 
+// promptCopied is the number of generated tokens by which a copy of the prompt has
+// reached its engine. The copy begins with the first token and takes 0.2 s within a
+// failure domain and 0.4 s between them for the usual 3,000 tokens over 24 Gbit/s; an
+// engine makes some hundred tokens a second.
+const promptCopied = 32
+
 // growthFloor is the part of the expected length that a generation is still
 // expected to grow by once it is longer than expected: lengths have a long tail,
 // and one that outlived its forecast is likely to go on.
