streaming, notice: copies ahead only where an engine cannot be emptied in its notice

Cause: copies ahead of every long generation fill engines and links. Moves alone are too slow where six and more generations are on one engine.

Change: package notice learns how much notice engines give, none for one that ends without a word; a generation gets a copy when its engine could not be emptied in 0.6 of that, by the declared size of a token and rate of the link. Boxes wait for their turn at a leaving engine as long as those before make progress, and not for what has not begun or was given up. A generation whose prompt is still read is tried again instead of lost.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -24,6 +24,7 @@
 	"github.com/dalebend/dalebend/internal/front"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/member"
+	"github.com/dalebend/dalebend/internal/notice"
 	"github.com/dalebend/dalebend/internal/peerstate"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -79,6 +80,7 @@
 	duty      *watchduty.Duty
 	directory *registry.Directory
 	evidence  *evidence.Book
+	notice    *notice.Book
 	ledger    *engineload.Ledger
 	chooser   *choose.Chooser
 	budget    *spend.Budget
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -11,6 +11,7 @@
 	"github.com/dalebend/dalebend/internal/forecast"
 	"github.com/dalebend/dalebend/internal/front"
 	"github.com/dalebend/dalebend/internal/member"
+	"github.com/dalebend/dalebend/internal/notice"
 	"github.com/dalebend/dalebend/internal/peerstate"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/single"
@@ -37,6 +38,7 @@
 func (b *Box) buildBeliefs() {
 	b.ledger = engineload.New()
 	b.evidence = &evidence.Book{Clock: b.Clock, Changed: b.serverChanged}
+	b.notice = &notice.Book{Clock: b.Clock}
 	b.directory = &registry.Directory{Clock: b.Clock, StoreReturned: b.storeReturned, Left: b.serversLeft}
 	b.chooser = &choose.Chooser{
 		Directory: b.directory, Evidence: b.evidence, Ledger: b.ledger,
@@ -94,7 +96,7 @@
 	b.streams = &streaming.Relay{
 		Box:   s.Box,
 		Clock: b.Clock, Logger: b.Logger, Chooser: b.chooser, Directory: b.directory,
-		Evidence: b.evidence, Ledger: b.ledger, Lengths: &forecast.Book{},
+		Evidence: b.evidence, Ledger: b.ledger, Lengths: &forecast.Book{}, Notice: b.notice,
 		Exchanger: b.Exchange, Codec: b.Platform.Codec, Mover: b.Platform.Mover,
 		Budget: b.budget, LoadChanged: b.node.Kick, Beliefs: b.beliefs, Metrics: b.Metrics,
 	}
--- a/internal/engineload/ledger.go
+++ b/internal/engineload/ledger.go
@@ -24,7 +24,8 @@
 	Prefill int
 	// Copies is the memory held by copies of generations that run elsewhere.
 	Copies int
-	// Bare is the number of generations without a copy elsewhere.
+	// Bare is the number of generations without a copy elsewhere that would have to be
+	// moved if the engine left: those that have begun and whose move is not over.
 	Bare int
 	// Arriving is the number of copies that are on their way there: of generations that
 	// are being moved, and of those that have only just begun elsewhere.
@@ -102,8 +103,7 @@
 	}
 }
 
-// Bare returns how many generations without a copy elsewhere each peer runs on
-// an engine, by box.
+// Bare returns how many generations each peer would have to move off an engine, by box.
 func (l *Ledger) Bare(server string) map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/engineload/run.go
+++ b/internal/engineload/run.go
@@ -13,6 +13,8 @@
 	backup string
 	// moving means that the engine in backup is the target of a move that is not done yet.
 	moving bool
+	// settled means that no move of it will be tried any more while it is where it is.
+	settled bool
 	// made counts generated tokens; -1 until the first.
 	made atomic.Int64
 }
@@ -35,6 +37,15 @@
 	r.server = server
 	r.backup = backup
 	r.moving = false
+	r.settled = false
+}
+
+// Settle notes that the generation was moved or that its move was given up, so that
+// nobody waits for it.
+func (r *Run) Settle() {
+	r.ledger.mu.Lock()
+	defer r.ledger.mu.Unlock()
+	r.settled = true
 }
 
 // Reserve counts the memory of the generation at the target of a move as well,
@@ -60,15 +71,16 @@
 // holds its copy.
 func (r *Run) load() (own, copies Load) {
 	made := int(r.made.Load())
+	begun := made >= 0
 	prefill := 0
-	if made < 0 {
+	if !begun {
 		made = 0
 		prefill = r.prompt
 	}
 	held := r.prompt + made
 	growth := max(r.expected-made, r.expected/growthFloor)
 	own = Load{Streams: 1, Tokens: held, Growth: growth, Prefill: prefill}
-	if r.backup == "" || r.moving {
+	if begun && !r.settled && (r.backup == "" || r.moving) {
 		own.Bare = 1
 	}
 	copies = Load{Copies: held + growth/2}
--- /dev/null
+++ b/internal/notice/book_test.go
@@ -0,0 +1,52 @@
+package notice_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/notice"
+)
+
+// TestBook plays the stories of testdata. A line is "left ENGINE", "broke ENGINE" or
+// "after DURATION"; the result is the notice expected then.
+func TestBook(t *testing.T) {
+	datadriven.RunTest(t, "testdata/book.txt", func(t *testing.T, td *datadriven.TestData) string {
+		clock := clockwork.NewFakeClock()
+		book := &notice.Book{Clock: clock}
+		for line := range strings.Lines(td.Input) {
+			f := strings.Fields(line)
+			switch f[0] {
+			case "left":
+				book.Left(f[1])
+			case "broke":
+				book.Broke(f[1])
+			case "after":
+				d, err := time.ParseDuration(f[1])
+				require.NoError(t, err)
+				clock.Advance(d)
+			default:
+				t.Fatalf("unknown line %q", line)
+			}
+		}
+		return fmt.Sprintf("%s from %d\n", book.Expected(), book.Seen())
+	})
+}
+
+// TestLearns: after thirty engines that gave half a second, that is what is expected.
+func TestLearns(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	book := &notice.Book{Clock: clock}
+	for i := range 30 {
+		engine := fmt.Sprint(i)
+		book.Left(engine)
+		clock.Advance(500 * time.Millisecond)
+		book.Broke(engine)
+	}
+	require.InDelta(t, 500, book.Expected().Milliseconds(), 50)
+}
--- a/internal/routetable/service.go
+++ b/internal/routetable/service.go
@@ -35,6 +35,21 @@
 	CopyLife time.Duration
 }
 
+// unknownCopy is the time of a copy between engines whose links are not declared: that of
+// 4,000 tokens of 160 KB over 24 Gbit/s.
+const unknownCopy = 220 * time.Millisecond
+
+// CopyTime returns how long a copy of so many tokens takes to another engine of the same
+// failure domain over links that are free; to other domains it takes twice as long.
+func (e *Engine) CopyTime(tokens int) time.Duration {
+	if e.LinkMbps <= 0 || e.TokenBytes <= 0 {
+		return unknownCopy
+	}
+	const bitsPerByte, bitsPerMbit = 8, 1e6
+	bits := float64(tokens) * float64(e.TokenBytes) * bitsPerByte
+	return time.Duration(bits / (e.LinkMbps * bitsPerMbit) * float64(time.Second))
+}
+
 // Limits bound what a caller may send.
 type Limits struct {
 	// HeaderBytes and BodyBytes are sizes.
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -6,7 +6,6 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dalebend/dalebend/internal/hop"
@@ -20,15 +19,6 @@
 	// notYet is the pause before a generation whose prompt is still being read is
 	// tried again: about a quarter of the reading.
 	notYet = 60 * time.Millisecond
-	// moveEach is the time that one generation's memory takes to another engine:
-	// about 1.15 GB at 47 Gbit/s within a failure domain.
-	moveEach = 200 * time.Millisecond
-	// longestTurn bounds the wait for other boxes' turns, so that what they told
-	// wrongly does not use up the notice.
-	longestTurn = 1100 * time.Millisecond
-	// turnCheck is how often a box looks whether its turn has come: about the
-	// time in which a heartbeat brings the word.
-	turnCheck = 15 * time.Millisecond
 )
 
 // Left is told of servers that have begun to leave or are gone. Generations on
@@ -37,6 +27,7 @@
 	leaving := make(map[string]bool, len(ids))
 	for _, id := range ids {
 		leaving[id] = true
+		r.Notice.Left(id)
 	}
 	for _, e := range r.evacuations(leaving) {
 		go r.empty(e.engine, e.runs)
@@ -93,64 +84,31 @@
 // take turns in an order that all of them know.
 func (r *Relay) empty(engine *registry.Server, runs []*run) {
 	sort.Slice(runs, func(i, j int) bool { return runs[i].size() < runs[j].size() })
-	r.awaitTurn(runs[0].ctx, engine)
+	r.awaitTurn(runs[0], engine)
+	// unread counts those in a row that have no memory to copy yet, as their prompt is
+	// still being read.
+	unread := 0
 	for len(runs) > 0 {
 		x := runs[0]
 		runs = runs[1:]
-		// One whose prompt is still being read has no memory to copy yet.
-		if !x.begun() && x.ctx.Err() == nil && r.Directory.Known(engine.ID) {
-			if !anyBegun(runs) {
-				x.wait(x.ctx, notYet)
-			}
-			runs = append(runs, x)
+		if x.begun() && x.evacuate(x.pending(), engine) {
+			unread = 0
 			continue
 		}
-		x.evacuate(x.pending(), engine)
-	}
-}
-
-// begun reports whether the first event came.
-func (x *run) begun() bool { return x.progress.Load() != 0 }
-
-func anyBegun(runs []*run) bool {
-	for _, x := range runs {
-		if x.begun() {
-			return true
-		}
-	}
-	return false
-}
-
-// awaitTurn waits until the boxes that come before this one have moved their
-// own generations off an engine, as their heartbeats tell, or have had the time.
-func (r *Relay) awaitTurn(ctx context.Context, engine *registry.Server) {
-	began := r.Clock.Now()
-	limit := min(time.Duration(r.before(engine))*moveEach*3/2, longestTurn)
-	ticker := r.Clock.NewTicker(turnCheck)
-	defer ticker.Stop()
-	for r.before(engine) > 0 && r.Clock.Since(began) < limit {
-		select {
-		case <-ticker.Chan():
-		case <-ctx.Done():
-			return
+		if x.over() {
+			x.evacuated(x.pending())
+			continue
 		}
-	}
-}
-
-// before returns how many generations the boxes that come before this one have
-// still to move off an engine.
-func (r *Relay) before(engine *registry.Server) int {
-	n := 0
-	mine := turnOrder(r.Box, engine.ID)
-	for box, bare := range r.Ledger.Bare(engine.ID) {
-		if turnOrder(box, engine.ID) < mine {
-			n += bare
+		runs = append(runs, x)
+		if unread++; unread >= len(runs) {
+			unread = 0
+			x.wait(x.ctx, notYet)
 		}
 	}
-	return n
 }
 
-func turnOrder(box, engine string) uint64 { return xxhash.Sum64String(engine + "/" + box) }
+// begun reports whether the first event came.
+func (x *run) begun() bool { return x.progress.Load() != 0 }
 
 // size returns the memory that is to be copied, in tokens. The smallest is moved
 // first: more generations get out before the engine goes.
@@ -167,25 +125,45 @@
 }
 
 // evacuate copies the memory while the generation runs, then stops it and
-// copies the rest, so that the pause is short.
-func (x *run) evacuate(m *move, source *registry.Server) {
-	defer close(m.done)
+// copies the rest, so that the pause is short. It returns false if the engine has no
+// memory of the generation yet.
+func (x *run) evacuate(m *move, source *registry.Server) bool {
 	ctx, cancel := clockwork.WithTimeout(x.ctx, x.relay.Clock, moveTime)
 	defer cancel()
 	target, err := x.copyAhead(ctx, source)
+	if errors.Is(err, hop.ErrNotRunning) && !x.over() {
+		return false
+	}
+	defer x.evacuated(m)
 	if err != nil {
 		x.moveOver(m, source, target, err)
-		return
+		return true
 	}
 	// Taken before the generation is stopped: once stopped it must go on elsewhere,
 	// and others take retries meanwhile.
 	if !x.relay.Budget.Spend(x.job.Service.Name) {
 		x.moveOver(m, source, target, errBudgetSpent)
-		return
+		return true
 	}
 	x.stopAndCopy(ctx, m, source, target)
+	return true
 }
 
+// evacuated ends a move. Whatever became of it, other boxes need not wait for it.
+func (x *run) evacuated(m *move) {
+	// First, as it may be counted at another engine as soon as the move is done.
+	x.mu.Lock()
+	if x.load != nil {
+		x.load.Settle()
+	}
+	x.mu.Unlock()
+	close(m.done)
+	x.relay.loadChanged()
+}
+
+// over reports whether the request has ended.
+func (x *run) over() bool { return x.ctx.Err() != nil }
+
 // stopAndCopy stops the generation, whose retry is taken, and copies the rest.
 func (x *run) stopAndCopy(ctx context.Context, m *move, source, target *registry.Server) {
 	x.mu.Lock()
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -121,7 +121,7 @@
 // chooseBackup returns the engine that gets a copy of the generation, or nil.
 func (x *run) chooseBackup(engine *registry.Server, need *choose.Need) *registry.Server {
 	e := x.job.Service.Engine
-	if !e.Backups || x.expected < worthCopying {
+	if !e.Backups || x.expected < worthCopying || x.movable(engine, need) {
 		return nil
 	}
 	c := x.relay.Chooser.Backup(x.job.Service, engine, need)
@@ -131,6 +131,21 @@
 	return c.Server
 }
 
+// inNotice is the part of the notice in which an engine must be emptied for its
+// generations to do without copies; the rest is for copies to other failure domains and
+// for links that are busy, as several engines leave at once.
+const inNotice = 0.6
+
+// movable reports whether the engine can be emptied within the notice that engines give,
+// so that the generation needs no copy ahead.
+func (x *run) movable(engine *registry.Server, need *choose.Need) bool {
+	if !x.job.Service.Engine.Moves {
+		return false
+	}
+	usable := time.Duration(inNotice * float64(x.relay.Notice.Expected()))
+	return x.relay.Chooser.Emptying(x.job.Service, engine.ID, need) <= usable
+}
+
 // offered is how an offer to an engine ended.
 type offered struct {
 	answer *answer
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -28,6 +28,7 @@
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/forecast"
 	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/notice"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -67,6 +68,7 @@
 	Directory *registry.Directory
 	Evidence  *evidence.Book
 	Ledger    *engineload.Ledger
+	Notice    *notice.Book
 	Lengths   *forecast.Book
 	Exchanger Exchanger
 	Codec     hop.Codec
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -18,6 +18,7 @@
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/forecast"
+	"github.com/dalebend/dalebend/internal/notice"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -51,6 +52,8 @@
 	backups bool
 	// retries is the retry budget.
 	retries int
+	// linkMbps is the rate of the links between engines, in Mbit/s.
+	linkMbps int
 	// expected is the number of tokens that the caller expects.
 	expected int
 }
@@ -59,6 +62,7 @@
 	r := &rig{fleet: f, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)), servers: make(map[string]registry.Server)}
 	r.service = &routetable.Service{Name: "chat", Engine: &routetable.Engine{
 		Slots: 20, MemoryTokens: 100000, Moves: true, Backups: tm.backups, TokensPerEvent: 4,
+		TokenBytes: 160000, LinkMbps: float64(tm.linkMbps),
 	}}
 	r.route = &routetable.Route{Name: "r", Stream: true}
 	r.sink = &sink{rig: r}
@@ -90,6 +94,7 @@
 			Directory: directory, Evidence: book, Ledger: ledger, Domain: "hall", Rand: rand.New(rand.NewPCG(1, 2)),
 		},
 		Directory: directory, Evidence: book, Ledger: ledger, Lengths: &forecast.Book{},
+		Notice:    &notice.Book{Clock: r.clock},
 		Exchanger: r.fleet, Codec: codec{}, Mover: r.fleet,
 		Budget: &spend.Budget{
 			Clock: r.clock, Boxes: func() int { return 1 },
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -299,6 +299,12 @@
 	}
 }
 
+func (x *run) engineID() string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return idOf(x.engine)
+}
+
 func idOf(s *registry.Server) string {
 	if s == nil {
 		return ""
