streaming, registry, platform: engines are asked whether they leave while the list is old

Change: while the list of servers is older than 1.5 s, engines that run generations are asked for their state every 250 ms, each by one box, which tells the others with its heartbeats. One that knows when it ends gets no new work and is emptied. Two lines of the decision log tell of it.

--- a/internal/belief/belief.go
+++ b/internal/belief/belief.go
@@ -22,6 +22,15 @@
 // Source returns the present state. A nil Source tells nothing.
 type Source func() State
 
+// Age returns the time since what the box knows was last known to be the newest, negative
+// before that or if nothing tells.
+func (s Source) Age() time.Duration {
+	if s == nil {
+		return -1
+	}
+	return s().Age
+}
+
 // Append adds the versions and the age of the view to a line.
 func (s Source) Append(attrs []slog.Attr) []slog.Attr {
 	if s == nil {
--- a/internal/box/beliefs.go
+++ b/internal/box/beliefs.go
@@ -16,6 +16,14 @@
 // the longest time for which a box itself does without the server.
 const troubleAge = 3 * time.Second
 
+// Kinds of trouble that boxes tell each other of.
+const (
+	// troubleFailed is a backend server that could not be reached or failed.
+	troubleFailed uint8 = iota
+	// troubleDeparts is an engine that said itself that it is about to end.
+	troubleDeparts
+)
+
 // follows reports whether this box follows the store now.
 func (b *Box) follows() bool {
 	active, reason := b.duty.Decide()
@@ -123,7 +131,12 @@
 	d.Loads = b.ledger.Own()
 	d.Attempts = b.budget.Own()
 	b.evidence.Failures(troubleAge, func(server string, age time.Duration) {
-		d.Troubles = append(d.Troubles, digest.Trouble{Server: server, AgeMs: int32(age.Milliseconds())})
+		d.Troubles = append(d.Troubles, digest.Trouble{Server: server, AgeMs: int32(age.Milliseconds()), Kind: troubleFailed})
+	})
+	b.directory.Departing(func(server string, age time.Duration) {
+		if age < troubleAge {
+			d.Troubles = append(d.Troubles, digest.Trouble{Server: server, AgeMs: int32(age.Milliseconds()), Kind: troubleDeparts})
+		}
 	})
 }
 
@@ -137,13 +150,23 @@
 	b.noteContact()
 	b.ledger.Heard(d.Box, d.Loads)
 	b.budget.Heard(d.Box, d.Attempts)
-	for _, t := range d.Troubles {
-		b.evidence.PeerSaw(t.Server, time.Duration(t.AgeMs)*time.Millisecond)
-	}
+	b.heardTroubles(d.Troubles)
 	b.share.Heard(d)
 	b.watcher.Wake()
 }
 
+// heardTroubles takes what a peer tells of backend servers.
+func (b *Box) heardTroubles(troubles []digest.Trouble) {
+	for _, t := range troubles {
+		switch t.Kind {
+		case troubleDeparts:
+			b.directory.Depart(t.Server)
+		default:
+			b.evidence.PeerSaw(t.Server, time.Duration(t.AgeMs)*time.Millisecond)
+		}
+	}
+}
+
 // peersChanged is told that a peer was lost or regained.
 func (b *Box) peersChanged() {
 	live := make(map[string]bool)
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -48,6 +48,8 @@
 	Codec hop.Codec
 	// Mover tells engines to copy memory.
 	Mover streaming.Mover
+	// Reporter asks engines what becomes of them.
+	Reporter streaming.Reporter
 }
 
 // Boxes lists the boxes of the fleet in the platform's store.
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -97,7 +97,7 @@
 		Box:   s.Box,
 		Clock: b.Clock, Logger: b.Logger, Chooser: b.chooser, Directory: b.directory,
 		Evidence: b.evidence, Ledger: b.ledger, Lengths: &forecast.Book{}, Notice: b.notice,
-		Exchanger: b.Exchange, Codec: b.Platform.Codec, Mover: b.Platform.Mover,
+		Exchanger: b.Exchange, Codec: b.Platform.Codec, Mover: b.Platform.Mover, Reporter: b.Platform.Reporter,
 		Budget: b.budget, LoadChanged: b.node.Kick, Beliefs: b.beliefs, Metrics: b.Metrics,
 	}
 	b.front = &front.Server{
--- a/internal/box/rig_test.go
+++ b/internal/box/rig_test.go
@@ -136,11 +136,12 @@
 		Clock: r.clock, Logger: logger, Metrics: r.metrics.Registry(), DialTimeout: time.Second, MaxIdlePerServer: 4,
 	}
 	store := &platform.Store{Addr: r.settings.Store, Clock: r.clock, Logger: logger, Metrics: r.metrics.Registry()}
+	moves := &platform.Moves{Exchanger: client}
 	b := &box.Box{
 		Clock: r.clock, Logger: logger, Metrics: r.metrics, Settings: r.settings, Exchange: client, Seed: 1,
 		Platform: box.Platform{
 			Source: store, Boxes: store, Decode: platform.DecodeTable, Wire: platform.Requests{},
-			Codec: platform.Requests{}, Mover: &platform.Moves{Exchanger: client},
+			Codec: platform.Requests{}, Mover: moves, Reporter: moves,
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -63,6 +63,10 @@
 			KeyServer, KeyCause, KeyFailures, KeyAway),
 		info(ServerReadmitted, "an ejected server gets requests again",
 			KeyServer, KeyAway, KeyCause),
+		info(EngineDeparts, "an engine that was asked, as the view is old, says that it is about to end",
+			KeyServer, KeyLeavesIn, KeyViewRevision, KeyViewAge),
+		info(EngineSilent, "an engine that was asked, as the view is old, gave no answer",
+			KeyServer, KeyCause, KeyViewRevision, KeyViewAge),
 	}
 }
 
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -34,6 +34,8 @@
 	ServersView      Name = "servers-view"
 	ServerEjected    Name = "server-ejected"
 	ServerReadmitted Name = "server-readmitted"
+	EngineDeparts    Name = "engine-departs"
+	EngineSilent     Name = "engine-silent"
 )
 
 // A request on its way.
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -62,6 +62,8 @@
 	KeyLive     = "live"
 	KeyFailures = "failures"
 	KeyAway     = "away_ms"
+	// KeyLeavesIn is the time until a server ends, by its own word.
+	KeyLeavesIn = "leaves_in_ms"
 	KeyOpen     = "open"
 	KeyRole     = "role"
 	KeyDomain   = "failure_domain"
--- a/internal/engineload/ledger.go
+++ b/internal/engineload/ledger.go
@@ -7,6 +7,7 @@
 package engineload
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/dalebend/dalebend/internal/digest"
@@ -118,6 +119,19 @@
 	return bare
 }
 
+// Users returns the peers that run generations on an engine.
+func (l *Ledger) Users(server string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var boxes []string
+	for box, loads := range l.peers {
+		if slices.ContainsFunc(loads, func(d digest.Load) bool { return d.Server == server && d.Streams > 0 }) {
+			boxes = append(boxes, box)
+		}
+	}
+	return boxes
+}
+
 // All returns what is believed to be on every engine that has anything, by the
 // engine's id.
 func (l *Ledger) All() map[string]Load {
--- a/internal/hop/codec.go
+++ b/internal/hop/codec.go
@@ -45,6 +45,14 @@
 	LastEvent string
 }
 
+// Report is what an engine says of itself when it is asked.
+type Report struct {
+	// Leaving is set when it is about to end and knows when.
+	Leaving bool
+	// LeavesIn is the time until then.
+	LeavesIn time.Duration
+}
+
 // Codec writes requests to backend servers and reads what their answers mean.
 type Codec interface {
 	// Header returns the headers that the server gets.
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -26,8 +26,11 @@
 	// Left, if set, is told of servers that have just begun to leave or are gone.
 	Left func(ids []string)
 
-	mu      sync.Mutex
-	current atomic.Pointer[listing]
+	mu sync.Mutex
+	// departing holds servers that said themselves that they leave, and when that was
+	// noted. The view may be older.
+	departing map[string]time.Time
+	current   atomic.Pointer[listing]
 }
 
 // listing is what follows from one view.
@@ -44,6 +47,47 @@
 	Until time.Time
 }
 
+// departingMemory is how long a server's own word is remembered: longer than the store is
+// away. A later start of the server has another id.
+const departingMemory = 10 * time.Minute
+
+// Depart notes servers that said themselves that they leave, and returns those that were
+// not known to.
+func (d *Directory) Depart(ids ...string) (fresh []string) {
+	d.mu.Lock()
+	now := d.Clock.Now()
+	for id, at := range d.departing {
+		if now.Sub(at) > departingMemory {
+			delete(d.departing, id)
+		}
+	}
+	for _, id := range ids {
+		if _, known := d.departing[id]; !known && d.Takes(id) {
+			if d.departing == nil {
+				d.departing = make(map[string]time.Time)
+			}
+			d.departing[id] = now
+			fresh = append(fresh, id)
+		}
+	}
+	d.mu.Unlock()
+	if len(fresh) > 0 {
+		d.Set(d.View())
+	}
+	return fresh
+}
+
+// Departing visits the servers that said themselves that they leave, with the time since
+// that was noted.
+func (d *Directory) Departing(visit func(id string, age time.Duration)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	for id, at := range d.departing {
+		visit(id, now.Sub(at))
+	}
+}
+
 // Set takes a newer view.
 func (d *Directory) Set(v *View) {
 	d.mu.Lock()
@@ -51,7 +95,7 @@
 	next := &listing{view: v, services: make(map[string][]Member), members: make(map[string]Member)}
 	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
 		s := v.Servers[id]
-		if s.State == Ready {
+		if _, departs := d.departing[id]; s.State == Ready && !departs {
 			next.add(Member{Server: &s})
 		}
 	}
@@ -77,7 +121,8 @@
 			continue
 		}
 		_, draining := next.view.Servers[id]
-		if !draining && !m.over(now) && now.Before(until) {
+		_, departs := d.departing[id]
+		if !draining && !departs && !m.over(now) && now.Before(until) {
 			next.add(Member{Server: m.Server, Until: until})
 			continue
 		}
--- a/internal/registry/directory_test.go
+++ b/internal/registry/directory_test.go
@@ -78,6 +78,16 @@
 	return b.String()
 }
 
+// departing prints the servers that said themselves that they leave.
+func (s *script) departing() string {
+	var list []string
+	s.dir.Departing(func(id string, age time.Duration) {
+		list = append(list, fmt.Sprintf("%s %s ago\n", id, age))
+	})
+	slices.Sort(list)
+	return strings.Join(list, "")
+}
+
 // TestScripts runs the scripts in testdata: views, time, and a store that returns.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -94,6 +104,11 @@
 				d, err := time.ParseDuration(strings.TrimSpace(td.Input))
 				require.NoError(t, err)
 				s.clock.Advance(d)
+			case "depart":
+				fresh := s.dir.Depart(strings.Fields(td.Input)...)
+				return fmt.Sprintf("fresh: %s\n%s", strings.Join(fresh, " "), s.show())
+			case "departing":
+				return s.departing()
 			case "takes":
 				return fmt.Sprintf("takes=%t known=%t\n", s.dir.Takes(td.Input), s.dir.Known(td.Input))
 			default:
--- /dev/null
+++ b/internal/streaming/ask.go
@@ -0,0 +1,109 @@
+package streaming
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+const (
+	// staleAfter is the age of the list of servers from which engines are asked
+	// themselves. While the store answers, a change of the list reaches the boxes within
+	// 1.4 s in the users' fleets, most within 0.3 s.
+	staleAfter = 1500 * time.Millisecond
+	// askEvery is how often an engine is asked. What it answers is half a second old, so
+	// that of a notice of 1.5 s some 0.8 s are left to empty it.
+	askEvery = 250 * time.Millisecond
+	// askTime bounds one question.
+	askTime = 200 * time.Millisecond
+	// askAtOnce bounds the questions of a box under way.
+	askAtOnce = 16
+)
+
+// Reporter asks engines what becomes of them.
+type Reporter interface {
+	Report(ctx context.Context, engine *registry.Server) (hop.Report, error)
+}
+
+// Ask asks engines that run generations whether they leave, for as long as the list of
+// servers is old, until the context ends. Without it all that runs on an engine that is
+// reclaimed during an outage of the store is lost, a sixth of the engines every 3.3 s in
+// the users' fleets: 20 of 320 streams in an outage of 8 s.
+func (r *Relay) Ask(ctx context.Context) {
+	ticker := r.Clock.NewTicker(askEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		if age := r.Beliefs.Age(); age > staleAfter {
+			r.askAll(ctx)
+		}
+	}
+}
+
+// askAll asks the engines that this box is to ask, some at a time.
+func (r *Relay) askAll(ctx context.Context) {
+	ctx, cancel := clockwork.WithTimeout(ctx, r.Clock, askTime)
+	defer cancel()
+	var g errgroup.Group
+	g.SetLimit(askAtOnce)
+	for _, engine := range r.toAsk() {
+		g.Go(func() error {
+			r.ask(ctx, engine)
+			return nil
+		})
+	}
+	_ = g.Wait() // its functions return no errors
+}
+
+// toAsk returns the engines that run generations of this box, but for those that another
+// box asks: of all boxes that run something on an engine, the first in its order of turns
+// asks and tells the others.
+func (r *Relay) toAsk() map[string]*registry.Server {
+	engines := make(map[string]*registry.Server)
+	for _, x := range r.all() {
+		engine := x.at()
+		if engine == nil || engines[engine.ID] != nil || !r.Directory.Takes(engine.ID) {
+			continue
+		}
+		if r.asks(engine.ID) {
+			engines[engine.ID] = engine
+		}
+	}
+	return engines
+}
+
+func (r *Relay) asks(engine string) bool {
+	mine := turnOrder(r.Box, engine)
+	for _, box := range r.Ledger.Users(engine) {
+		if turnOrder(box, engine) < mine {
+			return false
+		}
+	}
+	return true
+}
+
+// ask asks one engine. An answer that does not come tells nothing: requests that fail
+// there do.
+func (r *Relay) ask(ctx context.Context, engine *registry.Server) {
+	report, err := r.Reporter.Report(ctx, engine)
+	if err != nil {
+		r.logNoReport(engine, err)
+		return
+	}
+	if !report.Leaving {
+		return
+	}
+	if fresh := r.Directory.Depart(engine.ID); len(fresh) > 0 {
+		r.logDeparts(engine, report)
+		r.loadChanged()
+	}
+}
--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
@@ -41,6 +42,8 @@
 	// answers and moves say how the next calls end; after the last, all end well.
 	answers []string
 	moves   []string
+	// leaves is what it says when it is asked whether it leaves: not yet, soon, or nothing.
+	leaves string
 	// held is closed to let calls go on that hang.
 	held chan struct{}
 	// streams are all streams of the engine, the newest last.
@@ -85,7 +88,7 @@
 func newFleet(notSent, full error, ids ...string) *fleet {
 	f := &fleet{notSent: notSent, full: full, engines: make(map[string]*engine), copies: make(map[string]*memory)}
 	for _, id := range ids {
-		f.engines[id] = &engine{id: id, held: make(chan struct{})}
+		f.engines[id] = &engine{id: id, leaves: "not yet", held: make(chan struct{})}
 	}
 	return f
 }
@@ -407,3 +410,22 @@
 	close(e.held)
 	e.held = make(chan struct{})
 }
+
+// errSilence is an engine that does not say whether it leaves.
+var errSilence = errors.New("no answer")
+
+// Report answers whether an engine leaves.
+func (f *fleet) Report(_ context.Context, s *registry.Server) (hop.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[s.ID]
+	f.note("%s is asked: %s", s.ID, e.leaves)
+	switch e.leaves {
+	case "soon":
+		return hop.Report{Leaving: true, LeavesIn: time.Second}, nil
+	case "nothing":
+		return hop.Report{}, errSilence
+	default:
+		return hop.Report{}, nil
+	}
+}
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -14,7 +14,7 @@
 	x.logBroke(cause)
 	at := x.movedCopy(ctx)
 	if at == nil {
-		x.relay.Notice.Broke(x.engineID())
+		x.relay.Notice.Broke(idOf(x.at()))
 		at = x.backupCopy()
 	}
 	a, err := x.continueAt(ctx, at)
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -7,6 +7,7 @@
 
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/registry"
 )
 
@@ -122,3 +123,17 @@
 		slog.String(event.KeyFrom, from.ID), slog.String(event.KeyTo, to.ID),
 		slog.String(event.KeyCause, cause.Error()))
 }
+
+func (r *Relay) logDeparts(engine *registry.Server, report hop.Report) {
+	r.Logger.LogAttrs(context.Background(), event.EngineDeparts.Level(), string(event.EngineDeparts),
+		r.Beliefs.AppendView([]slog.Attr{
+			slog.String(event.KeyServer, engine.ID), slog.Int64(event.KeyLeavesIn, report.LeavesIn.Milliseconds()),
+		})...)
+}
+
+func (r *Relay) logNoReport(engine *registry.Server, cause error) {
+	r.Logger.LogAttrs(context.Background(), event.EngineSilent.Level(), string(event.EngineSilent),
+		r.Beliefs.AppendView([]slog.Attr{
+			slog.String(event.KeyServer, engine.ID), slog.String(event.KeyCause, cause.Error()),
+		})...)
+}
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -73,6 +73,7 @@
 	Exchanger Exchanger
 	Codec     hop.Codec
 	Mover     Mover
+	Reporter  Reporter
 	Budget    *spend.Budget
 	// LoadChanged, if set, is called when this box's share of an engine's load changed.
 	LoadChanged func()
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/belief"
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/digest"
 	"github.com/dalebend/dalebend/internal/engineload"
@@ -40,6 +41,8 @@
 	service *routetable.Service
 	route   *routetable.Route
 	sink    *sink
+	// age is how old the list of servers is.
+	age time.Duration
 
 	guard  context.CancelFunc
 	caller context.CancelFunc
@@ -77,6 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.guard = cancel
 	go r.relay.Guard(ctx)
+	go r.relay.Ask(ctx)
 	synctest.Wait()
 	return r
 }
@@ -95,7 +99,8 @@
 		},
 		Directory: directory, Evidence: book, Ledger: ledger, Lengths: &forecast.Book{},
 		Notice:    &notice.Book{Clock: r.clock},
-		Exchanger: r.fleet, Codec: codec{}, Mover: r.fleet,
+		Exchanger: r.fleet, Codec: codec{}, Mover: r.fleet, Reporter: r.fleet,
+		Beliefs: func() belief.State { return belief.State{Age: r.age} },
 		Budget: &spend.Budget{
 			Clock: r.clock, Boxes: func() int { return 1 },
 			// Three quarters of a budget are used.
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -299,10 +299,11 @@
 	}
 }
 
-func (x *run) engineID() string {
+// at returns the generation's engine, nil before it has one.
+func (x *run) at() *registry.Server {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return idOf(x.engine)
+	return x.engine
 }
 
 func idOf(s *registry.Server) string {
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dalebend/dalebend/internal/digest"
 	"github.com/dalebend/dalebend/internal/registry"
 )
 
@@ -36,6 +37,9 @@
 //	old say|end|break ENGINE     the same of the stream before the newest
 //	release ENGINE               calls that hang there go on
 //	drain ENGINE / ready ENGINE / gone ENGINE   it is about to leave / is not any more / its entry is removed
+//	age DURATION                 the list of servers is that old
+//	says ENGINE not yet|soon|nothing  what an engine says when it is asked whether it leaves
+//	peer BOX ENGINE              another box runs a generation on the engine
 //	spend                        another request takes a retry, if one is left
 //	advance DURATION / leave / deaf   time passes / the caller leaves / it takes no more bytes
 func TestScripts(t *testing.T) {
@@ -124,6 +128,12 @@
 		r.setState(args[0], registry.Ready)
 	case "gone":
 		r.gone(args[0])
+	case "age":
+		r.age = s.duration(args[0])
+	case "says":
+		r.fleet.engines[args[0]].leaves = strings.Join(args[1:], " ")
+	case "peer":
+		r.relay.Ledger.Heard(args[0], []digest.Load{{Server: args[1], Streams: 1}})
 	case "spend":
 		r.relay.Budget.Spend(r.service.Name)
 	case "advance":
