storewatch: the first try of the store is spread once

Cause: boxes that start together left the first try to each other twice, by the spread of the start and by the share of a seeker; six boxes that were killed together knew their configuration only after 0.1 to 0.55 s and refused some 50 requests meanwhile.

Change: a first try that has a spread is due after that alone. The test with six seekers fails before.

--- a/internal/storewatch/seek_test.go
+++ b/internal/storewatch/seek_test.go
@@ -71,6 +71,8 @@
 		r := newRigWith(t, true, func(w *Watcher) {
 			w.StartSpread = spread
 			w.Draw = func() float64 { return 0.5 }
+			// However many boxes start together.
+			w.Seekers = func() int { return 6 }
 		})
 		r.awaitPause()
 		r.clock.Advance(spread/2 - 1)
--- a/internal/storewatch/waits.go
+++ b/internal/storewatch/waits.go
@@ -25,10 +25,23 @@
 // whether the watcher is to try the store then. The wait is cut short when another
 // box has found the store.
 func (w *Watcher) awaitTurn(ctx context.Context, pause time.Duration) bool {
-	began := w.Clock.Now()
 	share := time.Duration(w.draw() * float64(seekSpread))
+	return w.awaitWhileActive(ctx, func() time.Duration {
+		return pause + share*time.Duration(w.seekers()-1)
+	})
+}
+
+// awaitFirst waits before the first try, however many boxes seek the store.
+func (w *Watcher) awaitFirst(ctx context.Context, pause time.Duration) bool {
+	return w.awaitWhileActive(ctx, func() time.Duration { return pause })
+}
+
+// awaitWhileActive waits for a time that may change meanwhile, and reports whether it has
+// passed. The wait is cut short when the watcher is not to try the store any more.
+func (w *Watcher) awaitWhileActive(ctx context.Context, pause func() time.Duration) bool {
+	began := w.Clock.Now()
 	for w.Active() {
-		left := pause + share*time.Duration(w.seekers()-1) - w.Clock.Since(began)
+		left := pause() - w.Clock.Since(began)
 		if left <= 0 {
 			return true
 		}
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -100,17 +100,25 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	w.once.Do(w.prepare)
 	pause := newPause()
+	// A first try that has a spread is due after that alone. Later ones wait longer the
+	// more boxes seek the store, and with that as well six boxes that started together
+	// knew their configuration after 0.1 to 0.55 s.
+	await := w.awaitTurn
+	if w.StartSpread > 0 {
+		await = w.awaitFirst
+	}
 	next := time.Duration(w.draw() * float64(w.StartSpread))
 	for ctx.Err() == nil {
 		if !w.Active() {
 			w.contact.unwatched()
 			w.awaitWake(ctx)
-			next = 0
+			next, await = 0, w.awaitTurn
 			continue
 		}
-		if !w.awaitTurn(ctx, next) {
+		if !await(ctx, next) {
 			continue
 		}
+		await = w.awaitTurn
 		err := w.session(ctx)
 		if ctx.Err() != nil || errors.Is(err, errInactive) {
 			continue
