forecast, streaming: hints are drawn to learned lengths and capped

Cause: a caller's hint counted as it stood; 4,185 to 22,841 tokens were expected where 2,216 are the most, and engines that had room were taken for full.

Change: forecast.Hints learns how far hints are off and how far lengths spread, by model and route, and weighs the two by that; never above the most that may be generated.

--- a/internal/forecast/book.go
+++ b/internal/forecast/book.go
@@ -20,6 +20,19 @@
 type Book struct {
 	byKey   sync.Map // Key -> *Lengths
 	byModel sync.Map // string -> *Lengths
+	// hints are kept by model and kind alone, so that they are soon learned.
+	hints sync.Map // Key -> *Hints
+}
+
+// Hints returns what is learned of the hints of one kind of answers of a model, whatever
+// the account.
+func (b *Book) Hints(k Key) *Hints {
+	k.Account = ""
+	if h, ok := b.hints.Load(k); ok {
+		return h.(*Hints)
+	}
+	h, _ := b.hints.LoadOrStore(k, &Hints{})
+	return h.(*Hints)
 }
 
 func (b *Book) key(k Key) *Lengths {
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -116,7 +116,7 @@
 // expected returns how many tokens the answer is expected to have.
 func (r *Relay) expected(j *Job) int {
 	if j.Request.HintTokens > 0 {
-		return j.Request.HintTokens
+		return r.Lengths.Hints(lengthKey(j)).Expect(j.Request.HintTokens, j.Request.MaxTokens)
 	}
 	mean := int(r.Lengths.Curve(lengthKey(j)).Mean())
 	if j.Request.MaxTokens > 0 {
