--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -134,7 +134,7 @@
 // inNotice is the part of the notice in which an engine must be emptied for its
 // generations to do without copies; the rest is for copies to other failure domains and
 // for links that are busy, as several engines leave at once.
-const inNotice = 0.6
+const inNotice = 0.45
 
 // movable reports whether the engine can be emptied within the notice that engines give,
 // so that the generation needs no copy ahead.
