explain, ctl: tally-log counts how all requests of decision logs ended, and why

Change: dalebendctl tally-log, by route, outcome and cause, optionally by window and with limits from which a stream is late, each row with a request for explain-log. Lines of sent generations name their route.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -101,6 +101,8 @@
 		return c.explain(ctx, s.Explain)
 	case s.ExplainLog != nil:
 		return c.explainLog(s.ExplainLog)
+	case s.TallyLog != nil:
+		return c.tallyLog(s.TallyLog)
 	case s.Drain != nil:
 		return c.drain(s.Drain)
 	default:
--- a/internal/ctl/explainlog.go
+++ b/internal/ctl/explainlog.go
@@ -32,8 +32,13 @@
 	return story, nil
 }
 
+// logReader takes the lines of decision logs.
+type logReader interface {
+	Read(from io.Reader) error
+}
+
 // readLogs reads the files, or standard input without any.
-func (c *Command) readLogs(reader *explain.Reader, paths []string) error {
+func (c *Command) readLogs(reader logReader, paths []string) error {
 	if len(paths) == 0 {
 		return reader.Read(c.In)
 	}
@@ -45,7 +50,7 @@
 	return nil
 }
 
-func readLog(reader *explain.Reader, path string) error {
+func readLog(reader logReader, path string) error {
 	f, err := os.Open(path)
 	if err != nil {
 		return err
--- a/internal/ctl/explainlog_test.go
+++ b/internal/ctl/explainlog_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -57,3 +58,29 @@
 	require.Equal(t, 1, code)
 	require.Contains(t, errOut, "no such file")
 }
+
+// TestTallyLog counts what standard input and files hold, and refuses negative times.
+func TestTallyLog(t *testing.T) {
+	tally := func(cmd *settings.TallyLogCmd, output string) (code int, out, errOut string) {
+		var outBuf, errBuf bytes.Buffer
+		c := &ctl.Command{
+			Settings: &settings.Ctl{TallyLog: cmd, Output: output},
+			In:       strings.NewReader(sentLine + goneLine),
+			Out:      &outBuf, Err: &errBuf, Clock: clockwork.NewFakeClock(),
+		}
+		code = c.Run(context.Background())
+		return code, outBuf.String(), errBuf.String()
+	}
+	code, out, _ := tally(&settings.TallyLogCmd{}, "text")
+	require.Zero(t, code)
+	require.Equal(t, "route  count  outcome  cause          example\n       1      no end   its box ended  r1\n", out)
+	code, out, _ = tally(&settings.TallyLogCmd{Window: time.Second}, "json")
+	require.Zero(t, code)
+	require.Contains(t, out, `"outcome": "no end"`)
+	code, _, errOut := tally(&settings.TallyLogCmd{Pause: -1}, "text")
+	require.Equal(t, 2, code)
+	require.Contains(t, errOut, "negative")
+	code, _, errOut = tally(&settings.TallyLogCmd{Files: []string{filepath.Join(t.TempDir(), "none")}}, "text")
+	require.Equal(t, 1, code)
+	require.Contains(t, errOut, "no such file")
+}
--- a/internal/decisionlog/event/document.go
+++ b/internal/decisionlog/event/document.go
@@ -18,7 +18,8 @@
 budget of its own, so that a frequent one does not crowd out the others. Lines that
 are left out are counted by event in ` + "`log-lines-dropped`" + `.
 
-` + "`dalebendctl explain-log ID FILES...`" + ` tells the story of one request from such lines.
+` + "`dalebendctl explain-log ID FILES...`" + ` tells the story of one request from such lines,
+` + "`dalebendctl tally-log FILES...`" + ` counts how all of them ended, by route and cause.
 This page is written from the code (` + "`internal/decisionlog/event`" + `) and checked against
 it by a test.
 `
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -16,7 +16,7 @@
 
 // TestStories tells the stories of testdata.
 func TestStories(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/stories", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
 			var request string
 			td.ScanArgs(t, "request", &request)
@@ -74,7 +74,7 @@
 	for _, d := range event.Declarations() {
 		declared[d.Name] = append([]string{event.KeyTime, event.KeyLevel, event.KeyEvent, event.KeyBox}, d.Keys...)
 	}
-	datadriven.RunTest(t, "testdata/stories.txt", func(t *testing.T, td *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/stories/stories.txt", func(t *testing.T, td *datadriven.TestData) string {
 		for text := range strings.Lines(td.Input) {
 			var keys map[string]any
 			require.NoError(t, json.Unmarshal([]byte(text[strings.IndexByte(text, '{'):]), &keys), text)
--- a/internal/settings/ctl.go
+++ b/internal/settings/ctl.go
@@ -13,6 +13,7 @@
 	Status     *StatusCmd     `arg:"subcommand:status" help:"show each box: version in force, reach of the store, counters"`
 	Explain    *ExplainCmd    `arg:"subcommand:explain" help:"gather the decisions on a request from all boxes"`
 	ExplainLog *ExplainLogCmd `arg:"subcommand:explain-log" help:"tell the story of a request, and the cause of its failure, from lines of decision logs"`
+	TallyLog   *TallyLogCmd   `arg:"subcommand:tally-log" help:"count how all requests of some decision logs ended, and why"`
 	Drain      *DrainCmd      `arg:"subcommand:drain" help:"take a backend server out of use, or back into it"`
 
 	ObjectAPI string `arg:"--object-api,env:DALEBEND_OBJECT_API" help:"HOST:PORT of the platform's object API"`
@@ -66,6 +67,14 @@
 	Files   []string `arg:"positional" help:"decision logs of one box or of several; without any, standard input"`
 }
 
+// TallyLogCmd takes the logs to read and what counts as late.
+type TallyLogCmd struct {
+	Files  []string      `arg:"positional" help:"decision logs of one box or of several; without any, standard input"`
+	First  time.Duration `arg:"--late-first" help:"time to the first event from which a stream counts as late; 0 is never"`
+	Pause  time.Duration `arg:"--late-pause" help:"pause between events from which a stream counts as late; 0 is never"`
+	Window time.Duration `arg:"--window" help:"count by windows of this length; 0 is all together"`
+}
+
 // DrainCmd takes a backend server.
 type DrainCmd struct {
 	Server string `arg:"positional,required" help:"backend server"`
@@ -95,4 +104,4 @@
 }
 
 // offline reports whether the command reads files only.
-func (c *Ctl) offline() bool { return c.Validate != nil || c.ExplainLog != nil }
+func (c *Ctl) offline() bool { return c.Validate != nil || c.ExplainLog != nil || c.TallyLog != nil }
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -12,7 +12,7 @@
 )
 
 // sentAttrs is the most attributes that a line of a send has.
-const sentAttrs = 12
+const sentAttrs = 13
 
 // log writes one line of the decision log about the generation.
 func (x *run) log(name event.Name, attrs ...slog.Attr) {
@@ -23,6 +23,7 @@
 func (x *run) logSent(attempt int, c *choose.Candidate, backup *registry.Server) {
 	attrs := make([]slog.Attr, 0, sentAttrs)
 	attrs = append(attrs,
+		slog.String(event.KeyRoute, x.job.Route.Name),
 		slog.String(event.KeyServer, c.ID), slog.Int(event.KeyAttempt, attempt),
 		slog.String(event.KeyCause, c.Reason()),
 		slog.Int(event.KeyCandidates, c.Of), slog.Int(event.KeyLoad, c.Load.Peak()),
