--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -99,12 +99,21 @@
 		return c.status(ctx)
 	case s.Explain != nil:
 		return c.explain(ctx, s.Explain)
+	case s.Drain != nil:
+		return c.drain(s.Drain)
+	default:
+		return c.runOnLogs()
+	}
+}
+
+// runOnLogs runs the commands that read decision logs.
+func (c *Command) runOnLogs() (result, error) {
+	s := c.Settings
+	switch {
 	case s.ExplainLog != nil:
 		return c.explainLog(s.ExplainLog)
 	case s.TallyLog != nil:
 		return c.tallyLog(s.TallyLog)
-	case s.Drain != nil:
-		return c.drain(s.Drain)
 	default:
 		return nil, fmt.Errorf("%w: name a command; see --help", errUsage)
 	}
--- a/internal/explain/outcome.go
+++ b/internal/explain/outcome.go
@@ -59,6 +59,8 @@
 		p.moveFailed = l
 	case event.RequestRefused, event.RequestGivenUp, event.RequestEnded, event.CallerLeft:
 		p.ended = l
+	default:
+		// The other events neither end a request nor say why it ended.
 	}
 }
 
@@ -96,11 +98,19 @@
 		return Failed, "the server answered that it failed"
 	case p.stream == nil:
 		return Whole, ""
-	case limits.First > 0 && millis(p.stream.Elapsed) > limits.First:
+	default:
+		return p.streamed(limits)
+	}
+}
+
+// streamed names the outcome of a stream that ended whole.
+func (p *progress) streamed(limits Limits) (Outcome, string) {
+	switch {
+	case beyond(p.stream.Elapsed, limits.First):
 		return Late, "first event"
-	case limits.Pause > 0 && millis(p.stream.Pause) > limits.Pause && p.stream.Moves > 0:
+	case beyond(p.stream.Pause, limits.Pause) && p.stream.Moves > 0:
 		return Late, "pause of a stream that moved"
-	case limits.Pause > 0 && millis(p.stream.Pause) > limits.Pause:
+	case beyond(p.stream.Pause, limits.Pause):
 		return Late, "pause"
 	default:
 		return Whole, ""
@@ -116,11 +126,9 @@
 	return general(why)
 }
 
-func millis(ms *int64) time.Duration {
-	if ms == nil {
-		return 0
-	}
-	return time.Duration(*ms) * time.Millisecond
+// beyond reports whether a time in milliseconds is longer than a limit, 0 for none.
+func beyond(ms *int64, limit time.Duration) bool {
+	return limit > 0 && ms != nil && time.Duration(*ms)*time.Millisecond > limit
 }
 
 // addresses are what differs between causes that are the same: addresses and ids.
