streaming, telemetry, platform: what decides on a copy is logged and counted

Lines of sent and moved generations tell how long emptying the engine takes and what notice is expected; two gauges show the learned notice and how many ended engines it comes from. The choice has a file of its own.

--- a/internal/box/metrics.go
+++ b/internal/box/metrics.go
@@ -18,6 +18,8 @@
 	m.ViewAge.Compute(b.ageSeconds)
 	m.LiveBoxes.Compute(func() float64 { return float64(len(b.live())) })
 	m.Servers.Compute(b.serverCount)
+	m.EngineNotice.Compute(func() float64 { return b.notice.Expected().Seconds() })
+	m.EngineEnds.Compute(func() float64 { return float64(b.notice.Seen()) })
 	m.ServersEjected.Compute(func() float64 { return float64(b.evidence.Ejected()) })
 	m.RetryBudgetLeft.Compute(func() float64 { return float64(b.budget.LeftInAll()) })
 	m.OpenConnections.Compute(func() float64 { return float64(b.front.Connections()) })
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -75,9 +75,9 @@
 		warn(RequestRefused, "the box answered by itself; no server has run the request",
 			KeyRequest, KeyRoute, KeyAccount, KeyStatus, KeyReason, KeyNotRun, KeyRetryAfter, KeyCandidates,
 			KeyConfigVersion, KeyConfigAge, KeyViewRevision, KeyViewAge, KeyElapsed),
-		info(RequestSent, "a server was chosen among candidates and the request goes there",
+		info(RequestSent, "a server was chosen among candidates and the request goes there; a long generation gets a backup when emptying its engine takes longer than the notice allows",
 			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyAttempt, KeyCause, KeyCandidates, KeyLoad, KeyRank,
-			KeyExpectedTokens, KeyBackup, KeyDeadline, KeyConfigVersion, KeyViewRevision, KeyViewAge, KeyElapsed),
+			KeyExpectedTokens, KeyBackup, KeyEmptying, KeyNotice, KeyDeadline, KeyConfigVersion, KeyViewRevision, KeyViewAge, KeyElapsed),
 		warn(RequestFailed, "an attempt failed; perhaps_run says whether the server may have run it",
 			KeyRequest, KeyServer, KeyAttempt, KeyStatus, KeyStage, KeyPerhapsRun, KeyCause, KeyElapsed),
 		info(RequestResent, "another server is tried after a failed attempt, or beside a slow one",
@@ -97,7 +97,7 @@
 func streamEvents() []Declaration {
 	return []Declaration{
 		info(StreamBackupChosen, "after a move, another server is to keep a copy of the stream's KV cache; the first one stands in request-sent",
-			KeyRequest, KeyServer, KeyBackup, KeyCandidates, KeyLoad, KeyReason, KeyViewRevision, KeyViewAge),
+			KeyRequest, KeyServer, KeyBackup, KeyEmptying, KeyNotice, KeyCandidates, KeyLoad, KeyReason, KeyViewRevision, KeyViewAge),
 		warn(StreamBroke, "a running stream's connection to its server ended early",
 			KeyRequest, KeyServer, KeyEvents, KeyBackup, KeyCause, KeyElapsed),
 		info(StreamMoved, "a stream goes on from another server",
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -38,6 +38,10 @@
 	KeyLoad           = "load"
 	KeyRank           = "rank"
 	KeyExpectedTokens = "expected_tokens"
+	// KeyEmptying is how long it takes to move what has no copy off an engine, KeyNotice
+	// the notice that engines are expected to give.
+	KeyEmptying = "emptying_ms"
+	KeyNotice   = "notice_ms"
 
 	KeyEvents = "events"
 	KeyMoves  = "moves"
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -82,7 +82,8 @@
 	}
 	start := x.relay.Clock.Now()
 	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Avoid: []string{from.ID}}
-	backup := x.chooseBackup(at.server, need)
+	choice := x.chooseBackup(at.server, need)
+	backup := choice.server
 	cont := &hop.Continue{Holder: at.holder, Copy: at.name, LastEvent: last}
 	o := x.offer(ctx, at.server, backup, cont)
 	if o.err == nil && o.answer.Status != okStatus {
@@ -99,7 +100,7 @@
 		x.relay.Left([]string{at.server.ID})
 	}
 	x.moves.Add(1)
-	x.logBackup(at.server, backup)
+	x.logBackup(at.server, choice)
 	x.logMoved(from, at, x.relay.Clock.Since(start))
 	return o.answer, nil
 }
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -12,7 +12,7 @@
 )
 
 // sentAttrs is the most attributes that a line of a send has.
-const sentAttrs = 13
+const sentAttrs = 15
 
 // log writes one line of the decision log about the generation.
 func (x *run) log(name event.Name, attrs ...slog.Attr) {
@@ -20,7 +20,7 @@
 	x.relay.Logger.LogAttrs(context.Background(), name.Level(), string(name), attrs...)
 }
 
-func (x *run) logSent(attempt int, c *choose.Candidate, backup *registry.Server) {
+func (x *run) logSent(attempt int, c *choose.Candidate, backup backupChoice) {
 	attrs := make([]slog.Attr, 0, sentAttrs)
 	attrs = append(attrs,
 		slog.String(event.KeyRoute, x.job.Route.Name),
@@ -28,12 +28,22 @@
 		slog.String(event.KeyCause, c.Reason()),
 		slog.Int(event.KeyCandidates, c.Of), slog.Int(event.KeyLoad, c.Load.Peak()),
 		slog.Int(event.KeyExpectedTokens, x.expected))
-	if backup != nil {
-		attrs = append(attrs, slog.String(event.KeyBackup, backup.ID))
-	}
+	attrs = backup.append(attrs)
 	x.log(event.RequestSent, x.relay.Beliefs.Append(attrs)...)
 }
 
+// append adds the choice and what decided to a line.
+func (b backupChoice) append(attrs []slog.Attr) []slog.Attr {
+	if b.server != nil {
+		attrs = append(attrs, slog.String(event.KeyBackup, b.server.ID))
+	}
+	if b.notice > 0 {
+		attrs = append(attrs,
+			slog.Int64(event.KeyEmptying, b.emptying.Milliseconds()), slog.Int64(event.KeyNotice, b.notice.Milliseconds()))
+	}
+	return attrs
+}
+
 func (x *run) logResent(from string, to *registry.Server, attempt int, cause error) {
 	x.relay.Metrics.OrUnseen().Resends.Inc(class(cause))
 	x.log(event.RequestResent,
@@ -60,14 +70,13 @@
 
 // logBackup tells of the engine that gets a copy after a move. The first one stands
 // in the line of the send.
-func (x *run) logBackup(engine, backup *registry.Server) {
-	if backup == nil {
+func (x *run) logBackup(engine *registry.Server, backup backupChoice) {
+	if backup.server == nil {
 		return
 	}
-	attrs := []slog.Attr{
-		slog.String(event.KeyServer, engine.ID), slog.String(event.KeyBackup, backup.ID),
-		slog.String(event.KeyReason, "the stream has moved"),
-	}
+	attrs := backup.append([]slog.Attr{
+		slog.String(event.KeyServer, engine.ID), slog.String(event.KeyReason, "the stream has moved"),
+	})
 	x.log(event.StreamBackupChosen, x.relay.Beliefs.AppendView(attrs)...)
 }
 
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -29,11 +29,6 @@
 	// comeBack is the time to come back that a caller is told when no engine took
 	// its generation: about the time in which one of an engine's slots becomes free.
 	comeBack = 300 * time.Millisecond
-	// worthCopying is the number of expected tokens from which a generation gets a copy
-	// on a second engine. Expectations are often far off: of the drafts, one in seven is
-	// expected to stay below 120 tokens, and they run for seconds all the same. A summary
-	// of some 16 tokens ends well within the notice that an engine gives.
-	worthCopying = 32
 )
 
 // place finds an engine that takes the generation and returns its answer's head.
@@ -109,43 +104,16 @@
 
 // offerNext offers the generation to an engine, with a backup of its own.
 func (x *run) offerNext(ctx context.Context, c *choose.Candidate, t *tries) offered {
-	backup := x.chooseBackup(c.Server, &t.need)
+	choice := x.chooseBackup(c.Server, &t.need)
+	backup := choice.server
 	x.count(c.Server, backup)
 	if t.made > 0 {
 		x.logResent(t.from, c.Server, t.made+1, t.cause)
 	}
-	x.logSent(t.made+1, c, backup)
+	x.logSent(t.made+1, c, choice)
 	return x.offer(ctx, c.Server, backup, nil)
 }
 
-// chooseBackup returns the engine that gets a copy of the generation, or nil.
-func (x *run) chooseBackup(engine *registry.Server, need *choose.Need) *registry.Server {
-	e := x.job.Service.Engine
-	if !e.Backups || x.expected < worthCopying || x.movable(engine, need) {
-		return nil
-	}
-	c := x.relay.Chooser.Backup(x.job.Service, engine, need)
-	if c == nil {
-		return nil
-	}
-	return c.Server
-}
-
-// inNotice is the part of the notice in which an engine must be emptied for its
-// generations to do without copies; the rest is for copies to other failure domains and
-// for links that are busy, as several engines leave at once.
-const inNotice = 0.45
-
-// movable reports whether the engine can be emptied within the notice that engines give,
-// so that the generation needs no copy ahead.
-func (x *run) movable(engine *registry.Server, need *choose.Need) bool {
-	if !x.job.Service.Engine.Moves {
-		return false
-	}
-	usable := time.Duration(inNotice * float64(x.relay.Notice.Expected()))
-	return x.relay.Chooser.Emptying(x.job.Service, engine.ID, need) <= usable
-}
-
 // offered is how an offer to an engine ended.
 type offered struct {
 	answer *answer
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -55,6 +55,10 @@
 	Servers *gauge
 	// ServersEjected counts those that get no new requests for failures.
 	ServersEjected *gauge
+	// EngineNotice is the notice that engines are expected to give, EngineEnds the number
+	// of ended engines that it was learned from.
+	EngineNotice *gauge
+	EngineEnds   *gauge
 	// RetryBudgetLeft is how many attempts this box may repeat now.
 	RetryBudgetLeft *gauge
 	// OpenConnections counts connections of callers.
@@ -117,6 +121,8 @@
 	m.ViewAge = m.gauge("view_age_seconds", "age of that knowledge")
 	m.LiveBoxes = m.gauge("live_boxes", "boxes believed to live, this one among them")
 	m.Servers = m.gauge("servers", "backend servers known")
+	m.EngineNotice = m.gauge("engine_notice_seconds", "notice that engines are expected to give before they end, as learned")
+	m.EngineEnds = m.gauge("engine_ends_seen", "ended engines that the notice was learned from")
 	m.ServersEjected = m.gauge("servers_ejected", "backend servers out of use for failures")
 	m.RetryBudgetLeft = m.gauge("retry_budget_left", "attempts that this box may repeat now, for all services together")
 	m.OpenConnections = m.gauge("open_connections", "open connections of callers")
