--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sort"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -83,7 +82,6 @@
 // and moved before the next one is safe whatever happens to the rest. The boxes
 // take turns in an order that all of them know.
 func (r *Relay) empty(engine *registry.Server, runs []*run) {
-	sort.Slice(runs, func(i, j int) bool { return runs[i].size() < runs[j].size() })
 	r.awaitTurn(runs[0], engine)
 	// unread counts those in a row that have no memory to copy yet, as their prompt is
 	// still being read.
@@ -110,8 +108,7 @@
 // begun reports whether the first event came.
 func (x *run) begun() bool { return x.progress.Load() != 0 }
 
-// size returns the memory that is to be copied, in tokens. The smallest is moved
-// first: more generations get out before the engine goes.
+// size returns the memory that is to be copied, in tokens.
 func (x *run) size() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
