box, streaming: one set-up of a box with two engines, the stand-in's word apart

Three tests set up the same box with one thing changed; withEngines does it once. Test files only; what they check is the same.

--- a/internal/box/stream_test.go
+++ b/internal/box/stream_test.go
@@ -147,9 +147,9 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r, engines := withCopies(t)
+			r, a, b := withEngines(t, noMoves)
 			g := r.begin("q1")
-			run, at, other := either(engines[0], engines[1])
+			run, at, other := either(a, b)
 			require.NoError(t, run.Say(2))
 			g.expect(1, 2)
 			disturb(r, run, at, other)
@@ -166,31 +166,27 @@
 	}
 }
 
-// withCopies runs a box with two engines whose generations cannot be moved, so that each
-// gets a copy ahead.
-func withCopies(t *testing.T) (*rig, []*standin.Engine) {
+// withEngines runs a box with two engines of a service that the test changes.
+func withEngines(t *testing.T, change func(e *standin.ConfigEngine)) (r *rig, a, b *standin.Engine) {
 	t.Helper()
-	r := newRig(t)
+	r = newRig(t)
 	c := config(1)
-	c.Services[1].Engine.Moves = false
+	change(c.Services[1].Engine)
 	r.store.PutConfig(c)
-	engines := []*standin.Engine{r.server("a", "chat"), r.server("b", "chat")}
+	a, b = r.server("a", "chat"), r.server("b", "chat")
 	r.run()
 	r.awaitConfig(1)
 	r.awaitServers(2, 0)
-	return r, engines
+	return r, a, b
 }
 
+// noMoves makes a copy ahead the only way on for a generation, noCopies a move.
+func noMoves(e *standin.ConfigEngine)  { e.Moves = false }
+func noCopies(e *standin.ConfigEngine) { e.Backups = false }
+
 // TestStreamMoves: without copies, a leaving engine's generation is moved.
 func TestStreamMoves(t *testing.T) {
-	r := newRig(t)
-	c := config(1)
-	c.Services[1].Engine.Backups = false
-	r.store.PutConfig(c)
-	a, b := r.server("a", "chat"), r.server("b", "chat")
-	r.run()
-	r.awaitConfig(1)
-	r.awaitServers(2, 0)
+	r, a, b := withEngines(t, noCopies)
 	g := r.begin("q1")
 	run, at, other := either(a, b)
 	require.NoError(t, run.Say(2))
@@ -207,14 +203,7 @@
 
 // TestStreamMoveWithoutRoom: a generation that no engine has room for stays.
 func TestStreamMoveWithoutRoom(t *testing.T) {
-	r := newRig(t)
-	c := config(1)
-	c.Services[1].Engine.Backups = false
-	r.store.PutConfig(c)
-	a, b := r.server("a", "chat"), r.server("b", "chat")
-	r.run()
-	r.awaitConfig(1)
-	r.awaitServers(2, 0)
+	r, a, b := withEngines(t, noCopies)
 	g := r.begin("q1")
 	run, at, other := either(a, b)
 	other.NoRoom(true)
--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
@@ -410,22 +409,3 @@
 	close(e.held)
 	e.held = make(chan struct{})
 }
-
-// errSilence is an engine that does not say whether it leaves.
-var errSilence = errors.New("no answer")
-
-// Report answers whether an engine leaves.
-func (f *fleet) Report(_ context.Context, s *registry.Server) (hop.Report, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e := f.engines[s.ID]
-	f.note("%s is asked: %s", s.ID, e.leaves)
-	switch e.leaves {
-	case "soon":
-		return hop.Report{Leaving: true, LeavesIn: time.Second}, nil
-	case "nothing":
-		return hop.Report{}, errSilence
-	default:
-		return hop.Report{}, nil
-	}
-}
