registry, storewatch, digest, box: nothing is sent to a failure domain that is being emptied

Change: the few boxes that follow the store watch these requests too, where the settings say that there are any. Cordons have the store's revision, which never falls, and travel in each digest and update, so that one datagram from any box is enough. The directory leaves out servers of cordoned domains: plain requests, retries, hedges, generations, copies, moves, and streams that go on at a copy all choose from it. What runs there may end and is moved when its engine leaves. A fresh box is not ready before it knows the cordons.

--- a/internal/box/beliefs.go
+++ b/internal/box/beliefs.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/dalebend/dalebend/internal/belief"
@@ -74,6 +76,24 @@
 // serversRead takes the entries of the backend servers from the store.
 func (b *Box) serversRead(v registry.View) { b.share.OfferView(v) }
 
+// cordonsRead takes the cordoned failure domains from the store.
+func (b *Box) cordonsRead(c registry.Cordons) { b.takeCordons(c, viewshare.FromStore) }
+
+// takeCordons takes cordons if they are newer than those known, and tells the peers: every
+// box tells them again, so that one datagram of any of them is enough.
+func (b *Box) takeCordons(c registry.Cordons, source string) {
+	before := b.directory.Cordons()
+	if !b.directory.SetCordons(c) {
+		return
+	}
+	b.node.Kick()
+	if before.Revision > 0 && slices.Equal(before.Domains, c.Domains) {
+		return
+	}
+	b.log(event.CordonsInForce, slog.Int64(event.KeyRevision, c.Revision),
+		slog.String(event.KeySource, source), slog.String(event.KeyDomains, strings.Join(c.Domains, " ")))
+}
+
 // tableInForce is told of a newer configuration.
 func (b *Box) tableInForce(t *routetable.Table) {
 	source, _ := b.share.Sources()
@@ -146,6 +166,8 @@
 	if v := b.share.View(); v != nil {
 		d.ViewRevision = v.Revision
 	}
+	cordons := b.directory.Cordons()
+	d.CordonRevision, d.Cordoned = cordons.Revision, cordons.Domains
 	s := b.watcher.Status()
 	d.StoreReachable = s.Reachable
 	d.StoreTried = s.Reachable || b.duty.Refused()
@@ -169,6 +191,7 @@
 // heard takes what a peer tells.
 func (b *Box) heard(d *digest.Digest) {
 	changed := b.peers.Heard(d)
+	b.takeCordons(registry.Cordons{Revision: d.CordonRevision, Domains: d.Cordoned}, d.Box)
 	b.notePeerContact(d)
 	if d.StoreTried && !d.StoreReachable {
 		b.sawFailure.Store(true)
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -92,6 +92,9 @@
 		StartDelay: least, StartSpread: spread,
 		Rest: func() time.Duration { return b.duty.Rest() }, Known: b.share.View,
 	}
+	if b.Settings.Cordons {
+		b.watcher.OnCordons = b.cordonsRead
+	}
 	b.duty = &watchduty.Duty{
 		Clock: b.Clock, Self: b.self(), Live: b.live, Store: b.watcher.Status, Peers: b.peers,
 		Started: b.started,
--- a/internal/box/ready.go
+++ b/internal/box/ready.go
@@ -56,7 +56,7 @@
 	}
 	reason := "the box is stopping"
 	if !b.stopping.Load() {
-		reason = "the configuration or the servers are not known yet"
+		reason = "the configuration, the servers or the cordons are not known yet"
 	}
 	b.log(event.NotReady, slog.String(event.KeyReason, reason), version)
 }
@@ -64,8 +64,15 @@
 // ready reports whether the box takes requests. A fresh box first takes the
 // newest configuration that the store or a peer has.
 func (b *Box) ready() bool {
-	if b.stopping.Load() || b.share.Table() == nil || b.share.View() == nil {
+	if b.stopping.Load() || !b.informed() {
 		return false
 	}
 	return b.duty.Recent() || b.Clock.Since(b.started) > tryPeers
 }
+
+// informed reports whether the box knows all that decides where a request may go. Without
+// the cordons a fresh box would send work to a failure domain that is being emptied.
+func (b *Box) informed() bool {
+	cordonsKnown := !b.Settings.Cordons || b.directory.Cordons().Revision > 0
+	return b.share.Table() != nil && b.share.View() != nil && cordonsKnown
+}
--- a/internal/boxsettings/settings.go
+++ b/internal/boxsettings/settings.go
@@ -41,6 +41,12 @@
 	RetryRatio  float64
 	RetryFloor  int
 	RetryWindow time.Duration
+	// Cordons means that the store tells of failure domains that are to get no more work.
+	Cordons bool
+	// ColdOver and ColdSlack bound what all boxes together send within a second to a server
+	// that has just started: the rate that its service declares x ColdOver + ColdSlack.
+	ColdOver  float64
+	ColdSlack float64
 }
 
 // Check returns an error that names every setting that cannot be used.
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -59,6 +59,8 @@
 			KeyVersion, KeySource, KeyConfigAge),
 		warn(ConfigRefused, "a configuration version cannot be used; the one in force stays",
 			KeyVersion, KeySource, KeyCause),
+		info(CordonsInForce, "which failure domains get no more work has changed; none if the list is empty",
+			KeyRevision, KeySource, KeyDomains),
 		info(ServersView, "what the box believes of the backend servers changed; added, leaving and gone name at most 8 each, the others are counts",
 			KeyRevision, KeySource, KeyViewAge, KeyAdded, KeyLeaving, KeyGone, KeyDraining, KeyServers),
 		warn(ServerEjected, "a server gets no new requests for a time, for failures of its own",
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -31,6 +31,7 @@
 	WatchTaken       Name = "watch-taken"
 	WatchGivenUp     Name = "watch-given-up"
 	ConfigInForce    Name = "config-in-force"
+	CordonsInForce   Name = "cordons-in-force"
 	ConfigRefused    Name = "config-refused"
 	ServersView      Name = "servers-view"
 	ServerEjected    Name = "server-ejected"
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -74,6 +74,7 @@
 	KeyOpen     = "open"
 	KeyRole     = "role"
 	KeyDomain   = "failure_domain"
+	KeyDomains  = "failure_domains"
 	KeyAddress  = "address"
 	KeyKind     = "kind"
 
--- a/internal/digest/bundle.go
+++ b/internal/digest/bundle.go
@@ -68,7 +68,7 @@
 	formatNote   = 66
 	// bundleFields, updateFields and noteFields are lengths of arrays on the wire.
 	bundleFields = 6
-	updateFields = 10
+	updateFields = 12
 	noteFields   = 4
 	// BundleOverhead is the most bytes of a bundle beyond its items when names and
 	// addresses are under 64 bytes.
@@ -91,6 +91,8 @@
 		w.uint(u.Seq)
 		w.int(u.ConfigVersion)
 		w.int(u.ViewRevision)
+		w.int(u.CordonRevision)
+		w.cordons(u.Cordoned)
 		w.uint(u.flags())
 		w.int(int64(u.StoreAgeMs))
 		w.loads(u.Loads)
@@ -264,6 +266,8 @@
 func (r *reader) update(u *Update) {
 	u.ConfigVersion = r.int64()
 	u.ViewRevision = r.int64()
+	u.CordonRevision = r.int64()
+	u.Cordoned = list(r, cordonFields, r.string)
 	flags := r.uint64()
 	u.StoreTried = flags&flagTried != 0
 	u.StoreReachable = flags&flagReachable != 0
--- a/internal/digest/decode.go
+++ b/internal/digest/decode.go
@@ -47,6 +47,8 @@
 	d.Join = r.bool()
 	d.ConfigVersion = r.int64()
 	d.ViewRevision = r.int64()
+	d.CordonRevision = r.int64()
+	d.Cordoned = list(r, cordonFields, r.string)
 	d.StoreTried = r.bool()
 	d.StoreReachable = r.bool()
 	d.StoreAgeMs = r.int32()
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -31,6 +31,10 @@
 	ConfigVersion int64
 	// ViewRevision is the revision of its view of the backend servers, 0 for none.
 	ViewRevision int64
+	// CordonRevision is the revision of the failure domains in Cordoned, which are to get no
+	// more work; 0 if they are not known.
+	CordonRevision int64
+	Cordoned       []string
 	// StoreTried means that the box has lately called the store; only then does
 	// StoreReachable say something.
 	StoreTried     bool
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -17,7 +17,7 @@
 		Box: "box-a", Addr: "10.0.0.1:7200", CallAddr: "10.0.0.1:7201", Domain: "hall-1",
 		Incarnation: math.MaxInt64, Seq: math.MaxUint64, IntervalMs: 400, Join: true,
 		ConfigVersion: 7, ViewRevision: 1 << 40, StoreTried: true, StoreReachable: true,
-		StoreAgeMs: -1, Leaving: true,
+		StoreAgeMs: -1, Leaving: true, CordonRevision: 9, Cordoned: []string{"hall-2"},
 		Loads:    []digest.Load{{Server: "s-1", Streams: 1, Tokens: 2, Growth: 3, Prefill: 4, Copies: math.MaxInt32, Bare: 5, Arriving: 6}},
 		Troubles: []digest.Trouble{{Server: "s-2", AgeMs: 5, Kind: 255}},
 		Attempts: []digest.Attempts{{Service: "s", First: 9, Second: 1}},
@@ -38,6 +38,9 @@
 		got, err := digest.Decode(data)
 		require.NoError(t, err)
 		// An empty list comes back as none.
+		if len(d.Cordoned) == 0 {
+			d.Cordoned = nil
+		}
 		if len(d.Loads) == 0 {
 			d.Loads = nil
 		}
--- a/internal/digest/encode.go
+++ b/internal/digest/encode.go
@@ -13,13 +13,14 @@
 	// UDP and still holds some 200 loads.
 	MaxBytes = 8 << 10
 	// format changes when the fields do; a box refuses digests of another one.
-	format = 5
+	format = 6
 	// digestFields, loadFields and those after it are lengths of the arrays on the wire.
-	digestFields   = 20
+	digestFields   = 22
 	loadFields     = 8
 	troubleFields  = 3
 	attemptsFields = 3
 	memberFields   = 4
+	cordonFields   = 1
 )
 
 // ErrTooLarge means that a digest does not fit into MaxBytes.
@@ -66,6 +67,8 @@
 	w.bool(d.Join)
 	w.int(d.ConfigVersion)
 	w.int(d.ViewRevision)
+	w.int(d.CordonRevision)
+	w.cordons(d.Cordoned)
 	w.bool(d.StoreTried)
 	w.bool(d.StoreReachable)
 	w.int(int64(d.StoreAgeMs))
@@ -80,6 +83,14 @@
 	}
 }
 
+func (w *writer) cordons(domains []string) {
+	w.array(len(domains))
+	for _, d := range domains {
+		w.array(cordonFields)
+		w.strings(d)
+	}
+}
+
 func (w *writer) loads(loads []Load) {
 	w.array(len(loads))
 	for i := range loads {
--- a/internal/digest/update.go
+++ b/internal/digest/update.go
@@ -15,10 +15,12 @@
 	Start uint64
 	// Seq rises by one with each digest or update of one start.
 	Seq uint64
-	// ConfigVersion, ViewRevision, StoreTried, StoreReachable, StoreAgeMs and Leaving are
-	// as in a digest.
+	// ConfigVersion, ViewRevision, CordonRevision, Cordoned, StoreTried, StoreReachable,
+	// StoreAgeMs and Leaving are as in a digest.
 	ConfigVersion  int64
 	ViewRevision   int64
+	CordonRevision int64
+	Cordoned       []string
 	StoreTried     bool
 	StoreReachable bool
 	StoreAgeMs     int32
@@ -49,6 +51,8 @@
 	next.Members = nil
 	next.ConfigVersion = u.ConfigVersion
 	next.ViewRevision = u.ViewRevision
+	next.CordonRevision = u.CordonRevision
+	next.Cordoned = u.Cordoned
 	next.StoreTried = u.StoreTried
 	next.StoreReachable = u.StoreReachable
 	next.StoreAgeMs = u.StoreAgeMs
--- a/internal/member/news.go
+++ b/internal/member/news.go
@@ -50,6 +50,7 @@
 	u := &digest.Update{
 		Start: digest.StartKey(d.Box, d.Incarnation), Seq: d.Seq,
 		ConfigVersion: d.ConfigVersion, ViewRevision: d.ViewRevision,
+		CordonRevision: d.CordonRevision, Cordoned: d.Cordoned,
 		StoreTried: d.StoreTried, StoreReachable: d.StoreReachable, StoreAgeMs: d.StoreAgeMs,
 		Leaving: d.Leaving, Loads: again(t.changed, changed, d.Loads),
 	}
--- a/internal/member/outbox.go
+++ b/internal/member/outbox.go
@@ -125,10 +125,12 @@
 	if u == nil {
 		d := item.Digest
 		return d.Incarnation != old.Incarnation || len(digest.Difference(old.Loads, d.Loads)) > 0 ||
-			d.ViewRevision != old.ViewRevision || d.ConfigVersion != old.ConfigVersion
+			d.ViewRevision != old.ViewRevision || d.ConfigVersion != old.ConfigVersion ||
+			d.CordonRevision != old.CordonRevision
 	}
 	return len(u.Loads) > 0 || len(u.Troubles) > 0 ||
 		u.ViewRevision != old.ViewRevision || u.ConfigVersion != old.ConfigVersion ||
+		u.CordonRevision != old.CordonRevision ||
 		u.Leaving != old.Leaving || u.StoreTried != old.StoreTried || u.StoreReachable != old.StoreReachable
 }
 
--- a/internal/member/spread_test.go
+++ b/internal/member/spread_test.go
@@ -58,6 +58,8 @@
 	mu    sync.Mutex
 	load  int32
 	heard map[string]heardLoad
+	// cordoned is the revision of the cordons that the box has.
+	cordoned int64
 	// noted is when each note came, and repeated counts those that came again.
 	noted    map[string]time.Time
 	repeated int
@@ -91,9 +93,31 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	d.Loads = []digest.Load{{Server: "engine-0", Streams: 1}, {Server: "engine-1", Streams: b.load}}
+	d.CordonRevision, d.Cordoned = b.cordoned, []string{"hall-0"}
+}
+
+// cordon takes newer cordons and tells of them, as a box does.
+func (b *teller) cordon(revision int64) {
+	b.mu.Lock()
+	newer := revision > b.cordoned
+	if newer {
+		b.cordoned = revision
+	}
+	b.mu.Unlock()
+	if newer {
+		b.Kick()
+	}
+}
+
+// cordons returns the revision of the cordons that the box has.
+func (b *teller) cordons() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cordoned
 }
 
 func (b *teller) hear(d *digest.Digest) {
+	b.cordon(d.CordonRevision)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	load := digest.LoadOn(d.Loads, "engine-1").Streams
@@ -136,6 +160,8 @@
 		return s.change(d)
 	case "note":
 		return s.note(d)
+	case "cordon":
+		return s.cordon(d)
 	case "kill":
 		return s.kill(d)
 	case "cost":
@@ -264,6 +290,35 @@
 	return verdict
 }
 
+// cordon has one box read newer cordons, and tells whether all that are reachable know of
+// them within a time.
+func (s *spreadTest) cordon(d *datadriven.TestData) string {
+	text := ""
+	d.ScanArgs(s.t, "within", &text)
+	within, err := time.ParseDuration(text)
+	require.NoError(s.t, err)
+	running := s.running()
+	b := running[s.rand.IntN(len(running))]
+	revision := b.cordons() + 1
+	begun := time.Now()
+	b.cordon(revision)
+	missing := 0
+	const look = 5 * time.Millisecond
+	for ; time.Since(begun) <= within; time.Sleep(look) {
+		synctest.Wait()
+		missing = 0
+		for _, other := range s.reachable(b) {
+			if other.cordons() < revision {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return "all know in time\n"
+		}
+	}
+	return fmt.Sprintf("%d do not know\n", missing)
+}
+
 // measure has boxes tell of something at times of their own. Begin returns what says when
 // another box knew.
 func (s *spreadTest) measure(d *datadriven.TestData, begin func(b *teller) func(other *teller) (time.Time, bool)) string {
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -31,16 +31,19 @@
 	// noted. The view may be older.
 	departing map[string]time.Time
 	current   atomic.Pointer[listing]
+	cordons   atomic.Pointer[Cordons]
 }
 
-// listing is what follows from one view.
+// listing is what follows from one view and the cordons.
 type listing struct {
-	view     *View
+	view    *View
+	cordons Cordons
+	// services holds those that may take new work, members those of cordoned domains too.
 	services map[string][]Member
 	members  map[string]Member
 }
 
-// Member is a server that may take new work.
+// Member is a server that may take new work unless its failure domain is cordoned.
 type Member struct {
 	*Server
 	// Until is when an entry that has vanished is given up; zero for one that stands.
@@ -62,7 +65,7 @@
 		}
 	}
 	for _, id := range ids {
-		if _, known := d.departing[id]; !known && d.Takes(id) {
+		if _, known := d.departing[id]; !known && d.Stays(id) {
 			if d.departing == nil {
 				d.departing = make(map[string]time.Time)
 			}
@@ -105,12 +108,44 @@
 	}
 }
 
+// SetCordons takes newer cordons, and reports whether they are newer than what was known.
+// What runs in a cordoned domain may end: its servers do not count as having left.
+func (d *Directory) SetCordons(c Cordons) bool {
+	d.mu.Lock()
+	if c.Revision <= d.Cordons().Revision {
+		d.mu.Unlock()
+		return false
+	}
+	d.cordons.Store(&c)
+	var left []string
+	if v := d.View(); v != nil {
+		left = d.replace(v)
+	}
+	d.mu.Unlock()
+	d.tell(left)
+	return true
+}
+
+// Cordons returns the newest cordons, of revision 0 if none are known.
+func (d *Directory) Cordons() Cordons {
+	if c := d.cordons.Load(); c != nil {
+		return *c
+	}
+	return Cordons{}
+}
+
+// Cordoned reports whether the servers of a failure domain are to get no more work.
+func (d *Directory) Cordoned(domain string) bool { return d.Cordons().Has(domain) }
+
 // replace puts what follows from a view in the place of the present listing, and returns
 // the servers that leave with that. The lock must be held, so that no view is replaced by
 // an older one.
 func (d *Directory) replace(v *View) (left []string) {
 	old := d.current.Load()
-	next := &listing{view: v, services: make(map[string][]Member), members: make(map[string]Member)}
+	next := &listing{
+		view: v, cordons: d.Cordons(),
+		services: make(map[string][]Member), members: make(map[string]Member),
+	}
 	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
 		s := v.Servers[id]
 		if _, departs := d.departing[id]; s.State == Ready && !departs {
@@ -148,7 +183,9 @@
 
 func (l *listing) add(m Member) {
 	l.members[m.ID] = m
-	l.services[m.Service] = append(l.services[m.Service], m)
+	if !l.cordons.Has(m.Domain) {
+		l.services[m.Service] = append(l.services[m.Service], m)
+	}
 }
 
 // Service returns the servers of a service that may take new work now, by their
@@ -184,6 +221,17 @@
 
 // Takes reports whether a server may take new work now.
 func (d *Directory) Takes(id string) bool {
+	l := d.current.Load()
+	if l == nil {
+		return false
+	}
+	m, ok := l.members[id]
+	return ok && !l.cordons.Has(m.Domain) && !m.over(d.Clock.Now())
+}
+
+// Stays reports whether a server neither leaves nor is gone. One whose failure domain is
+// cordoned stays, although it takes no new work.
+func (d *Directory) Stays(id string) bool {
 	l := d.current.Load()
 	if l == nil {
 		return false
--- a/internal/registry/directory_test.go
+++ b/internal/registry/directory_test.go
@@ -35,14 +35,19 @@
 	return s
 }
 
-// parseServer reads "ID SERVICE STATE".
+// parseServer reads "ID SERVICE STATE [DOMAIN]".
 func parseServer(t *testing.T, line string) registry.Server {
 	f := strings.Fields(line)
+	domain := ""
+	if len(f) == 4 {
+		domain = f[3]
+		f = f[:3]
+	}
 	require.Len(t, f, 3, line)
 	states := map[string]registry.State{"ready": registry.Ready, "draining": registry.Draining}
 	state, ok := states[f[2]]
 	require.True(t, ok, line)
-	return registry.Server{ID: f[0], Service: f[1], State: state}
+	return registry.Server{ID: f[0], Service: f[1], State: state, Domain: domain}
 }
 
 func (s *script) set(t *testing.T, input string) {
@@ -54,6 +59,15 @@
 	s.dir.Set(v)
 }
 
+// cordon sets cordons of a revision, and tells which are known then.
+func (s *script) cordon(t *testing.T, td *datadriven.TestData) string {
+	c := registry.Cordons{Domains: strings.Fields(td.Input)}
+	td.ScanArgs(t, "revision", &c.Revision)
+	newer := s.dir.SetCordons(c)
+	known := s.dir.Cordons()
+	return fmt.Sprintf("newer=%t revision=%d domains=%s\n", newer, known.Revision, strings.Join(known.Domains, " "))
+}
+
 // show prints who left, and for each service the servers that take work; a
 // server whose entry lapsed with the time since the script began until it is
 // given up.
@@ -112,6 +126,10 @@
 				return s.departing()
 			case "takes":
 				return fmt.Sprintf("takes=%t known=%t\n", s.dir.Takes(td.Input), s.dir.Known(td.Input))
+			case "stays":
+				return fmt.Sprintf("takes=%t stays=%t\n", s.dir.Takes(td.Input), s.dir.Stays(td.Input))
+			case "cordon":
+				return s.cordon(t, td) + s.show()
 			default:
 				td.Fatalf(t, "unknown command %s", td.Cmd)
 			}
--- a/internal/single/script_test.go
+++ b/internal/single/script_test.go
@@ -34,8 +34,10 @@
 	servers *servers
 	clock   *clockwork.FakeClock
 	sender  *single.Sender
-	route   *routetable.Route
-	ids     []string
+	// directory is where the sender's chooser finds the servers.
+	directory *registry.Directory
+	route     *routetable.Route
+	ids       []string
 
 	leave  context.CancelFunc
 	done   chan struct{}
@@ -52,6 +54,8 @@
 //	answers SERVER MODE...    how the server answers the next requests
 //	start [within=DURATION]   the caller sends its request; its objective is 100 ms
 //	release SERVER            calls that hang there go on
+//	cordon [DOMAIN]...        these failure domains get no more work; servers named far... stand in
+//	                          the domain "far", the others in "hall"
 //	advance DURATION / leave  time passes / the caller leaves
 //	evidence SERVER           what is believed of the server
 func TestScripts(t *testing.T) {
@@ -98,15 +102,23 @@
 	s.done, s.shown, s.answer, s.err = nil, false, nil, nil
 }
 
+// domainOf returns the failure domain of a server.
+func domainOf(id string) string {
+	if strings.HasPrefix(id, "far") {
+		return "far"
+	}
+	return "hall"
+}
+
 func (s *script) build(retries int) {
-	directory := &registry.Directory{Clock: s.clock, StoreReturned: func() time.Time { return time.Time{} }}
+	s.directory = &registry.Directory{Clock: s.clock, StoreReturned: func() time.Time { return time.Time{} }}
 	view := &registry.View{Servers: make(map[string]registry.Server)}
 	for _, id := range s.ids {
-		view.Servers[id] = registry.Server{ID: id, Service: "plain", Addr: id + ":80", Domain: "hall", Slots: 100}
+		view.Servers[id] = registry.Server{ID: id, Service: "plain", Addr: id + ":80", Domain: domainOf(id), Slots: 100}
 	}
-	directory.Set(view)
+	s.directory.Set(view)
 	book := &evidence.Book{Clock: s.clock}
-	chooser := &choose.Chooser{Directory: directory, Evidence: book, Domain: "hall", Rand: rand.New(rand.NewPCG(1, 2))}
+	chooser := &choose.Chooser{Directory: s.directory, Evidence: book, Domain: "hall", Rand: rand.New(rand.NewPCG(1, 2))}
 	// Each server has more to do than the one before, so that they are chosen in order.
 	for i, id := range s.ids {
 		for range 10 * i {
@@ -138,6 +150,8 @@
 		s.servers.answers[args[0]] = args[1:]
 	case "release":
 		s.servers.release(args[0])
+	case "cordon":
+		s.directory.SetCordons(registry.Cordons{Revision: s.directory.Cordons().Revision + 1, Domains: args})
 	case "advance":
 		s.advance(s.duration(args[0]))
 	case "leave":
--- /dev/null
+++ b/internal/storewatch/cordons_test.go
@@ -0,0 +1,67 @@
+package storewatch
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+// newCordonRig returns a rig whose store has cordons, after the first reads.
+func newCordonRig(t *testing.T) (*rig, chan registry.Cordons) {
+	delivered := make(chan registry.Cordons, buffered)
+	r := newRigWith(t, true, func(w *Watcher) {
+		w.OnCordons = func(c registry.Cordons) { delivered <- c }
+	})
+	(<-r.config).answer(reply{doc: []byte("v1"), at: 5})
+	(<-r.servers).answer(reply{view: view(5, "a")})
+	(<-r.script.cordons).answer(reply{cordons: registry.Cordons{Revision: 5, Domains: []string{"north"}}})
+	require.Equal(t, registry.Cordons{Revision: 5, Domains: []string{"north"}}, <-delivered)
+	<-r.watchConfig
+	<-r.watchServers
+	return r, delivered
+}
+
+// TestFollowsCordons: domains are added and freed, and a watch goes on from the revision
+// that the last one told, with or without a change.
+func TestFollowsCordons(t *testing.T) {
+	r, delivered := newCordonRig(t)
+	defer r.stop()
+	w := <-r.watchCordons
+	require.Equal(t, int64(5), w.from)
+	w.answer(reply{domains: []registry.CordonChange{{Domain: "south"}, {Domain: "east"}, {Domain: "north", Lifted: true}}, at: 8})
+	require.Equal(t, registry.Cordons{Revision: 8, Domains: []string{"east", "south"}}, <-delivered)
+
+	w = <-r.watchCordons
+	require.Equal(t, int64(8), w.from)
+	r.clock.Advance(watchWait)
+	w.answer(reply{at: 12})
+	w = <-r.watchCordons
+	require.Equal(t, int64(12), w.from)
+	w.answer(reply{domains: []registry.CordonChange{{Domain: "east", Lifted: true}}, at: 13})
+	require.Equal(t, registry.Cordons{Revision: 13, Domains: []string{"south"}}, <-delivered)
+	require.Empty(t, delivered)
+}
+
+// TestCordonsAreReadAnew: after the history is gone the whole list counts.
+func TestCordonsAreReadAnew(t *testing.T) {
+	r, delivered := newCordonRig(t)
+	defer r.stop()
+	(<-r.watchCordons).answer(reply{err: ErrHistoryGone})
+	(<-r.script.cordons).answer(reply{cordons: registry.Cordons{Revision: 40}})
+	require.Equal(t, registry.Cordons{Revision: 40}, <-delivered)
+	r.awaitPause()
+	r.clock.Advance(leastCycle)
+	require.Equal(t, int64(40), (<-r.watchCordons).from)
+}
+
+// TestOlderCordonsAreRefused: an answer that is older than an earlier one is not delivered.
+func TestOlderCordonsAreRefused(t *testing.T) {
+	r, delivered := newCordonRig(t)
+	defer r.stop()
+	(<-r.watchCordons).answer(reply{at: 4})
+	r.awaitPause()
+	require.Empty(t, delivered)
+	require.False(t, r.watcher.Status().Reachable)
+}
--- a/internal/storewatch/feed.go
+++ b/internal/storewatch/feed.go
@@ -113,3 +113,49 @@
 		f.view = *v
 	}
 }
+
+// cordonsFeed is the copy of the cordons.
+type cordonsFeed struct {
+	source  Source
+	deliver func(registry.Cordons)
+	cordons registry.Cordons
+	// at is the revision to go on from: that of the cordons, or a later one at which they
+	// were still the same.
+	at int64
+}
+
+func (f *cordonsFeed) read(ctx context.Context) error {
+	cordons, err := f.source.Cordons(ctx)
+	if err != nil {
+		return err
+	}
+	return f.take(cordons)
+}
+
+func (f *cordonsFeed) watch(ctx context.Context, wait time.Duration) (bool, error) {
+	changes, at, err := f.source.WatchCordons(ctx, f.at, wait)
+	if err != nil {
+		return false, err
+	}
+	if len(changes) > 0 {
+		return true, f.take(f.cordons.With(changes, at))
+	}
+	if at < f.at {
+		return false, f.stale(at)
+	}
+	f.at = at
+	return false, nil
+}
+
+func (f *cordonsFeed) take(cordons registry.Cordons) error {
+	if cordons.Revision < f.at {
+		return f.stale(cordons.Revision)
+	}
+	f.cordons, f.at = cordons, cordons.Revision
+	f.deliver(cordons)
+	return nil
+}
+
+func (f *cordonsFeed) stale(got int64) error {
+	return &staleError{what: "the cordons", got: got, have: f.at}
+}
--- a/internal/storewatch/source.go
+++ b/internal/storewatch/source.go
@@ -23,6 +23,12 @@
 	// WatchServers waits for changes of entries after a revision, and returns
 	// them with the revision to go on from.
 	WatchServers(ctx context.Context, from int64, wait time.Duration) (changes []registry.Change, at int64, err error)
+	// Cordons returns the failure domains that are to get no more work. A watch goes on
+	// from their revision.
+	Cordons(ctx context.Context) (registry.Cordons, error)
+	// WatchCordons waits for changes of the cordons after a revision, and returns them with
+	// the revision to go on from.
+	WatchCordons(ctx context.Context, from int64, wait time.Duration) (changes []registry.CordonChange, at int64, err error)
 }
 
 // Errors of a Source after which the state is read again at once.
--- a/internal/storewatch/source_test.go
+++ b/internal/storewatch/source_test.go
@@ -19,6 +19,8 @@
 	doc     []byte
 	view    registry.View
 	changes []registry.Change
+	cordons registry.Cordons
+	domains []registry.CordonChange
 	at      int64
 	err     error
 }
@@ -31,6 +33,8 @@
 	watchConfig  chan call
 	servers      chan call
 	watchServers chan call
+	cordons      chan call
+	watchCordons chan call
 }
 
 func newScript() *script {
@@ -39,6 +43,8 @@
 		watchConfig:  make(chan call),
 		servers:      make(chan call),
 		watchServers: make(chan call),
+		cordons:      make(chan call),
+		watchCordons: make(chan call),
 	}
 }
 
@@ -78,3 +84,15 @@
 	r := ask(ctx, s.watchServers, from, wait)
 	return r.changes, r.at, r.err
 }
+
+func (s *script) Cordons(ctx context.Context) (registry.Cordons, error) {
+	r := ask(ctx, s.cordons, 0, 0)
+	return r.cordons, r.err
+}
+
+func (s *script) WatchCordons(
+	ctx context.Context, from int64, wait time.Duration,
+) ([]registry.CordonChange, int64, error) {
+	r := ask(ctx, s.watchCordons, from, wait)
+	return r.domains, r.at, r.err
+}
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -66,12 +66,16 @@
 	// OnServers gets every new view, and one each time that the servers are read
 	// anew, also if nothing has changed. It may be called while OnConfig runs.
 	OnServers func(registry.View)
+	// OnCordons gets the failure domains that are to get no more work, each time that they
+	// are read anew or change. Nil means that this store has none: they are not asked for.
+	OnCordons func(registry.Cordons)
 
 	once    sync.Once
 	wake    chan struct{}
 	contact contact
 	config  configFeed
 	servers serversFeed
+	cordons cordonsFeed
 	// answered is set when a watch has been answered since the last failure.
 	answered atomic.Bool
 }
@@ -83,6 +87,7 @@
 	w.contact.beliefs = w.Beliefs
 	w.config = configFeed{source: w.Source, deliver: w.OnConfig}
 	w.servers = serversFeed{source: w.Source, deliver: w.OnServers, known: w.known}
+	w.cordons = cordonsFeed{source: w.Source, deliver: w.OnCordons}
 }
 
 // Wake makes the watcher ask Active now.
@@ -136,7 +141,11 @@
 // session reads the state and follows it until something fails.
 func (w *Watcher) session(ctx context.Context) error {
 	// One after the other: while the store is away, one call finds that out.
-	for _, f := range []feed{&w.config, &w.servers} {
+	feeds := []feed{&w.config, &w.servers}
+	if w.OnCordons != nil {
+		feeds = append(feeds, &w.cordons)
+	}
+	for _, f := range feeds {
 		if err := f.read(ctx); err != nil {
 			return err
 		}
@@ -145,12 +154,16 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return w.follow(ctx, &w.config, noRest) })
 	g.Go(func() error { return w.follow(ctx, &w.servers, w.rest) })
+	if w.OnCordons != nil {
+		g.Go(func() error { return w.follow(ctx, &w.cordons, noRest) })
+	}
 	g.Go(func() error { return w.awaitInactive(ctx) })
 	return g.Wait()
 }
 
-// noRest is the rest after a change of the configuration. It changes seldom, and its
-// whole document travels to every box: one box alone would be long in giving it to all.
+// noRest is the rest after a change of the configuration or the cordons. Both change seldom,
+// and the whole configuration travels to every box: one box alone would be long in giving it
+// to all.
 func noRest() time.Duration { return 0 }
 
 // follow watches one kind of state until a call fails.
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -176,6 +176,10 @@
 		// The engine stopped the generation but could not copy the rest: it keeps
 		// the memory, and the generation can go on there.
 		x.logMoveFailed(source, target, err)
+		if x.relay.Directory.Cordoned(source.Domain) {
+			// Nothing more may be sent there, so the generation is lost.
+			return
+		}
 		target = source
 	}
 	x.mu.Lock()
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing/synctest"
 	"time"
@@ -71,7 +72,7 @@
 	r.sink = &sink{rig: r}
 	r.buildRelay(tm)
 	for i, id := range ids {
-		r.servers[id] = registry.Server{ID: id, Service: "chat", Addr: addrOf(id), Domain: "hall", Slots: 20}
+		r.servers[id] = registry.Server{ID: id, Service: "chat", Addr: addrOf(id), Domain: domainOf(id), Slots: 20}
 		// Each engine has more to do than the one before, so that they are chosen in order.
 		load := digest.Load{Server: id, Streams: int32(i), Tokens: int32(i * 5000)}
 		r.relay.Ledger.Heard("load of "+id, []digest.Load{load})
@@ -85,6 +86,21 @@
 	return r
 }
 
+// domainOf returns the failure domain of an engine.
+func domainOf(id string) string {
+	if strings.HasPrefix(id, "far") {
+		return "far"
+	}
+	return "hall"
+}
+
+// cordon makes some failure domains, and only those, get no more work.
+func (r *rig) cordon(domains []string) {
+	before := r.relay.Directory.Cordons()
+	r.relay.Directory.SetCordons(registry.Cordons{Revision: before.Revision + 1, Domains: domains})
+	synctest.Wait()
+}
+
 func (r *rig) buildRelay(tm terms) {
 	directory := &registry.Directory{
 		Clock: r.clock, StoreReturned: func() time.Time { return time.Time{} },
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -37,6 +37,8 @@
 //	old say|end|break ENGINE     the same of the stream before the newest
 //	release ENGINE               calls that hang there go on
 //	drain ENGINE / ready ENGINE / gone ENGINE   it is about to leave / is not any more / its entry is removed
+//	cordon [DOMAIN]...           these failure domains get no more work; engines named far... stand in
+//	                             the domain "far", the others in "hall"
 //	age DURATION                 the list of servers is that old
 //	says ENGINE not yet|soon|nothing  what an engine says when it is asked whether it leaves
 //	peer BOX ENGINE              another box runs a generation on the engine
@@ -128,6 +130,8 @@
 		r.setState(args[0], registry.Ready)
 	case "gone":
 		r.gone(args[0])
+	case "cordon":
+		r.cordon(args)
 	case "age":
 		r.age = s.duration(args[0])
 	case "says":
