coldstart, registry, choose: cold servers get no more than they bear from all boxes together

Cause: the number of requests that a server bears in its first second was decoded and not kept; a failure domain that takes work again is empty and would be first for every box. Change: of the bound (rate x over + slack) half is shared out without a word between boxes: for each cold server as many boxes as it bears requests, by hash, send one within 1.2 s, few boxes more. A box that is lost keeps its share for a minute, so that parts that lose each other stay within the bound. Streams that go on at a copy are counted and never held. A server is cold for as long as its entry says, when it is new, and when its domain takes work again. Ways weighed: a share for every box (0.69 of a request a second for each of 66, so none may send at all or all overrun the bound at once); shares that follow the traffic (a box that does not hear the others takes theirs too). What the kept way leaves unused: the half, and shares of boxes without traffic.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -8,6 +8,7 @@
 	"github.com/dalebend/dalebend/internal/arrival"
 	"github.com/dalebend/dalebend/internal/boxsettings"
 	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/coldstart"
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/forecast"
@@ -42,10 +43,15 @@
 	b.starts = &arrival.Rate{Clock: b.Clock}
 	b.evidence = &evidence.Book{Clock: b.Clock, Changed: b.serverChanged}
 	b.notice = &notice.Book{Clock: b.Clock}
-	b.directory = &registry.Directory{Clock: b.Clock, StoreReturned: b.storeReturned, Left: b.serversLeft}
+	b.directory = &registry.Directory{Clock: b.Clock, StoreReturned: b.storeReturned, Left: b.serversLeft, ColdTime: b.coldTime}
+	cold := &coldstart.Gate{
+		Clock: b.Clock, Box: b.Settings.Box, Live: b.liveNames,
+		Bound: coldstart.Bound{Over: b.Settings.ColdOver, Slack: b.Settings.ColdSlack},
+	}
 	b.chooser = &choose.Chooser{
 		Directory: b.directory, Evidence: b.evidence, Ledger: b.ledger,
 		Domain: b.Settings.Domain, Rand: b.random(drawsOfChooser), Unseen: b.unseenStarts,
+		Cold: cold, ColdRate: b.coldRate,
 	}
 }
 
--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -11,6 +11,7 @@
 	"slices"
 	"sync"
 
+	"github.com/dalebend/dalebend/internal/coldstart"
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -51,6 +52,10 @@
 	// Unseen returns how many generations other boxes are expected to have placed that are
 	// not known here yet. Nil is none.
 	Unseen func() float64
+	// Cold bounds what goes to cold servers, and ColdRate returns the requests a second that
+	// a cold server of a service bears, 0 if that is not bounded. Nil is no bound.
+	Cold     *coldstart.Gate
+	ColdRate func(service string) float64
 
 	mu       sync.Mutex
 	inFlight map[string]int
@@ -65,6 +70,8 @@
 	Load engineload.Load
 	// Of is the number of servers that it was picked from.
 	Of int
+	// cold means that the server is cold.
+	cold bool
 }
 
 // Reason tells in words what decided on the server.
@@ -82,26 +89,30 @@
 // Plain returns the server for a plain request, or nil when none may take new
 // work. Avoid names servers that the request was sent to already.
 func (c *Chooser) Plain(service string, avoid []string) *Candidate {
-	return c.lowest(c.Directory.Service(service), 1, nil, avoid, func(m *registry.Member, _ engineload.Load) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent(c.lowest(c.Directory.Service(service), 1, nil, avoid, func(m *registry.Member, _ engineload.Load) float64 {
+		if !c.bears(m) {
+			return noCandidate
+		}
 		rank := float64(c.inFlight[m.ID])/float64(max(1, m.Slots)) + c.conduct(m)
 		if m.Domain != c.Domain {
 			rank += otherDomain
 		}
 		return rank
-	})
+	}))
 }
 
 // noCandidate is the rank of a server that must not be picked.
 const noCandidate = math.MaxFloat64
 
 // lowest returns the server of the lowest rank, or nil when there is none. Each server is
-// considered with a probability of share, and any if no good one is. It calls rankOf locked,
-// with the server's load if that is known.
+// considered with a probability of share, and any if no good one is. It calls rankOf with the
+// server's load if that is known. The lock must be held.
 func (c *Chooser) lowest(members []registry.Member, share float64, loads map[string]engineload.Load, avoid []string,
 	rankOf func(*registry.Member, engineload.Load) float64,
 ) *Candidate {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	now := c.Directory.Clock.Now()
 	var best, considered *Candidate
 	for i := range members {
 		m := &members[i]
@@ -113,7 +124,7 @@
 		if rank >= noCandidate {
 			continue
 		}
-		candidate := &Candidate{Server: m.Server, Rank: rank, Load: load, Of: len(members)}
+		candidate := &Candidate{Server: m.Server, Rank: rank, Load: load, Of: len(members), cold: m.Cold(now)}
 		best = lower(best, candidate)
 		if share < 1 && c.Rand.Float64() < share {
 			considered = lower(considered, candidate)
@@ -133,6 +144,30 @@
 	return a
 }
 
+// bears reports whether a server may get a request of this box now. The lock must be held.
+func (c *Chooser) bears(m *registry.Member) bool {
+	if c.Cold == nil || !m.Cold(c.Directory.Clock.Now()) {
+		return true
+	}
+	return c.Cold.Takes(m.ID, c.ColdRate(m.Service))
+}
+
+// sent counts a request that goes to a candidate, which may be nil, if that is cold. The
+// lock must be held from the choice on, so that no two requests take the same share.
+func (c *Chooser) sent(to *Candidate) *Candidate {
+	if to != nil && to.cold && c.Cold != nil {
+		c.Cold.Sent(to.ID)
+	}
+	return to
+}
+
+// GoesOn counts a stream that goes on at a server, which is not held back.
+func (c *Chooser) GoesOn(server *registry.Server) {
+	if c.Cold != nil {
+		c.Cold.Sent(server.ID)
+	}
+}
+
 // Begin counts a request in at a plain server; the returned function counts it out.
 func (c *Chooser) Begin(server string) (end func()) {
 	c.count(server, 1)
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -60,12 +60,18 @@
 
 // Engine returns the engine for a generation, or nil when none may take new work.
 func (c *Chooser) Engine(service *routetable.Service, need *Need) *Candidate {
-	return c.lowestEngine(service, need.Avoid, func(m *registry.Member, load engineload.Load) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent(c.lowestEngine(service, need.Avoid, func(m *registry.Member, load engineload.Load) float64 {
+		if !c.bears(m) {
+			return noCandidate
+		}
 		return c.engineRank(m, load, need, service.Engine)
-	})
+	}))
 }
 
-// lowestEngine returns the engine of the lowest rank, or nil when there is none.
+// lowestEngine returns the engine of the lowest rank, or nil when there is none. The lock must
+// be held.
 func (c *Chooser) lowestEngine(service *routetable.Service, avoid []string,
 	rankOf func(*registry.Member, engineload.Load) float64,
 ) *Candidate {
@@ -137,6 +143,8 @@
 // Backup returns the engine that gets a copy of a generation that runs on
 // engine, or nil when none has room to spare.
 func (c *Chooser) Backup(service *routetable.Service, engine *registry.Server, need *Need) *Candidate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.lowestEngine(service, need.Avoid, func(m *registry.Member, load engineload.Load) float64 {
 		full := fill(load, need, service.Engine)
 		conduct := c.conduct(m)
@@ -150,13 +158,15 @@
 // Refuge returns the engine that a generation of a leaving engine is moved to,
 // or nil when none may take new work.
 func (c *Chooser) Refuge(service *routetable.Service, leaving *registry.Server, need *Need) *Candidate {
-	return c.lowestEngine(service, need.Avoid, func(m *registry.Member, load engineload.Load) float64 {
-		if m.ID == leaving.ID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent(c.lowestEngine(service, need.Avoid, func(m *registry.Member, load engineload.Load) float64 {
+		if m.ID == leaving.ID || !c.bears(m) {
 			return noCandidate
 		}
 		return fill(load, need, service.Engine) + c.conduct(m) + c.doubt(m) +
 			linkRank(m, load, leaving) + copyTurn*preference(leaving.ID, m.ID)
-	})
+	}))
 }
 
 // linkRank is the part of a rank that follows from the time of a copy: the copies that
--- /dev/null
+++ b/internal/registry/cold.go
@@ -0,0 +1,59 @@
+package registry
+
+import "time"
+
+// coldSlack is added to the time for which a server says that it is cold: the way of its
+// entry to the store, and clocks that run apart.
+const coldSlack = 300 * time.Millisecond
+
+// noteCold notes the servers that a view shows to be cold: those that say so, those that have
+// just come, and those of failure domains that take work again, which may have turned cold
+// shortly before. The lock must be held.
+func (d *Directory) noteCold(old *listing, v *View) {
+	now := d.Clock.Now()
+	for id, until := range d.cold {
+		if !now.Before(until) {
+			delete(d.cold, id)
+		}
+	}
+	for id := range v.Servers {
+		s := v.Servers[id]
+		if left := d.coldFor(old, &s); left > 0 {
+			d.setCold(id, now.Add(left+coldSlack))
+		}
+	}
+}
+
+// coldFor returns how long a server is cold from now on by what a view shows anew of it.
+func (d *Directory) coldFor(old *listing, s *Server) time.Duration {
+	if old == nil {
+		return s.Warmup
+	}
+	before, known := old.view.Servers[s.ID]
+	switch {
+	case !known:
+		return max(s.Warmup, d.coldTime(s.Service))
+	case old.cordons.Has(s.Domain) && !d.Cordons().Has(s.Domain):
+		return max(s.Warmup, d.coldTime(s.Service))
+	case before.Warmup != s.Warmup:
+		return s.Warmup
+	default:
+		return 0
+	}
+}
+
+func (d *Directory) coldTime(service string) time.Duration {
+	if d.ColdTime == nil {
+		return 0
+	}
+	return d.ColdTime(service)
+}
+
+func (d *Directory) setCold(id string, until time.Time) {
+	if d.cold == nil {
+		d.cold = make(map[string]time.Time)
+	}
+	if until.After(d.cold[id]) {
+		d.cold[id] = until
+	}
+}
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -25,13 +25,17 @@
 	StoreReturned func() time.Time
 	// Left, if set, is told of servers that have just begun to leave or are gone.
 	Left func(ids []string)
+	// ColdTime, if set, returns how long a server of a service is cold after its start.
+	ColdTime func(service string) time.Duration
 
 	mu sync.Mutex
 	// departing holds servers that said themselves that they leave, and when that was
 	// noted. The view may be older.
 	departing map[string]time.Time
-	current   atomic.Pointer[listing]
-	cordons   atomic.Pointer[Cordons]
+	// cold holds servers that are cold, and until when. The lock guards it.
+	cold    map[string]time.Time
+	current atomic.Pointer[listing]
+	cordons atomic.Pointer[Cordons]
 }
 
 // listing is what follows from one view and the cordons.
@@ -48,8 +52,13 @@
 	*Server
 	// Until is when an entry that has vanished is given up; zero for one that stands.
 	Until time.Time
+	// ColdUntil is until when the server is cold; zero for one that was not when the view came.
+	ColdUntil time.Time
 }
 
+// Cold reports whether the server is cold.
+func (m *Member) Cold(now time.Time) bool { return now.Before(m.ColdUntil) }
+
 // departingMemory is how long a server's own word is remembered: longer than the store is
 // away. A later start of the server has another id.
 const departingMemory = 10 * time.Minute
@@ -142,6 +151,7 @@
 // an older one.
 func (d *Directory) replace(v *View) (left []string) {
 	old := d.current.Load()
+	d.noteCold(old, v)
 	next := &listing{
 		view: v, cordons: d.Cordons(),
 		services: make(map[string][]Member), members: make(map[string]Member),
@@ -149,7 +159,7 @@
 	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
 		s := v.Servers[id]
 		if _, departs := d.departing[id]; s.State == Ready && !departs {
-			next.add(Member{Server: &s})
+			next.add(Member{Server: &s, ColdUntil: d.cold[id]})
 		}
 	}
 	left = d.carryOver(old, next)
@@ -173,7 +183,7 @@
 		_, draining := next.view.Servers[id]
 		_, departs := d.departing[id]
 		if !draining && !departs && !m.over(now) && now.Before(until) {
-			next.add(Member{Server: m.Server, Until: until})
+			next.add(Member{Server: m.Server, Until: until, ColdUntil: d.cold[id]})
 			continue
 		}
 		left = append(left, id)
--- a/internal/registry/directory_test.go
+++ b/internal/registry/directory_test.go
@@ -31,14 +31,27 @@
 		Clock:         clock,
 		StoreReturned: func() time.Time { return s.returned },
 		Left:          func(ids []string) { s.left = append(s.left, ids...) },
+		ColdTime: func(service string) time.Duration {
+			if service == "chat" {
+				return time.Second
+			}
+			return 0
+		},
 	}
 	return s
 }
 
-// parseServer reads "ID SERVICE STATE [DOMAIN]".
+// parseServer reads "ID SERVICE STATE [DOMAIN [COLD]]".
 func parseServer(t *testing.T, line string) registry.Server {
 	f := strings.Fields(line)
 	domain := ""
+	warmup := time.Duration(0)
+	if len(f) == 5 {
+		var err error
+		warmup, err = time.ParseDuration(f[4])
+		require.NoError(t, err)
+		f = f[:4]
+	}
 	if len(f) == 4 {
 		domain = f[3]
 		f = f[:3]
@@ -47,7 +60,7 @@
 	states := map[string]registry.State{"ready": registry.Ready, "draining": registry.Draining}
 	state, ok := states[f[2]]
 	require.True(t, ok, line)
-	return registry.Server{ID: f[0], Service: f[1], State: state, Domain: domain}
+	return registry.Server{ID: f[0], Service: f[1], State: state, Domain: domain, Warmup: warmup}
 }
 
 func (s *script) set(t *testing.T, input string) {
@@ -59,6 +72,20 @@
 	s.dir.Set(v)
 }
 
+// cold prints the servers that are cold, with the time until they are not.
+func (s *script) cold() string {
+	var b strings.Builder
+	now := s.clock.Now()
+	for _, service := range []string{"chat", "plain"} {
+		for _, m := range s.dir.Service(service) {
+			if m.Cold(now) {
+				fmt.Fprintf(&b, "%s for %s\n", m.ID, m.ColdUntil.Sub(now))
+			}
+		}
+	}
+	return b.String()
+}
+
 // cordon sets cordons of a revision, and tells which are known then.
 func (s *script) cordon(t *testing.T, td *datadriven.TestData) string {
 	c := registry.Cordons{Domains: strings.Fields(td.Input)}
@@ -128,6 +155,8 @@
 				return fmt.Sprintf("takes=%t known=%t\n", s.dir.Takes(td.Input), s.dir.Known(td.Input))
 			case "stays":
 				return fmt.Sprintf("takes=%t stays=%t\n", s.dir.Takes(td.Input), s.dir.Stays(td.Input))
+			case "cold":
+				return s.cold()
 			case "cordon":
 				return s.cordon(t, td) + s.show()
 			default:
--- a/internal/routetable/service.go
+++ b/internal/routetable/service.go
@@ -11,6 +11,10 @@
 	HealthPath string
 	// MaxConns is the number of connections that one server accepts from all callers together.
 	MaxConns int
+	// ColdRate is the number of requests a second that a cold server bears; 0 is no bound.
+	ColdRate float64
+	// ColdTime is how long a server is cold after its start.
+	ColdTime time.Duration
 	// Engine is set when the servers are model engines.
 	Engine *Engine
 }
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -85,6 +85,10 @@
 	choice := x.chooseBackup(at.server, need)
 	backup := choice.server
 	cont := &hop.Continue{Holder: at.holder, Copy: at.name, LastEvent: last}
+	if !at.paid {
+		// The target of a move was counted when it was chosen.
+		x.relay.Chooser.GoesOn(at.server)
+	}
 	o := x.offer(ctx, at.server, backup, cont)
 	if o.err == nil && o.answer.Status != okStatus {
 		o.answer.close()
