routetable, choose, front: homes of a route and of an account bind every choice

Cause: a configuration may name the regions that a route's or an account's requests may go to; that was not read. Change: both bind plain requests, generations, copies and moves. The region of a server follows from its failure domain, by the settings; one that is not known is no home. Tests fail without it.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -53,7 +53,7 @@
 	b.chooser = &choose.Chooser{
 		Directory: b.directory, Evidence: b.evidence, Ledger: b.ledger,
 		Domain: b.Settings.Domain, Rand: b.random(drawsOfChooser), Unseen: b.unseenStarts,
-		Prompts: prompts, Cold: cold, ColdRate: b.coldRate,
+		Region: b.region, Prompts: prompts, Cold: cold, ColdRate: b.coldRate,
 	}
 }
 
--- a/internal/box/cold.go
+++ b/internal/box/cold.go
@@ -33,3 +33,6 @@
 	}
 	return names
 }
+
+// region returns the region of a failure domain, empty if the settings do not tell.
+func (b *Box) region(domain string) string { return b.Settings.Regions[domain] }
--- a/internal/boxsettings/settings.go
+++ b/internal/boxsettings/settings.go
@@ -15,6 +15,8 @@
 	// Box and Domain name the box and its failure domain.
 	Box    string
 	Domain string
+	// Regions is the region of each failure domain.
+	Regions map[string]string
 	// Front is the address for callers, Ready the one that the balancer asks, HOST:PORT.
 	Front string
 	Ready string
--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -17,6 +17,7 @@
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/pace"
 	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/routetable"
 )
 
 // Weights of a plain server's rank. One unit is a server whose every slot this
@@ -54,6 +55,8 @@
 	// Unseen returns how many generations other boxes are expected to have placed that are
 	// not known here yet. Nil is none.
 	Unseen func() float64
+	// Region returns the region of a failure domain, empty if it is not known. Nil knows none.
+	Region func(domain string) string
 	// Prompts is how long engines take to read a prompt. Nil is the usual time.
 	Prompts *pace.Prompts
 	// Cold bounds what goes to cold servers, and ColdRate returns the requests a second that
@@ -92,12 +95,19 @@
 	}
 }
 
+// limits are what a choice is bound by.
+type limits struct {
+	// avoid names servers that must not be picked.
+	avoid []string
+	homes routetable.Homes
+}
+
 // Plain returns the server for a plain request, or nil when none may take new
 // work. Avoid names servers that the request was sent to already.
-func (c *Chooser) Plain(service string, avoid []string) *Candidate {
+func (c *Chooser) Plain(service string, homes routetable.Homes, avoid []string) *Candidate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sent(c.lowest(c.Directory.Service(service), 1, nil, avoid, func(m *registry.Member, _ engineload.Load) float64 {
+	return c.sent(c.lowest(c.Directory.Service(service), 1, nil, limits{avoid, homes}, func(m *registry.Member, _ engineload.Load) float64 {
 		if !c.bears(m) {
 			return noCandidate
 		}
@@ -115,14 +125,14 @@
 // lowest returns the server of the lowest rank, or nil when there is none. Each server is
 // considered with a probability of share, and any if no good one is. It calls rankOf with the
 // server's load if that is known. The lock must be held.
-func (c *Chooser) lowest(members []registry.Member, share float64, loads map[string]engineload.Load, avoid []string,
+func (c *Chooser) lowest(members []registry.Member, share float64, loads map[string]engineload.Load, bound limits,
 	rankOf func(*registry.Member, engineload.Load) float64,
 ) *Candidate {
 	now := c.Directory.Clock.Now()
 	var best, considered *Candidate
 	for i := range members {
 		m := &members[i]
-		if slices.Contains(avoid, m.ID) {
+		if slices.Contains(bound.avoid, m.ID) || !bound.homes.Allow(c.region(m.Domain)) {
 			continue
 		}
 		load := loads[m.ID]
@@ -174,6 +184,14 @@
 	}
 }
 
+// region returns the region of a failure domain, empty if it is not known.
+func (c *Chooser) region(domain string) string {
+	if c.Region == nil {
+		return ""
+	}
+	return c.Region(domain)
+}
+
 // Begin counts a request in at a plain server; the returned function counts it out.
 func (c *Chooser) Begin(server string) (end func()) {
 	c.count(server, 1)
--- a/internal/choose/chooser_test.go
+++ b/internal/choose/chooser_test.go
@@ -55,7 +55,7 @@
 func (r *rig) picks(n int, avoid ...string) map[string]int {
 	got := make(map[string]int)
 	for range n {
-		if c := r.Plain("plain", avoid); c != nil {
+		if c := r.Plain("plain", routetable.Homes{}, avoid); c != nil {
 			got[c.ID]++
 		}
 	}
@@ -65,14 +65,14 @@
 // TestPlainNone: without a server that takes work there is no candidate.
 func TestPlainNone(t *testing.T) {
 	r := newRig()
-	require.Nil(t, r.Plain("plain", nil))
+	require.Nil(t, r.Plain("plain", routetable.Homes{}, nil))
 	r.set(plain("a"))
-	require.Nil(t, r.Plain("other", nil))
-	require.Nil(t, r.Plain("plain", []string{"a"}))
+	require.Nil(t, r.Plain("other", routetable.Homes{}, nil))
+	require.Nil(t, r.Plain("plain", routetable.Homes{}, []string{"a"}))
 	draining := plain("a")
 	draining.State = registry.Draining
 	r.set(draining)
-	require.Nil(t, r.Plain("plain", nil))
+	require.Nil(t, r.Plain("plain", routetable.Homes{}, nil))
 }
 
 // TestPlainSpreads: equal servers get equal shares, and the one with fewer
@@ -106,7 +106,7 @@
 		r := newRig(plain("a"), plain("b"), plain("c"), plain("d"), plain("e"))
 		var got []string
 		for range 30 {
-			got = append(got, r.Plain("plain", nil).ID)
+			got = append(got, r.Plain("plain", routetable.Homes{}, nil).ID)
 		}
 		if i == 0 {
 			first = got
@@ -451,3 +451,29 @@
 	require.InDelta(t, 300+1000, c.Wait.First.Milliseconds(), 2)
 	require.True(t, c.Wait.Queued)
 }
+
+// TestHomes: a request with homes goes nowhere else, whatever it is and however little the others
+// have to do; a server whose region is not known is no home.
+func TestHomes(t *testing.T) {
+	servers := []registry.Server{plain("p-east"), plain("p-west"), engineServer("e-east"), engineServer("e-west")}
+	servers[1].Domain, servers[3].Domain = "hall-2", "hall-2"
+	r := newRig(servers...)
+	homes := routetable.NewHomes([]string{"west"})
+	need := &choose.Need{Prompt: 100, Expected: 100, Homes: homes}
+	leaving := &registry.Server{ID: "leaving"}
+	require.Nil(t, r.Plain("plain", homes, nil), "no region is known")
+
+	r.Region = func(domain string) string { return map[string]string{"hall-1": "east", "hall-2": "west"}[domain] }
+	r.Ledger.Heard("other", []digest.Load{{Server: "e-west", Tokens: 1000, Prefill: 1000}})
+	for range 20 {
+		require.Equal(t, "p-west", r.Plain("plain", homes, nil).ID)
+		require.Equal(t, "e-west", r.Engine(engineService, need).ID)
+		require.Equal(t, "e-west", r.Refuge(engineService, leaving, need).ID)
+		require.Equal(t, "e-west", r.Backup(engineService, leaving, need).ID)
+	}
+	need.Avoid = []string{"e-west"}
+	require.Nil(t, r.Plain("plain", homes, []string{"p-west"}))
+	require.Nil(t, r.Engine(engineService, need))
+	require.Nil(t, r.Refuge(engineService, leaving, need))
+	require.Nil(t, r.Backup(engineService, leaving, need))
+}
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -57,10 +57,14 @@
 	Expected int
 	// Avoid names engines that it must not go to.
 	Avoid []string
+	// Homes are the regions that it may go to.
+	Homes routetable.Homes
 	// Within is the longest wait for its first event that is acceptable; 0 is any.
 	Within time.Duration
 }
 
+func (n *Need) limits() limits { return limits{avoid: n.Avoid, homes: n.Homes} }
+
 // Engine returns the engine for a generation, or nil when none may take new work. If the best of
 // those considered can't begin it within the time that is acceptable, all are: 23 and 42 of 1,604
 // and 1,785 summaries were refused twice on two heavy days then, and 42 and 81 without.
@@ -75,20 +79,20 @@
 	}
 	members := c.Directory.Service(service.Name)
 	loads := c.Ledger.All()
-	best := c.awaited(c.lowest(members, c.share(len(members)), loads, need.Avoid, rankOf), need, service.Engine)
+	best := c.awaited(c.lowest(members, c.share(len(members)), loads, need.limits(), rankOf), need, service.Engine)
 	if best != nil && need.Within > 0 && best.Wait.First > need.Within {
-		best = c.awaited(c.lowest(members, 1, loads, need.Avoid, rankOf), need, service.Engine)
+		best = c.awaited(c.lowest(members, 1, loads, need.limits(), rankOf), need, service.Engine)
 	}
 	return c.sent(best)
 }
 
 // lowestEngine returns the engine of the lowest rank, or nil when there is none. The lock must
 // be held.
-func (c *Chooser) lowestEngine(service *routetable.Service, avoid []string,
+func (c *Chooser) lowestEngine(service *routetable.Service, bound limits,
 	rankOf func(*registry.Member, engineload.Load) float64,
 ) *Candidate {
 	members := c.Directory.Service(service.Name)
-	return c.lowest(members, c.share(len(members)), c.Ledger.All(), avoid, rankOf)
+	return c.lowest(members, c.share(len(members)), c.Ledger.All(), bound, rankOf)
 }
 
 // leastConsidered is the least number of engines that are considered on average, so that
@@ -157,7 +161,7 @@
 func (c *Chooser) Backup(service *routetable.Service, engine *registry.Server, need *Need) *Candidate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lowestEngine(service, need.Avoid, func(m *registry.Member, load engineload.Load) float64 {
+	return c.lowestEngine(service, need.limits(), func(m *registry.Member, load engineload.Load) float64 {
 		full := fill(load, need, service.Engine)
 		conduct := c.conduct(m)
 		if m.ID == engine.ID || full > backupFill || conduct >= ejectedRank {
@@ -172,7 +176,7 @@
 func (c *Chooser) Refuge(service *routetable.Service, leaving *registry.Server, need *Need) *Candidate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sent(c.lowestEngine(service, need.Avoid, func(m *registry.Member, load engineload.Load) float64 {
+	return c.sent(c.lowestEngine(service, need.limits(), func(m *registry.Member, load engineload.Load) float64 {
 		if m.ID == leaving.ID || !c.bears(m) {
 			return noCandidate
 		}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -58,9 +58,13 @@
 	return x.route.Priority
 }
 
+// homes returns the regions that the request may go to.
+func (x *exchange) homes() routetable.Homes { return x.route.Homes.And(x.account.Homes) }
+
 func (x *exchange) single(ctx context.Context, service *routetable.Service, deadline time.Time) {
 	answer, err := x.server.Singles.Do(ctx, &single.Job{
-		Request: x.req, Route: x.route, Service: service, Account: x.account.Name, Deadline: deadline,
+		Request: x.req, Route: x.route, Service: service, Account: x.account.Name, Homes: x.homes(),
+		Deadline: deadline,
 	})
 	if err != nil {
 		x.failed(ctx, err)
@@ -78,7 +82,7 @@
 func (x *exchange) stream(ctx context.Context, service *routetable.Service, deadline time.Time) {
 	s := &sink{x: x}
 	err := x.server.Streams.Serve(ctx, &streaming.Job{
-		Request: x.req, Route: x.route, Service: service, Account: x.account.Name,
+		Request: x.req, Route: x.route, Service: service, Account: x.account.Name, Homes: x.homes(),
 		Priority: x.priority(), Deadline: deadline,
 	}, s)
 	if err == nil {
--- a/internal/front/request_test.go
+++ b/internal/front/request_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -216,6 +217,26 @@
 	}
 }
 
+// TestHomes: the homes of the route and of the account both bind a request.
+func TestHomes(t *testing.T) {
+	r := newRig(t)
+	s := spec()
+	s.HasAccounts = true
+	s.Routes[0].Homes = routetable.NewHomes([]string{"east", "west"})
+	s.Keys = map[string]routetable.Account{
+		"k1": {Name: "anywhere"}, "k2": {Name: "west", Homes: routetable.NewHomes([]string{"west", "north"})},
+	}
+	r.use(s)
+	jobs := r.capture()
+	for key, allowed := range map[string][]string{"k1": {"east", "west"}, "k2": {"west"}} {
+		require.Equal(t, http.StatusOK, r.get("plain.test", "/", headerKey+": "+key).StatusCode)
+		homes := (<-jobs).Homes
+		for _, region := range []string{"east", "west", "north"} {
+			require.Equal(t, slices.Contains(allowed, region), homes.Allow(region), "%s %s", key, region)
+		}
+	}
+}
+
 // TestDeadline: the sooner of what the caller and the route allow.
 func TestDeadline(t *testing.T) {
 	r := newRig(t)
--- a/internal/single/flight.go
+++ b/internal/single/flight.go
@@ -82,7 +82,7 @@
 	if len(f.tried) >= maxSends {
 		return nil, errOfferedEnough
 	}
-	c := f.sender.Chooser.Plain(f.job.Service.Name, f.tried)
+	c := f.sender.Chooser.Plain(f.job.Service.Name, f.job.Homes, f.tried)
 	if c == nil {
 		return nil, errNoServer
 	}
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -65,6 +65,8 @@
 	Route   *routetable.Route
 	Service *routetable.Service
 	Account string
+	// Homes are the regions that it may go to.
+	Homes routetable.Homes
 	// Deadline is when the caller must have been answered.
 	Deadline time.Time
 }
--- a/internal/streaming/copyahead.go
+++ b/internal/streaming/copyahead.go
@@ -21,7 +21,7 @@
 // copyAhead copies what there is of the memory to an engine that stays, while
 // the generation runs. It returns the engine that was tried last.
 func (x *run) copyAhead(ctx context.Context, source *registry.Server) (*registry.Server, error) {
-	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Avoid: []string{source.ID}}
+	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Homes: x.job.Homes, Avoid: []string{source.ID}}
 	target := source
 	if x.relay.Budget.Left(x.job.Service.Name) == 0 {
 		// Once stopped, it could not go on elsewhere.
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -81,7 +81,7 @@
 		return nil, errBudgetSpent
 	}
 	start := x.relay.Clock.Now()
-	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Avoid: []string{from.ID}}
+	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Homes: x.job.Homes, Avoid: []string{from.ID}}
 	choice := x.chooseBackup(at.server, need)
 	backup := choice.server
 	cont := &hop.Continue{Holder: at.holder, Copy: at.name, LastEvent: last}
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -38,7 +38,7 @@
 // place finds an engine that takes the generation and returns its answer's head.
 func (x *run) place(ctx context.Context) (*answer, error) {
 	t := &tries{
-		need:  choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected},
+		need:  choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Homes: x.job.Homes},
 		cause: errNoEngine,
 	}
 	for t.goOn() {
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -94,6 +94,8 @@
 	Route   *routetable.Route
 	Service *routetable.Service
 	Account string
+	// Homes are the regions that it may go to.
+	Homes routetable.Homes
 	// Priority is the rank that the configuration gives it, 0 the most urgent.
 	Priority int
 	// Deadline is when the stream must have ended.
