coldstart: without stated bounds nothing is held back

Cause: where a service declares the rate of a cold server and the settings state no bound, the bound came out as 0 and a cold server would have got next to nothing. Change: no bound then. The test fails without it.

--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -69,9 +69,10 @@
 }
 
 // Takes reports whether this box may send a request to a cold server whose service declares
-// a rate now. A service that declares none has no bound.
+// a rate now. There is no bound for a service that declares none, nor where the settings state
+// none.
 func (g *Gate) Takes(server string, perSecond float64) bool {
-	if perSecond <= 0 {
+	if perSecond <= 0 || g.Bound == (Bound{}) {
 		return true
 	}
 	g.mu.Lock()
--- a/internal/coldstart/gate_test.go
+++ b/internal/coldstart/gate_test.go
@@ -129,13 +129,19 @@
 	}
 }
 
-// TestNoDeclaredRate: a service without one has no bound.
-func TestNoDeclaredRate(t *testing.T) {
+// TestNoBound: a service that declares no rate has none, and where the settings state none no
+// service has.
+func TestNoBound(t *testing.T) {
 	f := newFleet(66)
 	for range 1000 {
 		require.True(t, f.gates[0].Takes("cold", 0))
 		f.gates[0].Sent("cold")
 	}
+	f.gates[1].Bound = coldstart.Bound{}
+	for range 1000 {
+		require.True(t, f.gates[1].Takes("cold", perSecond))
+		f.gates[1].Sent("cold")
+	}
 }
 
 // TestServersDiffer: of many boxes each may send to some of the cold servers.
