--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -99,6 +99,7 @@
 type limits struct {
 	// avoid names servers that must not be picked.
 	avoid []string
+	// homes are the regions whose servers may be picked.
 	homes routetable.Homes
 }
 
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -63,6 +63,7 @@
 	Within time.Duration
 }
 
+// limits returns what bounds the choice of an engine.
 func (n *Need) limits() limits { return limits{avoid: n.Avoid, homes: n.Homes} }
 
 // Engine returns the engine for a generation, or nil when none may take new work. If the best of
--- a/internal/choose/wait.go
+++ b/internal/choose/wait.go
@@ -25,14 +25,14 @@
 	if to == nil {
 		return nil
 	}
-	missing := missing(to.Load, need, e)
+	lacks := missing(to.Load, need, e)
 	ms := float64(to.Load.Prefill+need.Prompt) * c.promptMs()
-	if missing > 0 {
-		ms += float64(missing) / freedPerMs
+	if lacks > 0 {
+		ms += float64(lacks) / freedPerMs
 	}
 	to.Wait = admission.Wait{
 		First:  time.Duration(ms * float64(time.Millisecond)),
-		Queued: missing > 0 || to.Load.Prefill > 0 || to.Load.Streams >= e.Slots,
+		Queued: lacks > 0 || to.Load.Prefill > 0 || to.Load.Streams >= e.Slots,
 	}
 	return to
 }
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -82,7 +82,7 @@
 		info(RequestSent, "a server was chosen among candidates and the request goes there; a long generation gets a backup when emptying its engine takes longer than the notice allows",
 			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyAttempt, KeyCause, KeyCandidates, KeyLoad, KeyRank,
 			KeyExpectedTokens, KeyWait, KeyBackup, KeyEmptying, KeyNotice, KeyDeadline, KeyConfigVersion, KeyViewRevision, KeyViewAge, KeyElapsed),
-		info(EnginesCrowded, "no engine is expected to begin the generation in time, so that its caller is told to come back; the engine is the best one, ms is for how long it was held",
+		info(EnginesCrowded, "no engine is expected to begin the generation in time, so that its caller is told to come back; the engine is the best one",
 			KeyRequest, KeyServer, KeyCandidates, KeyLoad, KeyPrefill, KeyWait, KeyViewRevision, KeyViewAge, KeyElapsed),
 		warn(RequestFailed, "an attempt failed; perhaps_run says whether the server may have run it",
 			KeyRequest, KeyServer, KeyAttempt, KeyStatus, KeyStage, KeyPerhapsRun, KeyCause, KeyElapsed),
