choose: a decision makes one candidate, not one for each engine

Cause: a profile of the choice among 2,000 engines: an allocation for each, under the lock that all generations of a box wait for. Change: the lowest rank is kept by its place in the list; the time of a prompt token is read once.

--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -129,36 +129,54 @@
 func (c *Chooser) lowest(members []registry.Member, share float64, loads map[string]engineload.Load, bound limits,
 	rankOf func(*registry.Member, engineload.Load) float64,
 ) *Candidate {
-	now := c.Directory.Clock.Now()
-	var best, considered *Candidate
+	best, considered := none, none
 	for i := range members {
 		m := &members[i]
 		if slices.Contains(bound.avoid, m.ID) || !bound.homes.Allow(c.region(m.Domain)) {
 			continue
 		}
-		load := loads[m.ID]
-		rank := rankOf(m, load)
+		rank := rankOf(m, loads[m.ID])
 		if rank >= noCandidate {
 			continue
 		}
-		candidate := &Candidate{Server: m.Server, Rank: rank, Load: load, Of: len(members), cold: m.Cold(now)}
-		best = lower(best, candidate)
+		best = best.orLower(i, rank)
 		if share < 1 && c.Rand.Float64() < share {
-			considered = lower(considered, candidate)
+			considered = considered.orLower(i, rank)
 		}
 	}
-	if considered == nil || considered.Rank >= ejectedRank {
-		return best
+	if considered == none || considered.rank >= ejectedRank {
+		considered = best
 	}
-	return considered
+	return c.candidate(members, considered, loads)
 }
 
-// lower returns the candidate of the lower rank, the first of equals. The first may be nil.
-func lower(a, b *Candidate) *Candidate {
-	if a == nil || b.Rank < a.Rank {
-		return b
+// pick is a server of a list with its rank.
+type pick struct {
+	index int
+	rank  float64
+}
+
+// none is no server.
+var none = pick{index: -1}
+
+// orLower returns the pick of the lower rank, the first of equals.
+func (p pick) orLower(index int, rank float64) pick {
+	if p == none || rank < p.rank {
+		return pick{index: index, rank: rank}
+	}
+	return p
+}
+
+// candidate returns what was picked from a list with what was believed of it, or nil.
+func (c *Chooser) candidate(members []registry.Member, p pick, loads map[string]engineload.Load) *Candidate {
+	if p == none {
+		return nil
+	}
+	m := &members[p.index]
+	return &Candidate{
+		Server: m.Server, Rank: p.rank, Load: loads[m.ID], Of: len(members),
+		cold: m.Cold(c.Directory.Clock.Now()),
 	}
-	return a
 }
 
 // bears reports whether a server may get a request of this box now. The lock must be held.
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -72,11 +72,12 @@
 func (c *Chooser) Engine(service *routetable.Service, need *Need) *Candidate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	promptMs := c.promptMs()
 	rankOf := func(m *registry.Member, load engineload.Load) float64 {
 		if !c.bears(m) {
 			return noCandidate
 		}
-		return c.engineRank(m, load, need, service.Engine)
+		return float64(load.Prefill)*promptMs + c.engineRank(m, load, need, service.Engine)
 	}
 	members := c.Directory.Service(service.Name)
 	loads := c.Ledger.All()
@@ -114,9 +115,9 @@
 }
 
 // engineRank is the time that a generation is expected to lose on an engine, in
-// milliseconds.
+// milliseconds, beside that for the prompts before its own.
 func (c *Chooser) engineRank(m *registry.Member, load engineload.Load, need *Need, e *routetable.Engine) float64 {
-	rank := float64(load.Prefill)*c.promptMs() + float64(load.Streams)*streamMs
+	rank := float64(load.Streams) * streamMs
 	rank += overfull(load, need, e) * fullMs
 	if load.Streams >= e.Slots {
 		rank += fullMs
