--- a/internal/member/spread_test.go
+++ b/internal/member/spread_test.go
@@ -23,8 +23,15 @@
 
 // TestSpread plays the scripts in testdata/spread: large fleets, what goes wrong there, and
 // how soon all boxes know of a change.
-func TestSpread(t *testing.T) {
-	datadriven.Walk(t, "testdata/spread", func(t *testing.T, path string) {
+func TestSpread(t *testing.T) { playScripts(t, "testdata/spread") }
+
+// TestCordons plays the scripts in testdata/cordons: how soon a fleet knows of a failure domain
+// that is being emptied.
+func TestCordons(t *testing.T) { playScripts(t, "testdata/cordons") }
+
+// playScripts plays the scripts of a folder, each with a fleet of its own.
+func playScripts(t *testing.T, folder string) {
+	datadriven.Walk(t, folder, func(t *testing.T, path string) {
 		synctest.Test(t, func(t *testing.T) {
 			s := &spreadTest{t: t, network: newNetwork(), rand: rand.New(rand.NewPCG(3, 4))}
 			s.delay = 500 * time.Microsecond
