--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -47,6 +47,7 @@
 
 // logCrowded tells why a generation is refused: the best engine, and what was believed of it.
 func (x *run) logCrowded(c *choose.Candidate, waited time.Duration) {
+	x.relay.Metrics.OrUnseen().Crowded.Inc(x.job.Route.Name)
 	x.log(event.EnginesCrowded, x.relay.Beliefs.AppendView([]slog.Attr{
 		slog.String(event.KeyServer, c.ID), slog.Int(event.KeyCandidates, c.Of),
 		slog.Int(event.KeyLoad, c.Load.Peak()), slog.Int(event.KeyPrefill, c.Load.Prefill),
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -29,6 +29,9 @@
 	MovesFailed *counters
 	// StreamsLost counts streams that were cut at the caller, by cause.
 	StreamsLost *counters
+	// Crowded counts generations that were refused as no engine would begin them in time, by
+	// route.
+	Crowded *counters
 	// CallersLeft counts callers that went away before the end, by kind of route.
 	CallersLeft *counters
 	// Ejections counts ejections of backend servers, by cause.
@@ -53,6 +56,10 @@
 	LiveBoxes *gauge
 	// Servers counts the backend servers that the box knows.
 	Servers *gauge
+	// CordonedDomains counts the failure domains that get no more work.
+	CordonedDomains *gauge
+	// PromptToken is the time that engines are believed to take to read a token of a prompt.
+	PromptToken *gauge
 	// ServersEjected counts those that get no new requests for failures.
 	ServersEjected *gauge
 	// EngineNotice is the notice that engines are expected to give, EngineEnds the number
@@ -104,6 +111,7 @@
 	m.StreamsMoved = m.counters("streams_moved_total", "streams that went on from another server", "way")
 	m.MovesFailed = m.counters("stream_moves_failed_total", "streams that a server could not take over", "cause")
 	m.StreamsLost = m.counters("streams_lost_total", "streams cut at the caller", "cause")
+	m.Crowded = m.counters("crowded_total", "generations refused as no engine would begin them in time", "route")
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
 }
@@ -121,6 +129,8 @@
 	m.ViewAge = m.gauge("view_age_seconds", "age of that knowledge")
 	m.LiveBoxes = m.gauge("live_boxes", "boxes believed to live, this one among them")
 	m.Servers = m.gauge("servers", "backend servers known")
+	m.CordonedDomains = m.gauge("cordoned_domains", "failure domains that get no more work")
+	m.PromptToken = m.gauge("prompt_token_seconds", "time that engines are believed to take to read a token of a prompt")
 	m.EngineNotice = m.gauge("engine_notice_seconds", "notice that engines are expected to give before they end, as learned")
 	m.EngineEnds = m.gauge("engine_ends_seen", "ended engines that the notice was learned from")
 	m.ServersEjected = m.gauge("servers_ejected", "backend servers out of use for failures")
