--- a/internal/choose/chooser_test.go
+++ b/internal/choose/chooser_test.go
@@ -10,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dalebend/dalebend/internal/choose"
-	"github.com/dalebend/dalebend/internal/coldstart"
 	"github.com/dalebend/dalebend/internal/digest"
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
@@ -382,98 +381,3 @@
 		require.Equal(t, "b", r.Engine(service, &choose.Need{Prompt: 3000}).ID)
 	}
 }
-
-// TestColdServersGetTheirShare: of two boxes this one sends eleven requests a second to a cold
-// server that bears 45 from all, and the others elsewhere; without another server there is no
-// candidate until the server is warm. Moves count, copies do not.
-func TestColdServersGetTheirShare(t *testing.T) {
-	const bears = 11
-	r := newRig(plain("warm"), engineServer("warm-engine"))
-	r.Directory.ColdTime = func(string) time.Duration { return time.Second }
-	r.Cold = &coldstart.Gate{
-		Clock: r.clock, Box: "a", Live: func() []string { return []string{"a", "b"} },
-		Bound: coldstart.Bound{Over: 1.5, Slack: 5},
-	}
-	r.ColdRate = func(string) float64 { return 27 }
-	r.set(plain("warm"), plain("cold"), engineServer("warm-engine"), engineServer("cold-engine"))
-
-	r.Ledger.Heard("other", []digest.Load{{Server: "warm-engine", Streams: 3, Tokens: 60000}})
-	defer r.Begin("warm")()
-	require.Equal(t, map[string]int{"cold": bears, "warm": 100 - bears}, r.picks(100))
-	require.Empty(t, r.picks(1, "warm"))
-
-	need := &choose.Need{Prompt: 100, Expected: 100}
-	service := &routetable.Service{Name: "chat", Engine: &routetable.Engine{Slots: 20, MemoryTokens: 100000, Moves: true}}
-	for i := range 2 * bears {
-		want := "warm-engine"
-		switch {
-		case i < bears-1:
-			want = "cold-engine"
-		case i == bears-1:
-			require.Equal(t, "cold-engine", r.Refuge(service, &registry.Server{ID: "leaving"}, need).ID)
-		}
-		require.Equal(t, want, r.Engine(service, need).ID, i)
-		require.Equal(t, "cold-engine", r.Backup(service, &registry.Server{ID: "warm-engine"}, need).ID)
-	}
-	require.Equal(t, "warm-engine", r.Refuge(service, &registry.Server{ID: "leaving"}, need).ID)
-
-	r.clock.Advance(1300 * time.Millisecond)
-	require.Equal(t, map[string]int{"cold": 100}, r.picks(100))
-}
-
-// TestWait: a generation waits for the prompts before its own and for memory, and all engines
-// are looked at before one is taken that can't begin it in time.
-func TestWait(t *testing.T) {
-	const engines = 40
-	var servers []registry.Server
-	for i := range engines {
-		servers = append(servers, engineServer(fmt.Sprintf("e-%02d", i)))
-	}
-	r := newRig(servers...)
-	need := &choose.Need{Prompt: 700, Within: time.Second}
-	c := r.Engine(engineService, need)
-	require.InDelta(t, 100, c.Wait.First.Milliseconds(), 1)
-	require.False(t, c.Wait.Queued)
-
-	r.Unseen = func() float64 { return 10 }
-	var loads []digest.Load
-	for i := range engines - 1 {
-		loads = append(loads, digest.Load{Server: fmt.Sprintf("e-%02d", i), Streams: 1, Tokens: 10800, Prefill: 1400})
-	}
-	r.Ledger.Heard("others", loads)
-	for range 50 {
-		require.Equal(t, "e-39", r.Engine(engineService, need).ID)
-	}
-	loads = append(loads, digest.Load{Server: "e-39", Streams: 1, Tokens: 10800, Prefill: 1400})
-	r.Ledger.Heard("others", loads)
-	c = r.Engine(engineService, need)
-	// 2,100 tokens to read, and 1,500 more than the memory holds.
-	require.InDelta(t, 300+1000, c.Wait.First.Milliseconds(), 2)
-	require.True(t, c.Wait.Queued)
-}
-
-// TestHomes: a request with homes goes nowhere else, whatever it is and however little the others
-// have to do; a server whose region is not known is no home.
-func TestHomes(t *testing.T) {
-	servers := []registry.Server{plain("p-east"), plain("p-west"), engineServer("e-east"), engineServer("e-west")}
-	servers[1].Domain, servers[3].Domain = "hall-2", "hall-2"
-	r := newRig(servers...)
-	homes := routetable.NewHomes([]string{"west"})
-	need := &choose.Need{Prompt: 100, Expected: 100, Homes: homes}
-	leaving := &registry.Server{ID: "leaving"}
-	require.Nil(t, r.Plain("plain", homes, nil), "no region is known")
-
-	r.Region = func(domain string) string { return map[string]string{"hall-1": "east", "hall-2": "west"}[domain] }
-	r.Ledger.Heard("other", []digest.Load{{Server: "e-west", Tokens: 1000, Prefill: 1000}})
-	for range 20 {
-		require.Equal(t, "p-west", r.Plain("plain", homes, nil).ID)
-		require.Equal(t, "e-west", r.Engine(engineService, need).ID)
-		require.Equal(t, "e-west", r.Refuge(engineService, leaving, need).ID)
-		require.Equal(t, "e-west", r.Backup(engineService, leaving, need).ID)
-	}
-	need.Avoid = []string{"e-west"}
-	require.Nil(t, r.Plain("plain", homes, []string{"p-west"}))
-	require.Nil(t, r.Engine(engineService, need))
-	require.Nil(t, r.Refuge(engineService, leaving, need))
-	require.Nil(t, r.Backup(engineService, leaving, need))
-}
--- /dev/null
+++ b/internal/choose/homes_test.go
@@ -0,0 +1,38 @@
+package choose_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/routetable"
+)
+
+// TestHomes: a request with homes goes nowhere else, whatever it is and however little the others
+// have to do; a server whose region is not known is no home.
+func TestHomes(t *testing.T) {
+	servers := []registry.Server{plain("p-east"), plain("p-west"), engineServer("e-east"), engineServer("e-west")}
+	servers[1].Domain, servers[3].Domain = "hall-2", "hall-2"
+	r := newRig(servers...)
+	homes := routetable.NewHomes([]string{"west"})
+	need := &choose.Need{Prompt: 100, Expected: 100, Homes: homes}
+	leaving := &registry.Server{ID: "leaving"}
+	require.Nil(t, r.Plain("plain", homes, nil), "no region is known")
+
+	r.Region = func(domain string) string { return map[string]string{"hall-1": "east", "hall-2": "west"}[domain] }
+	r.Ledger.Heard("other", []digest.Load{{Server: "e-west", Tokens: 1000, Prefill: 1000}})
+	for range 20 {
+		require.Equal(t, "p-west", r.Plain("plain", homes, nil).ID)
+		require.Equal(t, "e-west", r.Engine(engineService, need).ID)
+		require.Equal(t, "e-west", r.Refuge(engineService, leaving, need).ID)
+		require.Equal(t, "e-west", r.Backup(engineService, leaving, need).ID)
+	}
+	need.Avoid = []string{"e-west"}
+	require.Nil(t, r.Plain("plain", homes, []string{"p-west"}))
+	require.Nil(t, r.Engine(engineService, need))
+	require.Nil(t, r.Refuge(engineService, leaving, need))
+	require.Nil(t, r.Backup(engineService, leaving, need))
+}
--- /dev/null
+++ b/internal/choose/wait_test.go
@@ -0,0 +1,44 @@
+package choose_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+// TestWait: a generation waits for the prompts before its own and for memory, and all engines
+// are looked at before one is taken that can't begin it in time.
+func TestWait(t *testing.T) {
+	const engines = 40
+	var servers []registry.Server
+	for i := range engines {
+		servers = append(servers, engineServer(fmt.Sprintf("e-%02d", i)))
+	}
+	r := newRig(servers...)
+	need := &choose.Need{Prompt: 700, Within: time.Second}
+	c := r.Engine(engineService, need)
+	require.InDelta(t, 100, c.Wait.First.Milliseconds(), 1)
+	require.False(t, c.Wait.Queued)
+
+	r.Unseen = func() float64 { return 10 }
+	var loads []digest.Load
+	for i := range engines - 1 {
+		loads = append(loads, digest.Load{Server: fmt.Sprintf("e-%02d", i), Streams: 1, Tokens: 10800, Prefill: 1400})
+	}
+	r.Ledger.Heard("others", loads)
+	for range 50 {
+		require.Equal(t, "e-39", r.Engine(engineService, need).ID)
+	}
+	loads = append(loads, digest.Load{Server: "e-39", Streams: 1, Tokens: 10800, Prefill: 1400})
+	r.Ledger.Heard("others", loads)
+	c = r.Engine(engineService, need)
+	// 2,100 tokens to read, and 1,500 more than the memory holds.
+	require.InDelta(t, 300+1000, c.Wait.First.Milliseconds(), 2)
+	require.True(t, c.Wait.Queued)
+}
