docs, digest, registry, choose: interfaces for deciding under contention

Cause: too little room and uneven engines ask for parts that the boxes lack; they are built side by side, so what they share comes first. Tests of digest, choose, engineload, registry pass.

--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -1,11 +1,8 @@
 package choose
 
 import (
-	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -34,20 +31,6 @@
 	// gone. It falls to nothing within doubtTime, after which some box tries again.
 	unreachableMs = 1500.0
 	doubtTime     = 3 * time.Second
-	// backupFill is the expected fill up to which an engine takes copies of generations that
-	// run elsewhere: one that holds next to nothing does. A copy takes the memory of a whole
-	// generation for as long as that runs, and all together fill a fleet that has room: with 0.85 187
-	// and 67 generations were pushed out on two heavy days, with this 127 and 24, and no day of
-	// another fleet lost more than chance does. Weighing what a copy saves against the chance that it
-	// pushes another generation out let too many in: 154 and 200 on two days, against 95 and 138.
-	backupFill = 0.25
-	// copyTurn is the fill that an engine must be below for each copy that is on its
-	// way there, as copies wait for each other on its link, and when it is in another
-	// failure domain than the copy's source: a copy takes twice as long then. Without it
-	// the emptiest engine gets every copy, and moves to it wait for up to 1.1 s of a
-	// notice of 1.5 s: of 24 played days and seeds with 18 engines, 203 streams were lost,
-	// 136 with it.
-	copyTurn = 0.35
 )
 
 // Need is what a generation takes.
@@ -148,57 +131,3 @@
 	peak := load.Peak() + need.Prompt + need.Expected
 	return float64(peak) / float64(max(1, e.MemoryTokens))
 }
-
-// Emptying returns how long it takes to move what runs on an engine without a copy
-// elsewhere to others, one generation after the other, with this one.
-func (c *Chooser) Emptying(service *routetable.Service, engine string, need *Need) time.Duration {
-	load := c.Ledger.All()[engine]
-	unread := load.Prefill / max(1, need.Prompt)
-	held := (load.Tokens + need.Prompt) / (load.Streams + 1)
-	return time.Duration(load.Bare+unread+1) * service.Engine.MoveTime(held)
-}
-
-// Backup returns the engine that gets a copy of a generation that runs on
-// engine, or nil when none has room to spare.
-func (c *Chooser) Backup(service *routetable.Service, engine *registry.Server, need *Need) *Candidate {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lowestEngine(service, need.limits(), func(m *registry.Member, load engineload.Load) float64 {
-		full := fill(load, need, service.Engine)
-		conduct := c.conduct(m)
-		if m.ID == engine.ID || full > backupFill || conduct >= ejectedRank {
-			return noCandidate
-		}
-		return full + conduct + c.doubt(m) + linkRank(m, load, engine)
-	})
-}
-
-// Refuge returns the engine that a generation of a leaving engine is moved to,
-// or nil when none may take new work.
-func (c *Chooser) Refuge(service *routetable.Service, leaving *registry.Server, need *Need) *Candidate {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.sent(c.lowestEngine(service, need.limits(), func(m *registry.Member, load engineload.Load) float64 {
-		if m.ID == leaving.ID || !c.bears(m) {
-			return noCandidate
-		}
-		return fill(load, need, service.Engine) + c.conduct(m) + c.doubt(m) +
-			linkRank(m, load, leaving) + copyTurn*preference(leaving.ID, m.ID)
-	}))
-}
-
-// linkRank is the part of a rank that follows from the time of a copy: the copies that
-// are on their way to the engine, and the way from the copy's source.
-func linkRank(m *registry.Member, load engineload.Load, source *registry.Server) float64 {
-	rank := copyTurn * float64(load.Arriving)
-	if m.Domain != source.Domain {
-		rank += copyTurn
-	}
-	return rank
-}
-
-// preference returns a number from 0 to 1 that differs for each pair of engines, so that
-// the generations of engines that leave together do not all go to the emptiest one.
-func preference(leaving, refuge string) float64 {
-	return float64(xxhash.Sum64String(leaving+"/"+refuge)) / math.MaxUint64
-}
--- a/internal/digest/decode.go
+++ b/internal/digest/decode.go
@@ -92,6 +92,7 @@
 		Copies:   r.int32(),
 		Bare:     r.int32(),
 		Arriving: r.int32(),
+		Pace:     r.int32(),
 	}
 }
 
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -72,6 +72,9 @@
 	Bare int32
 	// Arriving is the number of copies of streams that are on their way to the server.
 	Arriving int32
+	// Pace is how fast the server makes tokens, as the box sees it, coded by package pace; 0 is
+	// not known.
+	Pace int32
 }
 
 // Trouble is a backend server that a box saw failing.
--- a/internal/digest/encode.go
+++ b/internal/digest/encode.go
@@ -13,10 +13,10 @@
 	// UDP and still holds some 200 loads.
 	MaxBytes = 8 << 10
 	// format changes when the fields do; a box refuses digests of another one.
-	format = 6
+	format = 7
 	// digestFields, loadFields and those after it are lengths of the arrays on the wire.
 	digestFields   = 22
-	loadFields     = 8
+	loadFields     = 9
 	troubleFields  = 3
 	attemptsFields = 3
 	memberFields   = 4
@@ -128,7 +128,7 @@
 func (w *writer) load(l *Load) {
 	w.array(loadFields)
 	w.strings(l.Server)
-	for _, v := range [...]int32{l.Streams, l.Tokens, l.Growth, l.Prefill, l.Copies, l.Bare, l.Arriving} {
+	for _, v := range [...]int32{l.Streams, l.Tokens, l.Growth, l.Prefill, l.Copies, l.Bare, l.Arriving, l.Pace} {
 		w.int(int64(v))
 	}
 }
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -16,8 +16,10 @@
 
 // Server is one start of a backend server, by its own entry. It is read only.
 type Server struct {
-	// ID names this start; the next start at the same address has another id.
+	// ID names the server. A later start may have the same one: Born tells them apart.
 	ID string
+	// Born is when this start began; zero if the server does not say.
+	Born time.Time
 	// Service names the service that it belongs to.
 	Service string
 	// Addr is HOST:PORT.
