tempo, outlook, choose: engines by their pace, places by the chance of being late

Cause: one engine in four makes a token in half the time of the others; a slower one that reads a prompt while it is slow for a moment pauses for 185 ms where callers accept 180, in all its streams at once. Boxes took all engines for alike. Change: tempo learns the time of a token by engine from the streams that boxes relay and how much longer events take beside a prompt; boxes tell each other (Load.Pace). prefill knows what is read where; outlook says what a generation will meet; choose ranks by the time to the first event and the chance that it or its neighbours are late. Metrics of forecast against seen, keys in the log.

--- a/internal/box/beliefs.go
+++ b/internal/box/beliefs.go
@@ -115,6 +115,8 @@
 	b.tellView()
 	b.directory.Set(&v)
 	b.evidence.Retain(b.directory.Known)
+	b.tempo.Retain(b.directory.Known)
+	b.prefill.Retain(b.directory.Known)
 	b.logView(&v)
 }
 
@@ -198,12 +200,20 @@
 	}
 	b.noteContact()
 	b.starts.Add(b.ledger.Heard(d.Box, d.Loads))
+	b.heardPace(d.Loads)
 	b.budget.Heard(d.Box, d.Attempts)
 	b.heardTroubles(d.Troubles)
 	b.share.Heard(d)
 	b.wakeWatcher(changed)
 }
 
+// heardPace takes what a peer tells of the pace of engines.
+func (b *Box) heardPace(loads []digest.Load) {
+	for i := range loads {
+		b.tempo.Heard(loads[i].Server, loads[i].Pace)
+	}
+}
+
 // wakeInterval is the least time between two questions whether this box is to follow the
 // store that are caused by heartbeats without news of it. Hundreds come each second, and what
 // the question finds without news, that a contact is too old, takes seconds.
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -28,12 +28,14 @@
 	"github.com/dalebend/dalebend/internal/moment"
 	"github.com/dalebend/dalebend/internal/notice"
 	"github.com/dalebend/dalebend/internal/peerstate"
+	"github.com/dalebend/dalebend/internal/prefill"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/spend"
 	"github.com/dalebend/dalebend/internal/storewatch"
 	"github.com/dalebend/dalebend/internal/streaming"
 	"github.com/dalebend/dalebend/internal/telemetry"
+	"github.com/dalebend/dalebend/internal/tempo"
 	"github.com/dalebend/dalebend/internal/viewshare"
 	"github.com/dalebend/dalebend/internal/watchduty"
 )
@@ -87,7 +89,10 @@
 	notice    *notice.Book
 	ledger    *engineload.Ledger
 	// starts is the rate at which other boxes start generations.
-	starts  *arrival.Rate
+	starts *arrival.Rate
+	// tempo is how fast engines make tokens, prefill how much they are given to read.
+	tempo   *tempo.Book
+	prefill *prefill.Rates
 	chooser *choose.Chooser
 	budget  *spend.Budget
 	streams *streaming.Relay
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -17,11 +17,13 @@
 	"github.com/dalebend/dalebend/internal/notice"
 	"github.com/dalebend/dalebend/internal/pace"
 	"github.com/dalebend/dalebend/internal/peerstate"
+	"github.com/dalebend/dalebend/internal/prefill"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/single"
 	"github.com/dalebend/dalebend/internal/spend"
 	"github.com/dalebend/dalebend/internal/storewatch"
 	"github.com/dalebend/dalebend/internal/streaming"
+	"github.com/dalebend/dalebend/internal/tempo"
 	"github.com/dalebend/dalebend/internal/viewshare"
 	"github.com/dalebend/dalebend/internal/watchduty"
 )
@@ -50,10 +52,14 @@
 		Bound: coldstart.Bound{Over: b.Settings.ColdOver, Slack: b.Settings.ColdSlack},
 	}
 	prompts := &pace.Prompts{}
+	b.tempo = &tempo.Book{}
+	b.prefill = &prefill.Rates{Clock: b.Clock}
+	b.ledger.Pace = b.tempo.Code
+	b.ledger.Prompt = b.prefill.Add
 	b.chooser = &choose.Chooser{
 		Directory: b.directory, Evidence: b.evidence, Ledger: b.ledger,
 		Domain: b.Settings.Domain, Rand: b.random(drawsOfChooser), Unseen: b.unseenStarts,
-		Region: b.region, Prompts: prompts, Cold: cold, ColdRate: b.coldRate,
+		Region: b.region, Prompts: prompts, Tempo: b.tempo, Prefill: b.prefill, Cold: cold, ColdRate: b.coldRate,
 	}
 }
 
@@ -144,7 +150,7 @@
 		Box:   s.Box,
 		Clock: b.Clock, Logger: b.Logger, Chooser: b.chooser, Directory: b.directory,
 		Evidence: b.evidence, Ledger: b.ledger, Lengths: &forecast.Book{}, Notice: b.notice,
-		Prompts:   b.chooser.Prompts,
+		Prompts: b.chooser.Prompts, Tempo: b.tempo,
 		Exchanger: b.Exchange, Codec: b.Platform.Codec, Mover: b.Platform.Mover, Reporter: b.Platform.Reporter,
 		Budget: b.budget, LoadChanged: b.node.Kick, Beliefs: b.beliefs, Metrics: b.Metrics,
 	}
--- a/internal/box/metrics.go
+++ b/internal/box/metrics.go
@@ -20,6 +20,8 @@
 	m.Servers.Compute(b.serverCount)
 	m.CordonedDomains.Compute(func() float64 { return float64(len(b.directory.Cordons().Domains)) })
 	m.PromptToken.Compute(func() float64 { return b.chooser.Prompts.PerToken().Seconds() })
+	m.EngineToken.Compute(func() float64 { return b.tempo.Usual().Seconds() })
+	m.EnginesPaced.Compute(func() float64 { return float64(b.tempo.Known()) })
 	m.EngineNotice.Compute(func() float64 { return b.notice.Expected().Seconds() })
 	m.EngineEnds.Compute(func() float64 { return float64(b.notice.Seen()) })
 	m.ServersEjected.Compute(func() float64 { return float64(b.evidence.Ejected()) })
--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -16,8 +16,10 @@
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/pace"
+	"github.com/dalebend/dalebend/internal/prefill"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/tempo"
 )
 
 // Weights of a plain server's rank. One unit is a server whose every slot this
@@ -59,6 +61,10 @@
 	Region func(domain string) string
 	// Prompts is how long engines take to read a prompt. Nil is the usual time.
 	Prompts *pace.Prompts
+	// Tempo is how fast engines make tokens, and Prefill how much they are given to read. Nil
+	// takes all engines for alike.
+	Tempo   *tempo.Book
+	Prefill *prefill.Rates
 	// Cold bounds what goes to cold servers, and ColdRate returns the requests a second that
 	// a cold server of a service bears, 0 if that is not bounded. Nil is no bound.
 	Cold     *coldstart.Gate
@@ -79,6 +85,9 @@
 	Of int
 	// Wait is what is believed of the wait for the first event on an engine.
 	Wait admission.Wait
+	// Pauses is how many generations, this one among them, are expected to have a pause that is
+	// too long because of it or at it.
+	Pauses float64
 	// cold means that the server is cold.
 	cold bool
 }
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -42,6 +42,8 @@
 	Avoid []string
 	// Homes are the regions that it may go to.
 	Homes routetable.Homes
+	// MaxPause is the longest pause between events that its caller accepts; 0 is any.
+	MaxPause time.Duration
 	// Within is the longest wait for its first event that is acceptable; 0 is any.
 	Within time.Duration
 }
@@ -55,12 +57,11 @@
 func (c *Chooser) Engine(service *routetable.Service, need *Need) *Candidate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	promptMs := c.promptMs()
 	rankOf := func(m *registry.Member, load engineload.Load) float64 {
 		if !c.bears(m) {
 			return noCandidate
 		}
-		return float64(load.Prefill)*promptMs + c.engineRank(m, load, need, service.Engine)
+		return c.engineRank(m, load, need, service.Engine) + c.meets(m, load, need, service.Engine)
 	}
 	members := c.Directory.Service(service.Name)
 	loads := c.Ledger.All()
--- /dev/null
+++ b/internal/choose/pause_play_test.go
@@ -0,0 +1,202 @@
+package choose_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/prefill"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/tempo"
+)
+
+const (
+	// tick is the step of the play.
+	tick = 5 * time.Millisecond
+	// An engine reads a piece of a prompt in each step, which takes twice as long then.
+	piece = 112.0
+	// One in so many spells of the play an engine is slower by a factor.
+	spell     = 600 * time.Millisecond
+	spellOdds = 7
+	spellSlow = 2.5
+	// maxPause is what callers of the play accept.
+	maxPause = 170 * time.Millisecond
+	prompt   = 2800
+)
+
+// stream is a generation of the play.
+type stream struct {
+	load         *engineload.Run
+	unread, made float64
+	length       float64
+	told         int
+	last         time.Time
+	tooLong      bool
+}
+
+// machine is an engine of the play.
+type machine struct {
+	id       string
+	perToken time.Duration
+	slowTo   time.Time
+	streams  []*stream
+}
+
+// reading returns the first generation whose prompt is not read, or nil.
+func (m *machine) reading() *stream {
+	for _, s := range m.streams {
+		if s.unread > 0 {
+			return s
+		}
+	}
+	return nil
+}
+
+// contest is a fleet of machines of two speeds under long and short generations.
+type contest struct {
+	*rig
+	machines map[string]*machine
+	order    []string
+	draw     *rand.Rand
+	long     int
+	tooLong  int
+}
+
+func newContest(learn bool) *contest {
+	c := &contest{machines: make(map[string]*machine), draw: rand.New(rand.NewPCG(3, 4))}
+	var servers []registry.Server
+	for i := range 16 {
+		id := fmt.Sprintf("engine-%02d", i)
+		perToken := 9 * time.Millisecond
+		if i%4 == 0 {
+			perToken = 4 * time.Millisecond
+		}
+		c.machines[id] = &machine{id: id, perToken: perToken}
+		c.order = append(c.order, id)
+		servers = append(servers, engineServer(id))
+	}
+	c.rig = newRig(servers...)
+	if learn {
+		c.Tempo, c.Prefill = &tempo.Book{}, &prefill.Rates{Clock: c.clock}
+		c.Ledger.Prompt = c.Prefill.Add
+	}
+	return c
+}
+
+// place sends a generation to the engine that is chosen.
+func (c *contest) place(expected int) {
+	need := &choose.Need{Prompt: prompt, Expected: expected, MaxPause: maxPause}
+	to := c.Engine(pacedService, need)
+	m := c.machines[to.ID]
+	m.streams = append(m.streams, &stream{
+		load: c.Ledger.Place(m.id, "", prompt, expected), unread: prompt, length: float64(expected) * (0.5 + c.draw.Float64()),
+	})
+}
+
+// step lets all engines work for a tick.
+func (c *contest) step() {
+	c.clock.Advance(tick)
+	now := c.clock.Now()
+	for _, id := range c.order {
+		m := c.machines[id]
+		perToken := m.perToken
+		if now.UnixNano()%int64(spell) < int64(tick) && c.draw.IntN(spellOdds) == 0 {
+			m.slowTo = now.Add(spell)
+		}
+		if now.Before(m.slowTo) {
+			perToken = time.Duration(spellSlow * float64(perToken))
+		}
+		read := m.reading()
+		if read != nil {
+			perToken *= 2
+		}
+		c.work(m, read, float64(tick)/float64(perToken))
+	}
+}
+
+// work lets an engine make so many steps.
+func (c *contest) work(m *machine, read *stream, steps float64) {
+	var running []*stream
+	for _, s := range m.streams {
+		if s.unread > 0 {
+			if s == read {
+				s.unread -= steps * piece
+			}
+			running = append(running, s)
+			continue
+		}
+		s.made += steps
+		c.tell(m, s, read != nil)
+		if s.made < s.length {
+			running = append(running, s)
+			continue
+		}
+		c.end(s)
+	}
+	m.streams = running
+}
+
+// tell passes the events that are whole on.
+func (c *contest) tell(m *machine, s *stream, beside bool) {
+	s.load.Made(int(s.made))
+	events := int(s.made) / 4
+	if events == s.told {
+		return
+	}
+	now := c.clock.Now()
+	if s.told > 0 {
+		pause := now.Sub(s.last)
+		s.tooLong = s.tooLong || pause > maxPause
+		if c.Tempo != nil {
+			c.Tempo.Observe(m.id, pause/4)
+			if beside {
+				c.Tempo.ObserveBeside(m.id, pause/4)
+			}
+		}
+	}
+	s.told, s.last = events, now
+}
+
+func (c *contest) end(s *stream) {
+	s.load.End()
+	if s.length < 100 {
+		return
+	}
+	c.long++
+	if s.tooLong {
+		c.tooLong++
+	}
+}
+
+// run plays so many generations of each kind a second.
+func (c *contest) run(perSecond float64, d time.Duration) {
+	for range d / tick {
+		for _, expected := range []int{700, 12} {
+			if c.draw.Float64() < perSecond*tick.Seconds() {
+				c.place(expected)
+			}
+		}
+		c.step()
+	}
+}
+
+// TestPausePlay: one engine in four makes a token in half the time of the others, and all are slow now
+// and then. Of the long answers that callers get, a fraction has a pause that they call too long
+// once boxes know the engines, of what it is while they count as alike.
+func TestPausePlay(t *testing.T) {
+	play := func(learn bool) *contest {
+		c := newContest(learn)
+		c.run(6, 100*time.Second)
+		return c
+	}
+	alike, known := play(false), play(true)
+	t.Logf("alike: %d of %d long answers with a pause that is too long; known: %d of %d",
+		alike.tooLong, alike.long, known.tooLong, known.long)
+	require.InEpsilon(t, alike.long, known.long, 0.1)
+	require.Less(t, known.tooLong, alike.tooLong/2)
+}
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -81,7 +81,7 @@
 			KeyConfigVersion, KeyConfigAge, KeyViewRevision, KeyViewAge, KeyElapsed),
 		info(RequestSent, "a server was chosen among candidates and the request goes there; a long generation gets a backup when emptying its engine takes longer than the notice allows",
 			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyAttempt, KeyCause, KeyCandidates, KeyLoad, KeyRank,
-			KeyExpectedTokens, KeyWait, KeyBackup, KeyEmptying, KeyNotice, KeyDeadline, KeyConfigVersion, KeyViewRevision, KeyViewAge, KeyElapsed),
+			KeyExpectedTokens, KeyWait, KeyPauses, KeyBackup, KeyEmptying, KeyNotice, KeyDeadline, KeyConfigVersion, KeyViewRevision, KeyViewAge, KeyElapsed),
 		info(EnginesCrowded, "no engine is expected to begin the generation in time, so that its caller is told to come back; the engine is the best one",
 			KeyRequest, KeyServer, KeyCandidates, KeyLoad, KeyPrefill, KeyWait, KeyViewRevision, KeyViewAge, KeyElapsed),
 		warn(RequestFailed, "an attempt failed; perhaps_run says whether the server may have run it",
@@ -112,7 +112,7 @@
 			KeyRequest, KeyFrom, KeyTo, KeyWay, KeyCause, KeyStatus, KeyEvents),
 		warn(StreamLost, "a stream was cut at the caller; causes lists what was tried",
 			KeyRequest, KeyServer, KeyEvents, KeyBackup, KeyCauses, KeyViewRevision, KeyViewAge, KeyElapsed),
-		info(StreamEnded, "a stream ended with its server's own end; pause_ms is its longest pause, ms the time to its first event",
-			KeyRequest, KeyServer, KeyEvents, KeyElapsed, KeyMoves, KeyPause),
+		info(StreamEnded, "a stream ended with its server's own end; pause_ms is its longest pause, unread_tokens what its server had to read then, ms the time to its first event",
+			KeyRequest, KeyServer, KeyEvents, KeyElapsed, KeyMoves, KeyPause, KeyPrefill),
 	}
 }
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -40,6 +40,7 @@
 	KeyExpectedTokens = "expected_tokens"
 	KeyPrefill        = "unread_tokens"
 	KeyWait           = "expected_first_ms"
+	KeyPauses         = "expected_pauses"
 	// KeyEmptying is how long it takes to move what has no copy off an engine, KeyNotice
 	// the notice that engines are expected to give.
 	KeyEmptying = "emptying_ms"
--- a/internal/engineload/ledger.go
+++ b/internal/engineload/ledger.go
@@ -47,8 +47,13 @@
 	l.Arriving += sign * o.Arriving
 }
 
-// Ledger is safe for concurrent use. Get one from New.
+// Ledger is safe for concurrent use. Get one from New, and set the exported fields before use.
 type Ledger struct {
+	// Pace, if set, returns what this box tells its peers of the pace of an engine.
+	Pace func(server string) int32
+	// Prompt, if set, is told of each prompt that an engine is to read.
+	Prompt func(server string, tokens int)
+
 	mu     sync.Mutex
 	own    map[*Run]struct{}
 	peers  map[string][]digest.Load
@@ -72,6 +77,7 @@
 	old, known := l.peers[box]
 	if known {
 		started = startedSince(old, loads)
+		l.promptsSince(old, loads)
 	}
 	l.apply(old, -1)
 	l.peers[box] = loads
@@ -89,6 +95,35 @@
 	return started
 }
 
+// promptsSince tells of the prompts that a peer gave to engines since its last list.
+func (l *Ledger) promptsSince(old, now []digest.Load) {
+	if l.Prompt == nil {
+		return
+	}
+	for i := range now {
+		if more := now[i].Prefill - digest.LoadOn(old, now[i].Server).Prefill; more > 0 {
+			l.Prompt(now[i].Server, int(more))
+		}
+	}
+}
+
+// Prefill returns the number of prompt tokens that are still to be read on an engine.
+func (l *Ledger) Prefill(server string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	tokens := 0
+	if sum := l.others[server]; sum != nil {
+		tokens = sum.Prefill
+	}
+	for r := range l.own {
+		if r.server == server {
+			load, _ := r.load()
+			tokens += load.Prefill
+		}
+	}
+	return tokens
+}
+
 // Forget drops what a peer ran that is gone.
 func (l *Ledger) Forget(box string) {
 	l.mu.Lock()
@@ -169,10 +204,15 @@
 	l.addOwn(own)
 	loads := make([]digest.Load, 0, len(own))
 	for server, load := range own {
+		pace := int32(0)
+		if l.Pace != nil {
+			pace = l.Pace(server)
+		}
 		loads = append(loads, digest.Load{
 			Server: server, Streams: int32(load.Streams), Tokens: int32(load.Tokens),
 			Growth: int32(load.Growth), Prefill: int32(load.Prefill), Copies: int32(load.Copies),
 			Bare: int32(load.Bare), Arriving: int32(load.Arriving),
+			Pace: pace,
 		})
 	}
 	return loads
--- a/internal/engineload/run.go
+++ b/internal/engineload/run.go
@@ -27,6 +27,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.own[r] = struct{}{}
+	if l.Prompt != nil {
+		l.Prompt(server, prompt)
+	}
 	return r
 }
 
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"time"
 
 	"github.com/dalebend/dalebend/internal/choose"
@@ -28,7 +29,7 @@
 		slog.String(event.KeyCause, c.Reason()),
 		slog.Int(event.KeyCandidates, c.Of), slog.Int(event.KeyLoad, c.Load.Peak()),
 		slog.Int(event.KeyExpectedTokens, x.expected),
-		slog.Int64(event.KeyWait, c.Wait.First.Milliseconds()))
+		slog.Int64(event.KeyWait, c.Wait.First.Milliseconds()), slog.Float64(event.KeyPauses, thousandths(c.Pauses)))
 	attrs = backup.append(attrs)
 	x.log(event.RequestSent, x.relay.Beliefs.Append(attrs)...)
 }
@@ -135,9 +136,12 @@
 	x.log(event.StreamEnded,
 		slog.String(event.KeyServer, idOf(x.engine)), slog.Int(event.KeyEvents, x.split.Events()),
 		slog.Int(event.KeyMoves, int(x.moves.Load())), slog.Int64(event.KeyElapsed, x.first.Milliseconds()),
-		slog.Int64(event.KeyPause, x.longest.Milliseconds()))
+		slog.Int64(event.KeyPause, x.longest.Milliseconds()), slog.Int(event.KeyPrefill, x.longestBeside))
 }
 
+// thousandths rounds a number for a line.
+func thousandths(n float64) float64 { return math.Round(n*1000) / 1000 }
+
 func (x *run) logMoveFailed(from, to *registry.Server, cause error) {
 	x.relay.Metrics.OrUnseen().MovesFailed.Inc(class(cause))
 	x.log(event.StreamMoveFailed,
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -38,7 +38,7 @@
 // place finds an engine that takes the generation and returns its answer's head.
 func (x *run) place(ctx context.Context) (*answer, error) {
 	t := &tries{
-		need:  choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Homes: x.job.Homes},
+		need:  choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Homes: x.job.Homes, MaxPause: x.job.Route.MaxPause},
 		cause: errNoEngine,
 	}
 	for t.goOn() {
@@ -133,9 +133,11 @@
 	choice := x.chooseBackup(c.Server, &t.need)
 	backup := choice.server
 	x.count(c.Server, backup)
+	now := x.relay.Clock.Now()
+	x.forecast = now.Add(c.Wait.First)
 	x.aloneSince = time.Time{}
 	if !c.Wait.Queued {
-		x.aloneSince = x.relay.Clock.Now()
+		x.aloneSince = now
 	}
 	if t.made > 0 {
 		x.logResent(t.from, c.Server, t.made+1, t.cause)
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -35,6 +35,7 @@
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/spend"
 	"github.com/dalebend/dalebend/internal/telemetry"
+	"github.com/dalebend/dalebend/internal/tempo"
 )
 
 // Exchanger sends one request to one backend server.
@@ -72,6 +73,8 @@
 	Notice    *notice.Book
 	Lengths   *forecast.Book
 	Prompts   *pace.Prompts
+	// Tempo learns how fast engines make tokens. It may be nil.
+	Tempo     *tempo.Book
 	Exchanger Exchanger
 	Codec     hop.Codec
 	Mover     Mover
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -38,11 +38,18 @@
 	passed  time.Time
 	first   time.Duration
 	longest time.Duration
-	moves   atomic.Int32
+	// longestBeside is the number of prompt tokens that the engine had to read at the longest pause.
+	longestBeside int
+	// forecast is when the first event was expected, zero before an offer.
+	forecast time.Time
+	moves    atomic.Int32
 	// aloneSince is when the prompt was sent to an engine where no other stood before it, zero
 	// if others did. The goroutine that passes events on owns it, too.
 	aloneSince time.Time
 
+	// tempo measures how fast the engine makes tokens. It belongs to that goroutine as well.
+	tempo window
+
 	// mu guards what follows. It is held while events are passed on, so that a
 	// switch to another engine sees exactly what the caller has.
 	mu     sync.Mutex
@@ -192,6 +199,7 @@
 	}
 	x.split.Take(events)
 	x.notePause()
+	x.noteTempo()
 	x.load.Made(x.split.Events() * x.job.Service.Engine.TokensPerEvent)
 	return nil
 }
@@ -221,12 +229,61 @@
 		if !x.aloneSince.IsZero() {
 			x.relay.Prompts.Observe(x.job.Request.PromptTokens, now.Sub(x.aloneSince))
 		}
+		x.noteForecast(now)
 	} else {
-		x.longest = max(x.longest, now.Sub(x.passed))
+		x.notePauseOf(now.Sub(x.passed))
 	}
 	x.passed = now
 }
 
+// notePauseOf keeps a pause if it is the longest, with what the engine did beside.
+func (x *run) notePauseOf(pause time.Duration) {
+	accepted := x.job.Route.MaxPause
+	tooLong := accepted > 0 && pause > accepted
+	if pause <= x.longest && !tooLong {
+		return
+	}
+	beside := x.relay.Ledger.Prefill(idOf(x.engine))
+	if pause > x.longest {
+		x.longest, x.longestBeside = pause, beside
+	}
+	if tooLong {
+		x.relay.Metrics.OrUnseen().LongPauses.Inc(besideOf(beside))
+	}
+}
+
+// What an engine did beside a pause, in the metrics.
+const (
+	besidePrompt  = "prompt"
+	besideNothing = "nothing"
+)
+
+func besideOf(unread int) string {
+	if unread > 0 {
+		return besidePrompt
+	}
+	return besideNothing
+}
+
+// Ways in which a first event was off what was expected, in the metrics.
+const (
+	offSooner = "sooner"
+	offLater  = "later"
+)
+
+// noteForecast counts by how much the first event came at another time than expected.
+func (x *run) noteForecast(now time.Time) {
+	if x.forecast.IsZero() {
+		return
+	}
+	off := x.relay.Metrics.OrUnseen().FirstEventOff
+	if now.Before(x.forecast) {
+		off.Observe(x.forecast.Sub(now), offSooner)
+		return
+	}
+	off.Observe(now.Sub(x.forecast), offLater)
+}
+
 // switched waits for a switch under way and reports whether the stream is now
 // at another engine.
 func (x *run) switched(ctx context.Context) bool {
--- /dev/null
+++ b/internal/streaming/tempo.go
@@ -0,0 +1,41 @@
+package streaming
+
+import "time"
+
+// windowEvents is the number of events over which the pace of an engine is measured, so that one
+// that comes late and one that comes early do not count apart.
+const windowEvents = 4
+
+// window is a stretch of a stream on one engine.
+type window struct {
+	engine string
+	// began is when the event before its first came, events the events passed on by then.
+	began  time.Time
+	events int
+	// last is when the last event came, and lastEvents the events by then.
+	last       time.Time
+	lastEvents int
+}
+
+// noteTempo learns from the events that were just passed on. The lock must be held.
+func (x *run) noteTempo() {
+	now := x.relay.Clock.Now()
+	perEvent := x.job.Service.Engine.TokensPerEvent
+	if x.relay.Tempo == nil || x.engine == nil || perEvent <= 0 {
+		return
+	}
+	w := &x.tempo
+	events := x.split.Events()
+	if w.engine != x.engine.ID {
+		*w = window{engine: x.engine.ID, began: now, events: events, last: now, lastEvents: events}
+		return
+	}
+	if made := (events - w.lastEvents) * perEvent; made > 0 && x.relay.Ledger.Prefill(w.engine) > 0 {
+		x.relay.Tempo.ObserveBeside(w.engine, now.Sub(w.last)/time.Duration(made))
+	}
+	w.last, w.lastEvents = now, events
+	if events-w.events >= windowEvents {
+		x.relay.Tempo.Observe(w.engine, now.Sub(w.began)/time.Duration((events-w.events)*perEvent))
+		w.began, w.events = now, events
+	}
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -32,6 +32,9 @@
 	// Crowded counts generations that were refused as no engine would begin them in time, by
 	// route.
 	Crowded *counters
+	// LongPauses counts pauses of streams beyond what their callers accept, by whether the engine
+	// read a prompt.
+	LongPauses *counters
 	// CallersLeft counts callers that went away before the end, by kind of route.
 	CallersLeft *counters
 	// Ejections counts ejections of backend servers, by cause.
@@ -41,6 +44,9 @@
 	Answer *histograms
 	// FirstEvent is the time from a request to its first event, by kind of route.
 	FirstEvent *histograms
+	// FirstEventOff is by how much a first event came at another time than expected, by whether it
+	// came sooner or later.
+	FirstEventOff *histograms
 	// MovePause is the time in which a moved stream's caller got nothing, by way.
 	MovePause *histograms
 
@@ -60,6 +66,10 @@
 	CordonedDomains *gauge
 	// PromptToken is the time that engines are believed to take to read a token of a prompt.
 	PromptToken *gauge
+	// EngineToken is the time that the middle of the engines takes to make a token, EnginesPaced
+	// the number of engines of which that is known.
+	EngineToken  *gauge
+	EnginesPaced *gauge
 	// ServersEjected counts those that get no new requests for failures.
 	ServersEjected *gauge
 	// EngineNotice is the notice that engines are expected to give, EngineEnds the number
@@ -112,6 +122,7 @@
 	m.MovesFailed = m.counters("stream_moves_failed_total", "streams that a server could not take over", "cause")
 	m.StreamsLost = m.counters("streams_lost_total", "streams cut at the caller", "cause")
 	m.Crowded = m.counters("crowded_total", "generations refused as no engine would begin them in time", "route")
+	m.LongPauses = m.counters("long_pauses_total", "pauses of streams that callers call too long, by what the engine did beside", "beside")
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
 }
@@ -119,6 +130,7 @@
 func (m *Metrics) declareHistograms() {
 	m.Answer = m.histograms("answer_seconds", "time from a request to the end of its answer", "kind")
 	m.FirstEvent = m.histograms("first_event_seconds", "time from a request to the first event of its stream", "kind")
+	m.FirstEventOff = m.histograms("first_event_off_seconds", "by how much a first event came sooner or later than expected", "way")
 	m.MovePause = m.histograms("move_pause_seconds", "time in which the caller of a moved stream got nothing", "way")
 }
 
@@ -131,6 +143,8 @@
 	m.Servers = m.gauge("servers", "backend servers known")
 	m.CordonedDomains = m.gauge("cordoned_domains", "failure domains that get no more work")
 	m.PromptToken = m.gauge("prompt_token_seconds", "time that engines are believed to take to read a token of a prompt")
+	m.EngineToken = m.gauge("engine_token_seconds", "time that the middle of the engines is believed to take to make a token")
+	m.EnginesPaced = m.gauge("engines_paced", "engines whose pace is known")
 	m.EngineNotice = m.gauge("engine_notice_seconds", "notice that engines are expected to give before they end, as learned")
 	m.EngineEnds = m.gauge("engine_ends_seen", "ended engines that the notice was learned from")
 	m.ServersEjected = m.gauge("servers_ejected", "backend servers out of use for failures")
