registry: a later start of a server under its id is another server

Cause: all that boxes keep by server id would go over to the next start of a server under that id. Change: Server.ID names one start, by the server's own id and when it was born; Name is the own id, which keys views and goes to the server. The directory knows the newest start of each server, by views and by the server's own word, and takes what is older as late. No existing script changed. Conclusion: maps by server id end with the start without knowing of it.

--- a/internal/box/viewlog.go
+++ b/internal/box/viewlog.go
@@ -34,20 +34,20 @@
 
 func drainingIn(v *registry.View) map[string]registry.Server {
 	draining := make(map[string]registry.Server)
-	for id, s := range v.Servers {
+	for name, s := range v.Servers {
 		if s.State == registry.Draining {
-			draining[id] = s
+			draining[name] = s
 		}
 	}
 	return draining
 }
 
-// missingIn returns the ids of servers that the other map lacks, sorted.
+// missingIn returns the ids of starts of servers that the other map lacks, sorted.
 func missingIn(servers, other map[string]registry.Server) []string {
 	var ids []string
-	for id := range servers {
-		if _, ok := other[id]; !ok {
-			ids = append(ids, id)
+	for name, s := range servers {
+		if there, ok := other[name]; !ok || there.ID != s.ID {
+			ids = append(ids, s.ID)
 		}
 	}
 	slices.Sort(ids)
--- a/internal/registry/change.go
+++ b/internal/registry/change.go
@@ -5,7 +5,7 @@
 // Change is one change of a server's entry.
 type Change struct {
 	// Server is the entry after the change. Of an entry that is gone only the ID
-	// is set.
+	// is set, to the server's own id.
 	Server Server
 	// Gone means that the entry was removed.
 	Gone bool
@@ -20,10 +20,10 @@
 	}
 	for _, c := range changes {
 		if c.Gone {
-			delete(servers, c.Server.ID)
+			delete(servers, c.Server.Name())
 			continue
 		}
-		servers[c.Server.ID] = c.Server
+		servers[c.Server.Name()] = c.Server
 	}
 	return View{Revision: revision, Servers: servers}
 }
--- a/internal/registry/cold.go
+++ b/internal/registry/cold.go
@@ -6,20 +6,20 @@
 // entry to the store, and clocks that run apart.
 const coldSlack = 300 * time.Millisecond
 
-// noteCold notes the servers that a view shows to be cold: those that say so, those that have
-// just come, and those of failure domains that take work again, which may have turned cold
-// shortly before. The lock must be held.
-func (d *Directory) noteCold(old *listing, v *View) {
+// noteCold notes the servers that a view's entries show to be cold: those that say so, those
+// that have just come or started again, and those of failure domains that take work again,
+// which may have turned cold shortly before. The lock must be held.
+func (d *Directory) noteCold(old *listing, entries map[string]Server) {
 	now := d.Clock.Now()
 	for id, until := range d.cold {
 		if !now.Before(until) {
 			delete(d.cold, id)
 		}
 	}
-	for id := range v.Servers {
-		s := v.Servers[id]
+	for name := range entries {
+		s := entries[name]
 		if left := d.coldFor(old, &s); left > 0 {
-			d.setCold(id, now.Add(left+coldSlack))
+			d.setCold(s.ID, now.Add(left+coldSlack))
 		}
 	}
 }
@@ -29,9 +29,9 @@
 	if old == nil {
 		return s.Warmup
 	}
-	before, known := old.view.Servers[s.ID]
+	before, known := old.entries[s.Name()]
 	switch {
-	case !known:
+	case !known, before.ID != s.ID:
 		return max(s.Warmup, d.coldTime(s.Service))
 	case old.cordons.Has(s.Domain) && !d.Cordons().Has(s.Domain):
 		return max(s.Warmup, d.coldTime(s.Service))
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -33,7 +33,9 @@
 	// noted. The view may be older.
 	departing map[string]time.Time
 	// cold holds servers that are cold, and until when. The lock guards it.
-	cold    map[string]time.Time
+	cold map[string]time.Time
+	// starts holds the newest start of each server, by the server's own id.
+	starts  map[string]start
 	current atomic.Pointer[listing]
 	cordons atomic.Pointer[Cordons]
 }
@@ -42,6 +44,10 @@
 type listing struct {
 	view    *View
 	cordons Cordons
+	// entries are those of the view with the starts that count, by the servers' own ids, and
+	// ids names them.
+	entries map[string]Server
+	ids     map[string]bool
 	// services holds those that may take new work, members those of cordoned domains too.
 	services map[string][]Member
 	members  map[string]Member
@@ -60,7 +66,7 @@
 func (m *Member) Cold(now time.Time) bool { return now.Before(m.ColdUntil) }
 
 // departingMemory is how long a server's own word is remembered: longer than the store is
-// away. A later start of the server has another id.
+// away. It does not bind a later start of the server, which has another id.
 const departingMemory = 10 * time.Minute
 
 // Depart notes servers that said themselves that they leave, and returns those that were
@@ -151,15 +157,17 @@
 // an older one.
 func (d *Directory) replace(v *View) (left []string) {
 	old := d.current.Load()
-	d.noteCold(old, v)
+	entries := d.settled(v)
+	d.noteCold(old, entries)
 	next := &listing{
-		view: v, cordons: d.Cordons(),
+		view: v, cordons: d.Cordons(), entries: entries, ids: make(map[string]bool, len(entries)),
 		services: make(map[string][]Member), members: make(map[string]Member),
 	}
-	for _, id := range slices.Sorted(maps.Keys(v.Servers)) {
-		s := v.Servers[id]
-		if _, departs := d.departing[id]; s.State == Ready && !departs {
-			next.add(Member{Server: &s, ColdUntil: d.cold[id]})
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		s := entries[name]
+		next.ids[s.ID] = true
+		if _, departs := d.departing[s.ID]; s.State == Ready && !departs {
+			next.add(Member{Server: &s, ColdUntil: d.cold[s.ID]})
 		}
 	}
 	left = d.carryOver(old, next)
@@ -168,7 +176,7 @@
 }
 
 // carryOver keeps members whose entries lapsed while the store was away, and
-// returns the ids of those that leave.
+// returns the ids of those that leave, starts that are over among them.
 func (d *Directory) carryOver(old, next *listing) (left []string) {
 	if old == nil {
 		return nil
@@ -180,9 +188,9 @@
 		if _, stays := next.members[id]; stays {
 			continue
 		}
-		_, draining := next.view.Servers[id]
+		_, stands := next.entries[m.Name()]
 		_, departs := d.departing[id]
-		if !draining && !departs && !m.over(now) && now.Before(until) {
+		if !stands && !departs && !m.over(now) && now.Before(until) {
 			next.add(Member{Server: m.Server, Until: until, ColdUntil: d.cold[id]})
 			continue
 		}
@@ -250,17 +258,14 @@
 	return ok && !m.over(d.Clock.Now())
 }
 
-// Known reports whether the server stands in the newest view, in any state.
+// Known reports whether the server's start stands in the newest view, in any state.
 func (d *Directory) Known(id string) bool {
 	l := d.current.Load()
 	if l == nil {
 		return false
 	}
-	if _, ok := l.view.Servers[id]; ok {
-		return true
-	}
-	_, ok := l.members[id]
-	return ok
+	_, carried := l.members[id]
+	return carried || l.ids[id]
 }
 
 // View returns the newest view, or nil.
--- a/internal/registry/directory_test.go
+++ b/internal/registry/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -41,9 +42,14 @@
 	return s
 }
 
-// parseServer reads "ID SERVICE STATE [DOMAIN [COLD]]".
+// parseServer reads "NAME SERVICE STATE [DOMAIN [COLD]] [born=SECONDS]".
 func parseServer(t *testing.T, line string) registry.Server {
 	f := strings.Fields(line)
+	var born int64
+	if text, ok := strings.CutPrefix(f[len(f)-1], "born="); ok {
+		born = parseBorn(t, text)
+		f = f[:len(f)-1]
+	}
 	domain := ""
 	warmup := time.Duration(0)
 	if len(f) == 5 {
@@ -60,14 +66,22 @@
 	states := map[string]registry.State{"ready": registry.Ready, "draining": registry.Draining}
 	state, ok := states[f[2]]
 	require.True(t, ok, line)
-	return registry.Server{ID: f[0], Service: f[1], State: state, Domain: domain, Warmup: warmup}
+	id := registry.StartID(f[0], born)
+	return registry.Server{ID: id, Born: born, Service: f[1], State: state, Domain: domain, Warmup: warmup}
+}
+
+// parseBorn reads seconds, and returns milliseconds.
+func parseBorn(t *testing.T, text string) int64 {
+	seconds, err := strconv.ParseInt(text, 10, 64)
+	require.NoError(t, err)
+	return seconds * 1000
 }
 
 func (s *script) set(t *testing.T, input string) {
 	v := &registry.View{Servers: make(map[string]registry.Server)}
 	for line := range strings.Lines(input) {
 		server := parseServer(t, line)
-		v.Servers[server.ID] = server
+		v.Servers[server.Name()] = server
 	}
 	s.dir.Set(v)
 }
@@ -95,6 +109,29 @@
 	return fmt.Sprintf("newer=%t revision=%d domains=%s\n", newer, known.Revision, strings.Join(known.Domains, " "))
 }
 
+// started takes "NAME OLD NEW": what a server, known as the start of OLD seconds, says.
+func (s *script) started(t *testing.T, input string) string {
+	f := strings.Fields(input)
+	born := parseBorn(t, f[1])
+	server := &registry.Server{ID: registry.StartID(f[0], born), Born: born}
+	now := s.dir.Started(server, parseBorn(t, f[2]))
+	if now == nil {
+		return "late\n"
+	}
+	return "spoke: " + now.ID + "\n"
+}
+
+// replaced takes "NAME BORN", and prints the start that came after that one.
+func (s *script) replaced(t *testing.T, input string) string {
+	f := strings.Fields(input)
+	born := parseBorn(t, f[1])
+	next := s.dir.Replaced(&registry.Server{ID: registry.StartID(f[0], born), Born: born})
+	if next == nil {
+		return "no\n"
+	}
+	return "by " + next.ID + "\n"
+}
+
 // show prints who left, and for each service the servers that take work; a
 // server whose entry lapsed with the time since the script began until it is
 // given up.
@@ -157,6 +194,10 @@
 				return fmt.Sprintf("takes=%t stays=%t\n", s.dir.Takes(td.Input), s.dir.Stays(td.Input))
 			case "cold":
 				return s.cold()
+			case "started":
+				return s.started(t, td.Input) + s.show()
+			case "replaced":
+				return s.replaced(t, td.Input)
 			case "cordon":
 				return s.cordon(t, td) + s.show()
 			default:
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -16,10 +16,12 @@
 
 // Server is one start of a backend server, by its own entry. It is read only.
 type Server struct {
-	// ID names the server. A later start may have the same one: Born tells them apart.
+	// ID names this start of the server, so that what is kept by it ends with the start; see
+	// StartID. Name is what all starts share.
 	ID string
-	// Born is when this start began; zero if the server does not say.
-	Born time.Time
+	// Born is when this start began by the server's own clock, in Unix milliseconds, 0 if it
+	// does not say. It is no time.Time, since equal entries must compare as equal on all boxes.
+	Born int64
 	// Service names the service that it belongs to.
 	Service string
 	// Addr is HOST:PORT.
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -4,6 +4,6 @@
 type View struct {
 	// Revision is the store's revision; a view with a higher one is newer.
 	Revision int64
-	// Servers holds the entries by id.
+	// Servers holds the entries by the servers' own ids; see Server.Name.
 	Servers map[string]Server
 }
--- a/internal/viewshare/changelog.go
+++ b/internal/viewshare/changelog.go
@@ -55,7 +55,7 @@
 	last := make(map[string]registry.Change)
 	for _, s := range l.steps[l.index(revision):] {
 		for _, c := range s.changes {
-			last[c.Server.ID] = c
+			last[c.Server.Name()] = c
 		}
 	}
 	return sorted(last)
@@ -64,14 +64,14 @@
 // difference returns the changes that lead from one view to another.
 func difference(from, to *registry.View) []registry.Change {
 	out := make(map[string]registry.Change)
-	for id, server := range to.Servers {
-		if old, ok := from.Servers[id]; !ok || old != server {
-			out[id] = registry.Change{Server: server}
+	for name, server := range to.Servers {
+		if old, ok := from.Servers[name]; !ok || old != server {
+			out[name] = registry.Change{Server: server}
 		}
 	}
-	for id := range from.Servers {
-		if _, ok := to.Servers[id]; !ok {
-			out[id] = registry.Change{Server: registry.Server{ID: id}, Gone: true}
+	for name := range from.Servers {
+		if _, ok := to.Servers[name]; !ok {
+			out[name] = registry.Change{Server: registry.Server{ID: name}, Gone: true}
 		}
 	}
 	return sorted(out)
