platform: an entry of another writer names no server and hides no other

Cause: an object whose metadata or document was broken failed the whole list or watch; one whose document could not be decoded was left out of a watch, so that the entry before it stayed in use; states that are not known counted as draining. Change: objects are decoded one by one, and an answer that is no JSON as a whole is read with null in place of what is broken. An entry that lacks something, or has it of another type or out of range, names no server: in a list it is left out, in a watch it counts as gone. One line entry-refused and store.refused_entries tell of each change of such an entry. Tests: testdata/entries, 13 foreign objects in lists and watches, fuzz tests with seeds. Changed tests: entries without failure domain and slots in watcher_test and store_test are whole now, as they would name no server; a state that is not known was expected as draining and is expected as gone, as the users ask.

--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -63,6 +63,8 @@
 			KeyRevision, KeySource, KeyDomains),
 		info(ServersView, "what the box believes of the backend servers changed; added, leaving and gone name at most 8 each, the others are counts",
 			KeyRevision, KeySource, KeyViewAge, KeyAdded, KeyLeaving, KeyGone, KeyDraining, KeyServers),
+		warn(EntryRefused, "an entry of the object API names no backend server to use, as something in it is missing or not known; once for each change of the entry",
+			KeyServer, KeyRevision, KeyCause),
 		warn(ServerEjected, "a server gets no new requests for a time, for failures of its own",
 			KeyServer, KeyCause, KeyFailures, KeyAway),
 		info(ServerReadmitted, "an ejected server gets requests again",
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -35,6 +35,7 @@
 	EnginesCrowded   Name = "engines-crowded"
 	ConfigRefused    Name = "config-refused"
 	ServersView      Name = "servers-view"
+	EntryRefused     Name = "entry-refused"
 	ServerEjected    Name = "server-ejected"
 	ServerReadmitted Name = "server-readmitted"
 	EngineDeparts    Name = "engine-departs"
