--- a/internal/soak/backends/backends.go
+++ b/internal/soak/backends/backends.go
@@ -56,7 +56,7 @@
 // Prepare makes the fleet ready for Add.
 func (f *Fleet) Prepare() {
 	f.proxies = make(map[string]*proxy.Proxy)
-	f.engines = &standin.Engines{Store: f.Store, Front: f.front, Seen: f.seen, Padding: padding}
+	f.engines = &standin.Engines{Store: f.Store, Front: f.front, Seen: f.seen, Padding: padding, Clock: f.Clock}
 }
 
 // Close ends all servers.
@@ -118,6 +118,27 @@
 	return s.server, s.proxy
 }
 
+// Restart starts the server of a slot, by its number as for At, again under its id and at its
+// address, once end has ended it.
+func (f *Fleet) Restart(n int, end func(e *standin.Engine)) error {
+	f.replacing.Lock()
+	defer f.replacing.Unlock()
+	f.mu.Lock()
+	s := f.slots[n%len(f.slots)]
+	old := s.server
+	f.mu.Unlock()
+	end(old)
+	e, err := f.engines.Restart(old)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	s.server = e
+	f.mu.Unlock()
+	f.Group.Go(func() error { f.drive(e); return nil })
+	return nil
+}
+
 // Replace starts another server in a slot, by its number as for At, and returns the one
 // before, which runs on.
 func (f *Fleet) Replace(n int) (*standin.Engine, error) {
--- a/internal/soak/bounds/bounds.go
+++ b/internal/soak/bounds/bounds.go
@@ -9,6 +9,8 @@
 	Contact time.Duration
 	// Drain is how long requests may still reach a server that is leaving.
 	Drain time.Duration
+	// Known is how long a new start of a server may be unknown to boxes.
+	Known time.Duration
 	// Apply is how long a version may take to be in force.
 	Apply time.Duration
 	// Rollback is how long after a version showed an older one may still show.
@@ -32,7 +34,7 @@
 // and fewer retries, so that short runs reach them.
 func Default() Bounds {
 	return Bounds{
-		Contact: 3 * time.Second, Drain: 2 * time.Second, Apply: 2 * time.Second,
+		Contact: 3 * time.Second, Drain: 2 * time.Second, Known: 300 * time.Millisecond, Apply: 2 * time.Second,
 		Rollback: 250 * time.Millisecond, Grace: 6 * time.Second, LostSlack: 200 * time.Millisecond,
 		Recovery: 12 * time.Second, RetryRatio: 0.2, RetryFloor: 8, RetryWindow: 10 * time.Second,
 		Slack: 500 * time.Millisecond,
--- a/internal/soak/history/events.go
+++ b/internal/soak/history/events.go
@@ -66,6 +66,8 @@
 	// Ran is false if the server turned it away. Continued ones go on with a run.
 	Ran       bool `json:"ran,omitempty"`
 	Continued bool `json:"continued,omitempty"`
+	// Lost ones were to go on with what an earlier start of the server held.
+	Lost bool `json:"lost,omitempty"`
 	// Status, Proof and Text are the answer that the server gives.
 	Status int    `json:"status"`
 	Proof  string `json:"proof,omitempty"`
@@ -87,6 +89,12 @@
 	Acked  time.Duration `json:"acked"`
 }
 
+// Restart is a server that started again under its id, once the store has its new entry.
+type Restart struct {
+	Server string        `json:"server"`
+	Acked  time.Duration `json:"acked"`
+}
+
 // Life is one process of a box.
 type Life struct {
 	Box    string        `json:"box"`
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -14,6 +14,7 @@
 	Arrivals []Arrival
 	Versions []Version
 	Leavings []Leaving
+	Restarts []Restart
 	Lives    []Life
 	Troubles []Trouble
 }
@@ -24,6 +25,7 @@
 	out := json.NewEncoder(w)
 	err := errors.Join(
 		write(out, "phase", []Phase{h.Phase}), write(out, "version", h.Versions), write(out, "leaving", h.Leavings),
+		write(out, "restart", h.Restarts),
 		write(out, "life", h.Lives), write(out, "trouble", h.Troubles), write(out, "request", h.Requests),
 		write(out, "arrival", h.Arrivals),
 	)
--- a/internal/soak/inject/server.go
+++ b/internal/soak/inject/server.go
@@ -23,6 +23,13 @@
 	// pickShift parts a pick in two: where badModes begins, and the step from one mode
 	// to the next.
 	pickShift = 8
+	// breakAfter is the time from a restart until streams of other engines break: boxes must
+	// know of the new start by then, and streams that began before run on.
+	breakAfter = 850 * time.Millisecond
+	// breakFor is how long connections are refused then: some round trips.
+	breakFor = 20 * time.Millisecond
+	// serversBroken is how many servers that strikes; every other one is an engine.
+	serversBroken = 2
 	// mostTurned is how many requests full servers turn away, at most: more than the
 	// retry budget of a short run.
 	mostTurned = 400
@@ -46,11 +53,45 @@
 	case schedule.ServersFull:
 		i.disturb(ctx, a, history.OnServer, "", func() func() { return i.Fleet.TurnAway(a.Pick % mostTurned) })
 		return nil
+	case schedule.ServerRestarts:
+		return i.restart(ctx, a)
 	default:
 		return i.replace(ctx, a)
 	}
 }
 
+// restart lets a server crash and start again under its id.
+func (i *Injector) restart(ctx context.Context, a schedule.Act) error {
+	var again history.Restart
+	over := func() {}
+	err := i.Fleet.Restart(a.Target, func(e *standin.Engine) {
+		over = i.Record.Trouble(a.Kind, history.OnServer, e.ID)
+		again.Server = e.ID
+		e.Crash()
+		pause.For(ctx, i.Clock, a.Lasts)
+	})
+	over()
+	if err != nil {
+		return fmt.Errorf("restart a server: %w", err)
+	}
+	again.Acked = i.Record.Now()
+	i.Record.Add(func(h *history.History) { h.Restarts = append(h.Restarts, again) })
+	pause.For(ctx, i.Clock, breakAfter)
+	i.breakStreams(ctx, a)
+	return nil
+}
+
+// breakStreams resets the connections of the servers next to the one that an act struck: their
+// streams go on where their copies are.
+func (i *Injector) breakStreams(ctx context.Context, a schedule.Act) {
+	for n := range serversBroken {
+		server, link := i.Fleet.At(a.Target + 1 + n)
+		defer i.Record.Trouble(schedule.ServersLinks+schedule.Reset, history.OnServer, server.ID)()
+		defer impair(link, schedule.Reset, a.Pick)()
+	}
+	pause.For(ctx, i.Clock, breakFor)
+}
+
 // replace starts a server in the place of another one, which crashes or leaves.
 func (i *Injector) replace(ctx context.Context, a schedule.Act) error {
 	e, err := i.Fleet.Replace(a.Target)
--- a/internal/soak/schedule/kind.go
+++ b/internal/soak/schedule/kind.go
@@ -40,6 +40,8 @@
 	ServerCrashes  history.Kind = "server-crashes"
 	ServerDrains   history.Kind = "server-drains"
 	ServerVanishes history.Kind = "server-vanishes"
+	// ServerRestarts lets a server crash and start again under its id.
+	ServerRestarts history.Kind = "server-restarts"
 	// ServersFull lets all servers turn requests away.
 	ServersFull history.Kind = "servers-full"
 
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -37,6 +37,16 @@
 	// stream is the second number of the generator's seed. Any number does; with
 	// another one, seeds that are written down no longer replay.
 	stream = 14
+	// restartStream is that of the restarts of servers, which are drawn apart so that the
+	// other acts of a seed stay as they are.
+	restartStream = 15
+	// restartEvery is the time for each restart when a run has the most, and restartLasts
+	// the longest time that one takes: a short while, so that boxes have work for the
+	// server on both sides of it.
+	restartEvery = time.Second
+	restartLasts = 300 * time.Millisecond
+	// restartRest is left after a restart for what follows from it.
+	restartRest = time.Second
 )
 
 // Act is one disturbance.
@@ -61,6 +71,7 @@
 	for range 1 + int(rate*float64(boxes)*duration.Seconds()) {
 		acts = append(acts, series(rng, chosen, duration)...)
 	}
+	acts = append(acts, restarts(seed, duration)...)
 	slices.SortStableFunc(acts, func(a, b Act) int { return int(a.At - b.At) })
 	return acts
 }
@@ -99,6 +110,23 @@
 	return acts
 }
 
+// restarts draws when servers start again under their ids; every other seed has none.
+func restarts(seed uint64, duration time.Duration) []Act {
+	rng := rand.New(rand.NewPCG(seed, restartStream))
+	if rng.IntN(2) == 0 {
+		return nil
+	}
+	acts := make([]Act, 1+rng.IntN(1+int(duration/restartEvery)))
+	for i := range acts {
+		at := between(rng, lead, duration-restartLasts-restartRest)
+		acts[i] = Act{
+			At: at, Lasts: min(between(rng, leastLasts, restartLasts), max(0, duration-at)),
+			Kind: ServerRestarts, Target: rng.Int() & mostNumber,
+		}
+	}
+	return acts
+}
+
 // between draws a time from one to another.
 func between(rng *rand.Rand, from, to time.Duration) time.Duration {
 	return from + time.Duration(rng.Int64N(max(1, int64(to-from))))
