--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -35,9 +35,11 @@
 	EnginesCrowded   Name = "engines-crowded"
 	ConfigRefused    Name = "config-refused"
 	ServersView      Name = "servers-view"
+	EntryRefused     Name = "entry-refused"
 	ServerEjected    Name = "server-ejected"
 	ServerReadmitted Name = "server-readmitted"
 	EngineDeparts    Name = "engine-departs"
+	EngineStarted    Name = "engine-started"
 	EngineSilent     Name = "engine-silent"
 )
 
