member: tests whose timers the race detector stands

Cause of TestSpread's SIGSEGV, traced from a run that kept its output: the crash is in the race detector (tsan SlotLock, thread state without a slot), called from the runtime's timer.maybeRunChan in Node.loop's select. In a synctest bubble a channel timer that is due is run by the goroutine that receives from it, and a timer that is set to what is past by the one that sets it (time.go: maybeRunChan, modify). All timers of a bubble share one detector state (bubble.timers.raceCtx), made and used there without a lock, so two boxes with timers that are due at once end the process. It is a fault of Go 1.26.8's runtime, not of the code under test: 100 goroutines that only reset and receive from time.NewTimer(0) in a bubble end in it in 5 of 5 runs with -race on three processors, in 0 of 5 with timers that are due later, and in 0 of 3 on one processor. No buffer of ours is used twice; the tests have no real sockets.

Change: the tests' boxes take timers made by time.AfterFunc and due a nanosecond later at the soonest, which only the bubble's root goroutine runs. The code under test stays as it is, and so do the tests' scripts and limits.

--- a/internal/member/spread_test.go
+++ b/internal/member/spread_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dalebend/dalebend/internal/digest"
@@ -197,7 +196,7 @@
 	self.Domain = s.domain(i)
 	b.Node = &member.Node{
 		Self: self, Seeds: []string{addr(0), addr(1), addr(2)}, Conn: s.listen(addr(i)),
-		Clock: clockwork.NewRealClock(), Logger: slog.New(slog.DiscardHandler),
+		Clock: newBubbleClock(), Logger: slog.New(slog.DiscardHandler),
 		Rand: rand.New(rand.NewPCG(uint64(i), 1)), Local: b.local, Heard: b.hear, Noted: b.note, Strength: int32(i % 3),
 	}
 	ctx, cancel := context.WithCancel(s.t.Context())
