periodic: one loop for what is done on a tick

Ten places wrote the same loop: a ticker, a select with the context's end, a call. They call periodic.Run, or RunNow where the first call is at once. What is done and when stays as it was; the loops that wait for more than a tick keep their own.

--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -13,6 +13,7 @@
 
 	"github.com/dalebend/dalebend/internal/boxlist"
 	"github.com/dalebend/dalebend/internal/control"
+	"github.com/dalebend/dalebend/internal/periodic"
 )
 
 const (
@@ -236,17 +237,11 @@
 	if c.Boxes == nil {
 		return nil
 	}
-	ticker := c.Clock.NewTicker(boxListEvery)
-	defer ticker.Stop()
-	for {
+	periodic.RunNow(ctx, c.Clock, boxListEvery, func() {
 		if l, err := c.Boxes.Read(); err == nil {
 			c.members.set(l)
 			c.API.SetBoxes(len(c.members.live()))
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-		}
-	}
+	})
+	return nil
 }
--- a/internal/loadpoll/poller.go
+++ b/internal/loadpoll/poller.go
@@ -15,6 +15,7 @@
 	"github.com/dalebend/dalebend/internal/engineclient"
 	"github.com/dalebend/dalebend/internal/fleet"
 	"github.com/dalebend/dalebend/internal/occupancy"
+	"github.com/dalebend/dalebend/internal/periodic"
 )
 
 // perRound bounds the polls of one round.
@@ -47,16 +48,7 @@
 
 // Run polls until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
-	ticker := p.Clock.NewTicker(p.Every)
-	defer ticker.Stop()
-	for {
-		p.round()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-	}
+	periodic.RunNow(ctx, p.Clock, p.Every, p.round)
 }
 
 // round polls the engines whose report is old.
--- a/internal/loadrun/beliefs.go
+++ b/internal/loadrun/beliefs.go
@@ -5,6 +5,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/dalebend/dalebend/internal/periodic"
 )
 
 // compareEvery is the time between comparisons of belief and truth.
@@ -40,22 +42,19 @@
 // compare looks at engines and beliefs while times are recorded.
 func (b *bench) compare(ctx context.Context, rec *recorder, to *beliefs) {
 	began := b.clock.Now()
-	ticker := b.clock.NewTicker(compareEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-		if t := b.clock.Since(began); t < rec.warm || t > rec.end {
-			continue
+	periodic.Run(ctx, b.clock, compareEvery, func() {
+		if t := b.clock.Since(began); t >= rec.warm && t <= rec.end {
+			b.compareOnce(to)
 		}
-		for _, e := range b.engines {
-			for _, r := range b.routers {
-				if tokens, ok := r.Scheduler().Believed(e.Name); ok {
-					to.add(tokens/float64(e.KVTokens) - e.InUse())
-				}
+	})
+}
+
+// compareOnce notes by how much each router is wrong about each engine.
+func (b *bench) compareOnce(to *beliefs) {
+	for _, e := range b.engines {
+		for _, r := range b.routers {
+			if tokens, ok := r.Scheduler().Believed(e.Name); ok {
+				to.add(tokens/float64(e.KVTokens) - e.InUse())
 			}
 		}
 	}
--- a/internal/loadrun/faults.go
+++ b/internal/loadrun/faults.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/dalebend/dalebend/internal/periodic"
 	"github.com/dalebend/dalebend/internal/standin/fault"
 )
 
@@ -54,16 +55,7 @@
 
 // run causes faults until ctx ends, then mends everything.
 func (i *injector) run(ctx context.Context) {
-	ticker := i.bench.clock.NewTicker(faultEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			i.strike(ctx)
-		}
-	}
+	periodic.Run(ctx, i.bench.clock, faultEvery, func() { i.strike(ctx) })
 }
 
 // strike causes one fault.
--- a/internal/peerwatch/watcher.go
+++ b/internal/peerwatch/watcher.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/periodic"
 )
 
 // Watcher looks at connections. Set the exported fields before Run.
@@ -61,16 +63,7 @@
 
 // Run looks at the watched connections until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	ticker := w.Clock.NewTicker(w.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			w.Look()
-		}
-	}
+	periodic.Run(ctx, w.Clock, w.Interval, w.Look)
 }
 
 // Look looks at all watched connections once.
--- a/internal/placement/driver.go
+++ b/internal/placement/driver.go
@@ -28,6 +28,7 @@
 	"github.com/dalebend/dalebend/internal/fleet"
 	"github.com/dalebend/dalebend/internal/journal"
 	"github.com/dalebend/dalebend/internal/lease"
+	"github.com/dalebend/dalebend/internal/periodic"
 	"github.com/dalebend/dalebend/internal/place"
 )
 
@@ -85,18 +86,11 @@
 	if d.Limits == (place.Limits{}) {
 		d.Limits = place.Limits{LoadsAtOnce: defaultLoads, Settle: defaultSettle, Pressure: defaultPressure}
 	}
-	ticker := d.Clock.NewTicker(d.Lease.Every())
-	defer ticker.Stop()
-	for {
+	periodic.RunNow(ctx, d.Clock, d.Lease.Every(), func() {
 		if d.Candidate() || d.Lease.Held() {
 			d.Step()
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-	}
+	})
 }
 
 // Step renews or takes the lease and, as its holder, makes one round.
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -25,6 +25,7 @@
 	"github.com/dalebend/dalebend/internal/hashring"
 	"github.com/dalebend/dalebend/internal/journal"
 	"github.com/dalebend/dalebend/internal/occupancy"
+	"github.com/dalebend/dalebend/internal/periodic"
 	"github.com/dalebend/dalebend/internal/route"
 )
 
@@ -160,17 +161,8 @@
 
 // Run looks at waiting work on a tick until ctx ends, then refuses what waits.
 func (s *Scheduler) Run(ctx context.Context) {
-	ticker := s.Clock.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			s.stop()
-			return
-		case <-ticker.Chan():
-			s.Tick()
-		}
-	}
+	periodic.Run(ctx, s.Clock, tick, s.Tick)
+	s.stop()
 }
 
 // Tick expires, relieves and places once; Run calls it, and tests do.
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/dalebend/dalebend/internal/periodic"
 )
 
 // LoadReport is what the engine tells of itself, as of its last sample.
@@ -26,19 +28,12 @@
 // sampleLoad takes a sample each LoadLag; readers see the last but one, so a
 // report is between one and two lags old.
 func (e *Engine) sampleLoad(ctx context.Context) {
-	ticker := e.Clock.NewTicker(max(e.LoadLag/2, time.Millisecond))
-	defer ticker.Stop()
 	pending := *e.report.Load()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
+	periodic.Run(ctx, e.Clock, max(e.LoadLag/2, time.Millisecond), func() {
 		told := pending
 		e.report.Store(&told)
 		pending = e.sample(pending.Sample + 1)
-	}
+	})
 }
 
 func (e *Engine) sample(n int64) LoadReport {
--- a/internal/streaming/ask.go
+++ b/internal/streaming/ask.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/periodic"
 	"github.com/dalebend/dalebend/internal/registry"
 )
 
@@ -35,18 +36,11 @@
 // reclaimed during an outage of the store is lost, a sixth of the engines every 3.3 s in
 // the users' fleets: 20 of 320 streams in an outage of 8 s.
 func (r *Relay) Ask(ctx context.Context) {
-	ticker := r.Clock.NewTicker(askEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
+	periodic.Run(ctx, r.Clock, askEvery, func() {
 		if age := r.Beliefs.Age(); age > staleAfter {
 			r.askAll(ctx)
 		}
-	}
+	})
 }
 
 // askAll asks the engines that this box is to ask, some at a time.
--- a/internal/streaming/guard.go
+++ b/internal/streaming/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dalebend/dalebend/internal/periodic"
 	"github.com/dalebend/dalebend/internal/registry"
 )
 
@@ -22,19 +23,12 @@
 // Guard looks after open streams until the context ends: one that falls silent
 // is switched to the engine that holds its copy.
 func (r *Relay) Guard(ctx context.Context) {
-	ticker := r.Clock.NewTicker(guardEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			now := r.Clock.Now()
-			for _, x := range r.all() {
-				x.watch(now)
-			}
+	periodic.Run(ctx, r.Clock, guardEvery, func() {
+		now := r.Clock.Now()
+		for _, x := range r.all() {
+			x.watch(now)
 		}
-	}
+	})
 }
 
 // watch starts a switch if the stream has been silent for too long.
