--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -51,17 +51,10 @@
 	Taken
 )
 
-// objects is the part of the object API that is used here.
-type objects interface {
-	Get(kind, name string) (objectapi.Object, error)
-	Create(kind, name string, value []byte) (uint64, error)
-	Update(kind, name string, value []byte, expect uint64) (uint64, error)
-}
-
 // Ledger writes the claims of one box. Set the exported fields before use.
 type Ledger struct {
 	// API is the object API.
-	API objects
+	API objectapi.Objects
 	// Clock gives the time.
 	Clock clockwork.Clock
 	// Kept is how long a key is remembered; 0 takes the default.
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -67,17 +67,10 @@
 	YAML string `json:"yaml"`
 }
 
-// objects is the part of the object API that is used here.
-type objects interface {
-	Get(kind, name string) (objectapi.Object, error)
-	Create(kind, name string, value []byte) (uint64, error)
-	Update(kind, name string, value []byte, expect uint64) (uint64, error)
-}
-
 // Store accepts and reads fleet files. Set the exported fields before use.
 type Store struct {
 	// API is the object API.
-	API objects
+	API objectapi.Objects
 	// Clock gives the time.
 	Clock clockwork.Clock
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -35,13 +35,6 @@
 	renewals = 3
 )
 
-// objects is the part of the object API that is used here.
-type objects interface {
-	Get(kind, name string) (objectapi.Object, error)
-	Create(kind, name string, value []byte) (uint64, error)
-	Update(kind, name string, value []byte, expect uint64) (uint64, error)
-}
-
 // Lease is one box's part in one lease. Set the exported fields before use. It is
 // not safe for concurrent use.
 type Lease struct {
@@ -52,7 +45,7 @@
 	// Term is how long it holds; 0 takes the default. All boxes use the same.
 	Term time.Duration
 	// API is the object API.
-	API objects
+	API objectapi.Objects
 	// Clock gives the time.
 	Clock clockwork.Clock
 
--- /dev/null
+++ b/internal/objectapi/objects.go
@@ -0,0 +1,8 @@
+package objectapi
+
+// Objects is what those take who keep state in single objects; Client is one.
+type Objects interface {
+	Get(kind, name string) (Object, error)
+	Create(kind, name string, value []byte) (uint64, error)
+	Update(kind, name string, value []byte, expect uint64) (uint64, error)
+}
--- a/internal/program/box.go
+++ b/internal/program/box.go
@@ -104,7 +104,7 @@
 		logStop()
 		<-logged
 	}()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signalContext()
 	defer stop()
 	b := newBox(s, clock, log)
 	file.logger = b.Logger
--- a/internal/program/controller.go
+++ b/internal/program/controller.go
@@ -33,12 +33,9 @@
 // Controller runs dalebend-controller.
 func Controller(args []string, out, errOut io.Writer) int {
 	s := &settings.Controller{}
-	if code, ok := settings.Parse(s, "dalebend-controller", args, out, errOut); !ok {
-		return code
-	}
-	p, ok := start(&s.Log, errOut)
+	p, code, ok := begin(s, &s.Log, "dalebend-controller", args, out, errOut)
 	if !ok {
-		return exitUsage
+		return code
 	}
 	return p.end(runController(p, s), errOut)
 }
--- a/internal/program/ctl.go
+++ b/internal/program/ctl.go
@@ -1,11 +1,8 @@
 package program
 
 import (
-	"context"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jonboulle/clockwork"
 
@@ -19,7 +16,7 @@
 	if code, ok := settings.Parse(s, "dalebendctl", args, out, errOut); !ok {
 		return code
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signalContext()
 	defer stop()
 	c := &ctl.Command{Settings: s, In: os.Stdin, Out: out, Err: errOut, Clock: clockwork.NewRealClock()}
 	return c.Run(ctx)
--- a/internal/program/load.go
+++ b/internal/program/load.go
@@ -1,11 +1,8 @@
 package program
 
 import (
-	"context"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"github.com/jonboulle/clockwork"
 
@@ -21,7 +18,7 @@
 	if code, ok := settings.Parse(s, "dalebend-load", args, out, errOut); !ok {
 		return code
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signalContext()
 	defer stop()
 	if s.Workload == "control" {
 		b := &controlrun.Bench{
--- a/internal/program/local.go
+++ b/internal/program/local.go
@@ -13,12 +13,9 @@
 // Local runs dalebend-local.
 func Local(args []string, out, errOut io.Writer) int {
 	s := &settings.Local{}
-	if code, ok := settings.Parse(s, "dalebend-local", args, out, errOut); !ok {
-		return code
-	}
-	p, ok := start(&s.Log, errOut)
+	p, code, ok := begin(s, &s.Log, "dalebend-local", args, out, errOut)
 	if !ok {
-		return exitUsage
+		return code
 	}
 	text, err := os.ReadFile(s.Fleet)
 	if err != nil {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signalContext()
 	tracer, err := tracing.New(ctx, l.Trace, l.TraceRatio)
 	if err != nil {
 		stop()
@@ -62,12 +62,26 @@
 	return exitDone
 }
 
-// start makes the process of a program, or says why not.
-func start(l *settings.Log, errOut io.Writer) (*process, bool) {
-	p, err := newProcess(l)
+// parsed is what settings.Parse takes.
+type parsed interface {
+	Check() error
+}
+
+// begin reads the settings of a program and makes its process; log is the part of s for
+// logs. It returns the exit code and false when the program should stop.
+func begin(s parsed, log *settings.Log, name string, args []string, out, errOut io.Writer) (p *process, code int, ok bool) {
+	if code, ok := settings.Parse(s, name, args, out, errOut); !ok {
+		return nil, code, false
+	}
+	p, err := newProcess(log)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
-		return nil, false
+		return nil, exitUsage, false
 	}
-	return p, true
+	return p, exitDone, true
+}
+
+// signalContext returns a context that ends on a signal to stop.
+func signalContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 }
--- a/internal/program/router.go
+++ b/internal/program/router.go
@@ -17,12 +17,9 @@
 // Router runs dalebend-router.
 func Router(args []string, out, errOut io.Writer) int {
 	s := &settings.Router{}
-	if code, ok := settings.Parse(s, "dalebend-router", args, out, errOut); !ok {
-		return code
-	}
-	p, ok := start(&s.Log, errOut)
+	p, code, ok := begin(s, &s.Log, "dalebend-router", args, out, errOut)
 	if !ok {
-		return exitUsage
+		return code
 	}
 	return p.end(runRouter(p, s), errOut)
 }
--- a/internal/program/soak.go
+++ b/internal/program/soak.go
@@ -1,11 +1,8 @@
 package program
 
 import (
-	"context"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"github.com/jonboulle/clockwork"
 
@@ -26,7 +23,7 @@
 		fmt.Fprintln(errOut, "dalebend-soak:", err)
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signalContext()
 	defer stop()
 	b := bounds.Default()
 	b.Slack = s.Slack
--- a/internal/program/standin.go
+++ b/internal/program/standin.go
@@ -10,12 +10,9 @@
 // Standin runs dalebend-standin.
 func Standin(args []string, out, errOut io.Writer) int {
 	s := &settings.Standin{}
-	if code, ok := settings.Parse(s, "dalebend-standin", args, out, errOut); !ok {
-		return code
-	}
-	p, ok := start(&s.Log, errOut)
+	p, code, ok := begin(s, &s.Log, "dalebend-standin", args, out, errOut)
 	if !ok {
-		return exitUsage
+		return code
 	}
 	p.logger.Info("stand-in begins", "role", s.Role, "listen", s.Listen)
 	return p.end(run.Run(p.ctx, s), errOut)
--- a/internal/settings/controller.go
+++ b/internal/settings/controller.go
@@ -2,6 +2,7 @@
 
 // Controller holds the settings of dalebend-controller.
 type Controller struct {
+	versioned
 	Log
 	PeerTLS
 
@@ -18,9 +19,6 @@
 	return "dalebend-controller is the control path of a box: configuration, members, leases, placement."
 }
 
-// Version is told by --version.
-func (Controller) Version() string { return Version }
-
 // Check names the first setting that cannot be used.
 func (c *Controller) Check() error {
 	if err := c.check(); err != nil {
--- a/internal/settings/ctl.go
+++ b/internal/settings/ctl.go
@@ -4,6 +4,8 @@
 
 // Ctl holds the settings of dalebendctl.
 type Ctl struct {
+	versioned
+
 	Validate   *FileCmd       `arg:"subcommand:validate" help:"check a fleet file, without a store"`
 	Diff       *FileCmd       `arg:"subcommand:diff" help:"show what applying a file would change"`
 	Apply      *ApplyCmd      `arg:"subcommand:apply" help:"accept a whole fleet file"`
@@ -86,9 +88,6 @@
 	return "dalebendctl is the operators' command. Exit codes: 0 done, 1 failed, 2 bad usage, 3 bad file, 4 conflict, 5 store unavailable or answer lost, 6 wait was over."
 }
 
-// Version is told by --version.
-func (Ctl) Version() string { return Version }
-
 // Check names the first setting that cannot be used.
 func (c *Ctl) Check() error {
 	if c.Output != "text" && c.Output != "json" {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -7,6 +7,8 @@
 
 // Load holds the settings of dalebend-load.
 type Load struct {
+	versioned
+
 	Workload string        `arg:"--workload" default:"crowded" help:"crowded, channel-manager, hinokage, mixed-hardware, shift or flood; control measures the controllers instead, overhead what the router adds"`
 	Policies []string      `arg:"--policies" help:"all, or some, with spaces or commas between them, of dalebend, round-robin, least-in-flight, two-random, oracle [default: all]"`
 	Demand   []float64     `arg:"--demand" help:"demands as shares of the token capacity [default: 0.95 1.2]"`
@@ -36,9 +38,6 @@
 	return "dalebend-load drives routers with a named workload, open loop, and compares policies side by side."
 }
 
-// Version is told by --version.
-func (Load) Version() string { return Version }
-
 // Check names the first setting that cannot be used, and fills in defaults.
 func (l *Load) Check() error {
 	l.fillDefaults()
--- a/internal/settings/local.go
+++ b/internal/settings/local.go
@@ -2,6 +2,7 @@
 
 // Local holds the settings of dalebend-local.
 type Local struct {
+	versioned
 	Log
 
 	Listen string `arg:"--listen,env:DALEBEND_LISTEN" default:"127.0.0.1:8080" help:"HOST:PORT for callers"`
@@ -15,9 +16,6 @@
 	return "dalebend-local runs a whole fleet in one process, with stand-ins for everything outside, to try dalebend out."
 }
 
-// Version is told by --version.
-func (Local) Version() string { return Version }
-
 // Check names the first setting that cannot be used.
 func (l *Local) Check() error {
 	if err := l.check(); err != nil {
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -4,6 +4,7 @@
 
 // Router holds the settings of dalebend-router.
 type Router struct {
+	versioned
 	Log
 	PeerTLS
 
@@ -28,9 +29,6 @@
 	return "dalebend-router serves callers: it admits, queues, routes and relays generations and plain calls."
 }
 
-// Version is told by --version.
-func (Router) Version() string { return Version }
-
 // Check names the first setting that cannot be used.
 func (r *Router) Check() error {
 	if err := r.check(); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,12 @@
 // Version is told by --version.
 const Version = "dalebend 0.1.0"
 
+// versioned is embedded by each program's settings.
+type versioned struct{}
+
+// Version is told by --version.
+func (versioned) Version() string { return Version }
+
 // settings is one program's settings.
 type settings interface {
 	// Check names the first setting that cannot be used.
--- a/internal/settings/soak.go
+++ b/internal/settings/soak.go
@@ -19,6 +19,8 @@
 
 // Soak holds the settings of dalebend-soak.
 type Soak struct {
+	versioned
+
 	Seed     uint64        `arg:"--seed,env:DALEBEND_SOAK_SEED" default:"1" help:"first seed; a seed always gives the same schedule"`
 	Seeds    int           `arg:"--seeds,env:DALEBEND_SOAK_SEEDS" default:"1" help:"number of seeds, one after another"`
 	Duration time.Duration `arg:"--duration,env:DALEBEND_SOAK_DURATION" default:"10s" help:"time in which faults happen, for each seed"`
@@ -37,9 +39,6 @@
 	return "dalebend-soak runs boxes as processes of this machine, disturbs them from outside, and checks what callers and backend servers see."
 }
 
-// Version is told by --version.
-func (Soak) Version() string { return Version }
-
 // Check names the first setting that cannot be used.
 func (s *Soak) Check() error {
 	switch {
--- a/internal/settings/standin.go
+++ b/internal/settings/standin.go
@@ -4,6 +4,7 @@
 
 // Standin holds the settings of dalebend-standin.
 type Standin struct {
+	versioned
 	Log
 
 	Role       string        `arg:"positional,required" help:"engine, plain, object-api, weight-store or box-list"`
@@ -26,9 +27,6 @@
 	return "dalebend-standin is one of the stand-ins for what is outside dalebend, as a process, for tests."
 }
 
-// Version is told by --version.
-func (Standin) Version() string { return Version }
-
 // Check names the first setting that cannot be used.
 func (s *Standin) Check() error {
 	if err := s.check(); err != nil {
