streaming, drainplan, platform: moves by the chance of being cut off; copies freed

Generations about to end held up those that were not. Change: the chance of being cut off decides who is moved, and who first; a copy that nobody goes on from is freed by name.

--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -108,6 +108,8 @@
 			KeyRequest, KeyServer, KeyEvents, KeyBackup, KeyCause, KeyElapsed),
 		info(StreamMoved, "a stream goes on from another server",
 			KeyRequest, KeyFrom, KeyTo, KeyWay, KeyPause, KeyEvents, KeyReason),
+		info(StreamCopyFreed, "a copy that no stream goes on from was given back; cause is set when that failed and it takes memory until it runs out",
+			KeyRequest, KeyServer, KeyCause),
 		warn(StreamMoveFailed, "a stream could not be taken over by a server",
 			KeyRequest, KeyFrom, KeyTo, KeyWay, KeyCause, KeyStatus, KeyEvents),
 		warn(StreamLost, "a stream was cut at the caller; causes lists what was tried",
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -59,6 +59,7 @@
 	StreamBroke        Name = "stream-broke"
 	StreamMoved        Name = "stream-moved"
 	StreamMoveFailed   Name = "stream-move-failed"
+	StreamCopyFreed    Name = "stream-copy-freed"
 	StreamLost         Name = "stream-lost"
 	StreamEnded        Name = "stream-ended"
 )
--- /dev/null
+++ b/internal/drainplan/generation_test.go
@@ -0,0 +1,56 @@
+package drainplan_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dalebend/dalebend/internal/drainplan"
+	"github.com/dalebend/dalebend/internal/forecast"
+)
+
+// TestCutOffFalls: the more time is left the smaller the chance of being cut off, and without any it
+// is certain.
+func TestCutOffFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lengths := forecast.NewLengths(50)
+		for range rapid.IntRange(0, 60).Draw(t, "answers") {
+			lengths.Observe(rapid.IntRange(1, 3000).Draw(t, "length"))
+		}
+		g := drainplan.Generation{
+			Made:     rapid.IntRange(0, 2000).Draw(t, "made"),
+			Most:     rapid.IntRange(0, 4000).Draw(t, "most"),
+			Running:  time.Duration(rapid.IntRange(0, 20000).Draw(t, "running")) * time.Millisecond,
+			Outlives: lengths.Curve().Outlives,
+		}
+		before := g.CutOff(0)
+		require.InDelta(t, 1.0, before, 0)
+		for left := 10 * time.Millisecond; left < 10*time.Second; left *= 2 {
+			chance := g.CutOff(left)
+			require.LessOrEqual(t, chance, before+1e-9)
+			require.GreaterOrEqual(t, chance, 0.0)
+			before = chance
+		}
+	})
+}
+
+// TestCutOffByPace: the same generation is cut off rather when its engine is slow, and never when it
+// may not become long enough.
+func TestCutOffByPace(t *testing.T) {
+	lengths := forecast.NewLengths(forecast.DefaultMemory)
+	for _, i := range rand.New(rand.NewPCG(1, 1)).Perm(400) {
+		lengths.Observe(i)
+	}
+	g := drainplan.Generation{Made: 100, Running: time.Second, Outlives: lengths.Curve().Outlives}
+	fast := g.CutOff(1500 * time.Millisecond)
+	g.Running = 3 * time.Second
+	slow := g.CutOff(1500 * time.Millisecond)
+	require.InDelta(t, 0.5, fast, 0.05)
+	require.InDelta(t, 0.8, slow, 0.05)
+	g.Most = 120
+	require.Zero(t, g.CutOff(1500*time.Millisecond))
+	require.InDelta(t, 1.0, g.CutOff(-time.Second), 0)
+}
--- a/internal/notice/book.go
+++ b/internal/notice/book.go
@@ -80,6 +80,18 @@
 	return b.average
 }
 
+// Remaining returns how much longer an engine that has begun to leave is expected to run; it is
+// below 0 for one that runs for longer than expected.
+func (b *Book) Remaining(engine string) time.Duration {
+	expected := b.Expected()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if left, known := b.leftAt[engine]; known {
+		return expected - b.Clock.Since(left)
+	}
+	return expected
+}
+
 // Seen returns the number of engines whose end was seen.
 func (b *Book) Seen() int {
 	b.mu.Lock()
--- a/internal/notice/book_test.go
+++ b/internal/notice/book_test.go
@@ -50,3 +50,16 @@
 	}
 	require.InDelta(t, 500, book.Expected().Milliseconds(), 50)
 }
+
+// TestRemaining: what is left of an engine's notice runs from when it began to leave.
+func TestRemaining(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	book := &notice.Book{Clock: clock}
+	require.Equal(t, 1500*time.Millisecond, book.Remaining("a"))
+	book.Left("a")
+	clock.Advance(time.Second)
+	require.Equal(t, 500*time.Millisecond, book.Remaining("a"))
+	require.Equal(t, 1500*time.Millisecond, book.Remaining("b"))
+	clock.Advance(time.Second)
+	require.Equal(t, -500*time.Millisecond, book.Remaining("a"))
+}
--- a/internal/streaming/class.go
+++ b/internal/streaming/class.go
@@ -12,6 +12,7 @@
 const (
 	resultAnswered  = "answered"
 	resultFailed    = "failed"
+	resultFreed     = "freed"
 	stageTurnedAway = "turned-away"
 	stageForeign    = "foreign"
 )
--- a/internal/streaming/copyahead.go
+++ b/internal/streaming/copyahead.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -18,44 +20,64 @@
 	copiesAhead = 4
 )
 
+// ahead is how copying ahead of a stop ended.
+type ahead struct {
+	// target is the engine that was tried last.
+	target *registry.Server
+	// name names the copy there, empty if there is none.
+	name string
+	err  error
+}
+
 // copyAhead copies what there is of the memory to an engine that stays, while
-// the generation runs. It returns the engine that was tried last.
-func (x *run) copyAhead(ctx context.Context, source *registry.Server) (*registry.Server, error) {
+// the generation runs.
+func (x *run) copyAhead(source *registry.Server) ahead {
+	// A copy call goes on when the request has ended, so that its copy can be named and freed.
+	ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(x.ctx), x.relay.Clock, moveTime)
+	defer cancel()
 	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Homes: x.job.Homes, Avoid: []string{source.ID}}
-	target := source
+	a := ahead{target: source}
 	if x.relay.Budget.Left(x.job.Service.Name) == 0 {
 		// Once stopped, it could not go on elsewhere.
-		return target, errBudgetSpent
+		a.err = errBudgetSpent
+		return a
 	}
 	for {
 		c := x.relay.Chooser.Refuge(x.job.Service, source, need)
 		if c == nil {
-			return target, errNoEngine
+			a.err = errNoEngine
+			return a
 		}
-		target = c.Server
-		x.reserve(target)
-		err := x.copyUntilSettled(ctx, source, target)
-		if !errors.Is(err, hop.ErrNoRoom) {
-			return target, err
+		a.target = c.Server
+		x.reserve(a.target)
+		a.name, a.err = x.copyUntilSettled(ctx, source, a.target)
+		if !errors.Is(a.err, hop.ErrNoRoom) {
+			return a
 		}
-		need.Avoid = append(need.Avoid, target.ID)
+		x.free(source, a.name)
+		need.Avoid = append(need.Avoid, a.target.ID)
 	}
 }
 
 // copyUntilSettled copies again while copies have to wait for others on a link: the
-// generation would pause for as long if it were stopped then.
-func (x *run) copyUntilSettled(ctx context.Context, source, target *registry.Server) error {
+// generation would pause for as long if it were stopped then. It returns the name of the copy,
+// which there may be although a later part failed.
+func (x *run) copyUntilSettled(ctx context.Context, source, target *registry.Server) (name string, err error) {
 	for range copiesAhead {
+		if x.over() {
+			return name, x.ctx.Err()
+		}
 		began := x.relay.Clock.Now()
-		_, err := x.relay.Mover.Copy(ctx, source, x.job.Request.ID, target.Addr, false)
+		made, err := x.relay.Mover.Copy(ctx, source, x.job.Request.ID, target.Addr, false)
 		if err != nil {
-			return err
+			return name, err
 		}
+		name = made
 		if x.relay.Clock.Since(began) <= settled {
-			return nil
+			break
 		}
 	}
-	return nil
+	return name, x.ctx.Err()
 }
 
 // reserve counts the copy at the target from now on, so that not every
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/drainplan"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/registry"
 )
@@ -79,18 +80,21 @@
 
 // empty moves this box's generations off an engine, one after the other: copies
 // wait for each other on the engine's link, and a generation that is copied
-// and moved before the next one is safe whatever happens to the rest. The boxes
+// and moved before the next one is safe whatever happens to the rest. Those that are
+// likely to be cut off go first, and those that are likely to end before are left. The boxes
 // take turns in an order that all of them know.
 func (r *Relay) empty(engine *registry.Server, runs []*run) {
+	r.sortByCutOff(engine, runs)
 	r.awaitTurn(runs[0], engine)
-	// unread counts those in a row that have no memory to copy yet, as their prompt is
-	// still being read.
-	unread := 0
+	r.sortByCutOff(engine, runs)
+	// passed counts those in a row that are not moved yet: they have no memory to copy, as their
+	// prompt is still being read, or are likely to end in time.
+	passed := 0
 	for len(runs) > 0 {
 		x := runs[0]
 		runs = runs[1:]
-		if x.begun() && x.evacuate(x.pending(), engine) {
-			unread = 0
+		if x.begun() && drainplan.WorthMoving(x.cutOff(engine)) && x.evacuate(x.pending(), engine) {
+			passed = 0
 			continue
 		}
 		if x.over() {
@@ -98,8 +102,9 @@
 			continue
 		}
 		runs = append(runs, x)
-		if unread++; unread >= len(runs) {
-			unread = 0
+		if passed++; passed >= len(runs) {
+			passed = 0
+			r.sortByCutOff(engine, runs)
 			x.wait(x.ctx, notYet)
 		}
 	}
@@ -127,22 +132,24 @@
 func (x *run) evacuate(m *move, source *registry.Server) bool {
 	ctx, cancel := clockwork.WithTimeout(x.ctx, x.relay.Clock, moveTime)
 	defer cancel()
-	target, err := x.copyAhead(ctx, source)
-	if errors.Is(err, hop.ErrNotRunning) && !x.over() {
+	a := x.copyAhead(source)
+	if errors.Is(a.err, hop.ErrNotRunning) && !x.over() {
 		return false
 	}
 	defer x.evacuated(m)
-	if err != nil {
-		x.moveOver(m, source, target, err)
+	if a.err != nil {
+		x.free(source, a.name)
+		x.moveOver(m, source, a.target, a.err)
 		return true
 	}
 	// Taken before the generation is stopped: once stopped it must go on elsewhere,
 	// and others take retries meanwhile.
 	if !x.relay.Budget.Spend(x.job.Service.Name) {
-		x.moveOver(m, source, target, errBudgetSpent)
+		x.free(source, a.name)
+		x.moveOver(m, source, a.target, errBudgetSpent)
 		return true
 	}
-	x.stopAndCopy(ctx, m, source, target)
+	x.stopAndCopy(ctx, m, source, a)
 	return true
 }
 
@@ -162,12 +169,15 @@
 func (x *run) over() bool { return x.ctx.Err() != nil }
 
 // stopAndCopy stops the generation, whose retry is taken, and copies the rest.
-func (x *run) stopAndCopy(ctx context.Context, m *move, source, target *registry.Server) {
+func (x *run) stopAndCopy(ctx context.Context, m *move, source *registry.Server, a ahead) {
+	target := a.target
 	x.mu.Lock()
 	m.stopping = true
 	x.mu.Unlock()
 	name, err := x.relay.Mover.Copy(ctx, source, x.job.Request.ID, target.Addr, true)
 	if name == "" {
+		// In the background, as the stream waits to go on elsewhere. No other copy is made of it.
+		go x.free(source, a.name)
 		m.tooLate = errors.Is(err, hop.ErrNotRunning)
 		x.moveOver(m, source, target, err)
 		return
--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -254,6 +254,9 @@
 			return "", hop.ErrNoRoom
 		}
 		mode = "kept"
+	case mode == "made" && !stop:
+		// It was copied before the generation ended.
+		return "ahead", nil
 	case mode == "not-running", s == nil, s != nil && s.isOver():
 		return "", hop.ErrNotRunning
 	case mode == "fail":
@@ -277,6 +280,15 @@
 	return name, nil
 }
 
+// Free frees a copy that the source named.
+func (f *fleet) Free(_ context.Context, source *registry.Server, name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.note("%s frees %s", source.ID, name)
+	delete(f.copies, source.Addr+"/"+name)
+	return nil
+}
+
 func (e *engine) newest() *stream {
 	if len(e.streams) == 0 {
 		return nil
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -138,6 +138,18 @@
 		slog.Int64(event.KeyPause, x.longest.Milliseconds()))
 }
 
+// logFreed tells of a copy that was to be given back.
+func (x *run) logFreed(engine *registry.Server, err error) {
+	attrs := []slog.Attr{slog.String(event.KeyServer, engine.ID)}
+	result := resultFreed
+	if err != nil {
+		result = resultFailed
+		attrs = append(attrs, slog.String(event.KeyCause, err.Error()))
+	}
+	x.relay.Metrics.OrUnseen().CopiesFreed.Inc(result)
+	x.log(event.StreamCopyFreed, attrs...)
+}
+
 func (x *run) logMoveFailed(from, to *registry.Server, cause error) {
 	x.relay.Metrics.OrUnseen().MovesFailed.Inc(class(cause))
 	x.log(event.StreamMoveFailed,
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -49,6 +49,8 @@
 	// of the copy; a name may come with an error, when the engine stopped the
 	// generation and keeps the memory itself.
 	Copy(ctx context.Context, source *registry.Server, id, target string, stop bool) (name string, err error)
+	// Free gives back the memory of a copy that nobody goes on from, by the engine that named it.
+	Free(ctx context.Context, source *registry.Server, name string) error
 }
 
 // Sink takes the answer for the caller.
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -33,6 +33,9 @@
 // step is how far the clock moves at once.
 const step = 5 * time.Millisecond
 
+// longestCall is longer than a relay waits for the reply to any call to an engine.
+const longestCall = 4 * time.Second
+
 // rig is a relay with one generation, in a bubble of synctest with a clock that
 // the test moves. After each action everything that can happen has happened.
 type rig struct {
@@ -61,6 +64,8 @@
 	linkMbps int
 	// expected is the number of tokens that the caller expects.
 	expected int
+	// most is the most tokens that the caller takes; 0 is no bound.
+	most int
 	// objective is the route's for the first event; 0 is none.
 	objective time.Duration
 }
@@ -149,7 +154,7 @@
 	r.done = make(chan struct{})
 	job := &streaming.Job{
 		Request: &request.Request{
-			ID: "q1", Method: http.MethodPost, PromptTokens: 100, HintTokens: tm.expected, Arrived: r.clock.Now(),
+			ID: "q1", Method: http.MethodPost, PromptTokens: 100, HintTokens: tm.expected, MaxTokens: tm.most, Arrived: r.clock.Now(),
 		},
 		Route: r.route, Service: r.service, Deadline: deadline,
 	}
@@ -202,6 +207,8 @@
 		r.caller()
 		<-r.done
 	}
+	// Calls that hang are given up.
+	r.advance(longestCall)
 	synctest.Wait()
 }
 
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -28,7 +28,7 @@
 // TestScripts runs the stories in testdata/stories. Each command prints what followed
 // from it: what was sent to which engine, and what the caller got.
 //
-//	new [no-backups] [retries=N] [expected=N] [link=MBPS] [objective=DURATION] ENGINE...
+//	new [no-backups] [retries=N] [expected=N] [most=N] [link=MBPS] [objective=DURATION] ENGINE...
 //	                             a relay; engines are chosen in this order
 //	start [within=DURATION]      the caller sends its generation
 //	answers ENGINE MODE...       how the engine answers the next requests
@@ -92,6 +92,7 @@
 	td.MaybeScanArgs(s.t, "link", &s.terms.linkMbps)
 	td.MaybeScanArgs(s.t, "retries", &s.terms.retries)
 	td.MaybeScanArgs(s.t, "expected", &s.terms.expected)
+	td.MaybeScanArgs(s.t, "most", &s.terms.most)
 	objective := "0s"
 	td.MaybeScanArgs(s.t, "objective", &objective)
 	s.terms.objective = s.duration(objective)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,6 +27,8 @@
 	StreamsMoved *counters
 	// MovesFailed counts streams that a server could not take over, by cause.
 	MovesFailed *counters
+	// CopiesFreed counts copies that no stream goes on from, by whether their memory was given back.
+	CopiesFreed *counters
 	// StreamsLost counts streams that were cut at the caller, by cause.
 	StreamsLost *counters
 	// Crowded counts generations that were refused as no engine would begin them in time, by
@@ -110,6 +112,7 @@
 	m.Resends = m.counters("resends_total", "attempts repeated on another server", "cause")
 	m.StreamsMoved = m.counters("streams_moved_total", "streams that went on from another server", "way")
 	m.MovesFailed = m.counters("stream_moves_failed_total", "streams that a server could not take over", "cause")
+	m.CopiesFreed = m.counters("copies_freed_total", "copies that no stream goes on from", "result")
 	m.StreamsLost = m.counters("streams_lost_total", "streams cut at the caller", "cause")
 	m.Crowded = m.counters("crowded_total", "generations refused as no engine would begin them in time", "route")
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
