choose, overrun, streaming: refuges by the chance of running over; copies of ended streams freed

Cause: the refuge of a move was the emptiest of a few that were drawn, although all may be full; a copy ahead of a failure took memory for seconds after its stream was given up, and one without a name unknown to all boxes. Change: package overrun gives the chance that an engine's memory runs over with a generation; refuges are ranked by it and drawn again while it is high; a move that would push out more than it saves waits. The copy at the backup is freed when its stream did not end by itself. What a failed copy call may have left at an engine is counted there until it runs out. Figures: 100 generations off engines that leave at a crest, 60 engines of which a third has room: 18 went to one that ran over, none now (TestRefugesOfABurst).

--- a/internal/choose/copies.go
+++ b/internal/choose/copies.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/overrun"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
 )
@@ -26,6 +27,14 @@
 	// notice of 1.5 s: of 24 played days and seeds with 18 engines, 203 streams were lost,
 	// 136 with it.
 	copyTurn = 0.35
+	// overrunRank weighs the chance that a refuge runs over: one that surely does is worse than
+	// one that is empty, in another failure domain, with two copies on their way.
+	overrunRank = 2.0
+	// roomy is the chance of running over up to which a refuge is taken as it was drawn, and
+	// redraws how often others are drawn for one that is not. All engines are not looked at, as boxes
+	// that move at the same moment would all take the same one.
+	roomy   = 0.1
+	redraws = 4
 )
 
 // Emptying returns how long it takes to move what runs on an engine without a copy
@@ -57,13 +66,39 @@
 func (c *Chooser) Refuge(service *routetable.Service, leaving *registry.Server, need *Need) *Candidate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sent(c.lowestEngine(service, need.limits(), func(m *registry.Member, load engineload.Load) float64 {
+	rankOf := func(m *registry.Member, load engineload.Load) float64 {
 		if m.ID == leaving.ID || !c.bears(m) {
 			return noCandidate
 		}
-		return fill(load, need, service.Engine) + c.conduct(m) + c.doubt(m) +
-			linkRank(m, load, leaving) + copyTurn*preference(leaving.ID, m.ID)
-	}))
+		return fill(load, need, service.Engine) + overrunRank*runsOver(load, need, service.Engine) +
+			c.conduct(m) + c.doubt(m) + linkRank(m, load, leaving) + copyTurn*preference(leaving.ID, m.ID)
+	}
+	best := c.lowestEngine(service, need.limits(), rankOf)
+	for range redraws {
+		if best == nil || best.Overrun(need, service.Engine) <= roomy {
+			break
+		}
+		if other := c.lowestEngine(service, need.limits(), rankOf); other != nil && other.Rank < best.Rank {
+			best = other
+		}
+	}
+	return c.sent(best)
+}
+
+// Overrun returns the chance that the engine's memory runs over with the generation.
+func (c *Candidate) Overrun(need *Need, e *routetable.Engine) float64 {
+	return runsOver(c.Load, need, e)
+}
+
+// runsOver returns the chance that an engine's memory runs over with the generation.
+func runsOver(load engineload.Load, need *Need, e *routetable.Engine) float64 {
+	m := overrun.Memory{
+		Total:       e.MemoryTokens,
+		Held:        load.Tokens + load.Copies + need.Prompt,
+		Growth:      load.Growth + need.Expected,
+		Generations: load.Streams + 1,
+	}
+	return m.Chance()
 }
 
 // linkRank is the part of a rank that follows from the time of a copy: the copies that
--- /dev/null
+++ b/internal/choose/copies_test.go
@@ -0,0 +1,68 @@
+package choose_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/routetable"
+)
+
+// TestRefugeRoom: a refuge that would run over comes after one in another failure domain to which a copy is
+// on its way, and one that has room is found although few of many engines are looked at.
+func TestRefugeRoom(t *testing.T) {
+	near, far := engineServer("near"), engineServer("far")
+	far.Domain = "hall-2"
+	r := newRig(near, far)
+	leaving := &registry.Server{ID: "leaving", Domain: "hall-1"}
+	need := &choose.Need{Prompt: 2000, Expected: 300}
+	loads := []digest.Load{
+		{Server: "near", Streams: 3, Tokens: 7800, Growth: 500},
+		{Server: "far", Streams: 2, Tokens: 5000, Growth: 500, Arriving: 1},
+	}
+	r.Ledger.Heard("others", loads)
+	c := r.Refuge(engineService, leaving, need)
+	require.Equal(t, "far", c.ID)
+	require.Less(t, c.Overrun(need, engineService.Engine), 0.1)
+	r.Ledger.Forget("others")
+	r.Ledger.Heard("others", []digest.Load{{Server: "near", Streams: 3, Tokens: 5500, Growth: 500}, loads[1]})
+	require.Equal(t, "near", r.Refuge(engineService, leaving, need).ID)
+}
+
+// TestRefugesOfABurst: engines that leave together at a crest move what they ran to the third of the others
+// that have room. Of 100 generations 18 went to an engine that ran over then when fill alone was
+// ranked and none was drawn again.
+func TestRefugesOfABurst(t *testing.T) {
+	const engines, moved = 60, 100
+	service := &routetable.Service{Name: "chat", Engine: &routetable.Engine{Slots: 24, MemoryTokens: 27000, Moves: true}}
+	var servers []registry.Server
+	var loads []digest.Load
+	for i := range engines {
+		id := fmt.Sprintf("e-%02d", i)
+		servers = append(servers, registry.Server{ID: id, Service: "chat", Domain: fmt.Sprintf("hall-%d", i%4)})
+		load := digest.Load{Server: id, Streams: 7, Tokens: 24000, Growth: 2500}
+		if i%3 == 0 {
+			load = digest.Load{Server: id, Streams: 1, Tokens: 3000, Growth: 400}
+		}
+		loads = append(loads, load)
+	}
+	r := newRig(servers...)
+	r.Unseen = func() float64 { return 20 }
+	r.Ledger.Heard("others", loads)
+	over := 0
+	for i := range moved {
+		need := &choose.Need{Prompt: 3300, Expected: 200}
+		leaving := &registry.Server{ID: fmt.Sprintf("leaving-%d", i/8), Domain: fmt.Sprintf("hall-%d", i%4)}
+		c := r.Refuge(service, leaving, need)
+		if c.Load.Tokens+need.Prompt > service.Engine.MemoryTokens {
+			over++
+		}
+		r.Ledger.Place(c.ID, "", need.Prompt, need.Expected)
+	}
+	t.Logf("%d of %d ran over", over, moved)
+	require.Zero(t, over)
+}
--- a/internal/drainplan/generation.go
+++ b/internal/drainplan/generation.go
@@ -12,6 +12,9 @@
 	// moves of ten would save nobody, and each of them takes the memory of a generation at an
 	// engine that others need.
 	worthMoving = 0.1
+	// pushedOut is what a generation that a move pushes out of its refuge loses, of what one loses that
+	// is cut off: its caller waits until its prompt has been read again, the other's gets no more.
+	pushedOut = 0.5
 	// usualPace is the time of a token before a generation's own is known: about what engines
 	// of the users' fleets take with half of their slots in use. It counts for the first
 	// usualTokens, as the first events may come at once after a wait.
@@ -44,8 +47,11 @@
 	return g.Outlives(g.Made, ahead)
 }
 
-// WorthMoving reports whether a generation with this chance of being cut off is to be moved now.
-func WorthMoving(cutOff float64) bool { return cutOff >= worthMoving }
+// WorthMoving reports whether a generation with this chance of being cut off is to be moved now, when
+// the best refuge runs over with the other chance.
+func WorthMoving(cutOff, overrun float64) bool {
+	return cutOff >= max(worthMoving, pushedOut*overrun)
+}
 
 // pace returns the time of one token.
 func (g *Generation) pace() time.Duration {
--- a/internal/drainplan/play_test.go
+++ b/internal/drainplan/play_test.go
@@ -132,7 +132,7 @@
 	}
 	best := -1
 	for i := range chances {
-		if drainplan.WorthMoving(chances[i]) && (best < 0 || cmp.Less(chances[best], chances[i])) {
+		if drainplan.WorthMoving(chances[i], 0) && (best < 0 || cmp.Less(chances[best], chances[i])) {
 			best = i
 		}
 	}
--- a/internal/engineload/ledger.go
+++ b/internal/engineload/ledger.go
@@ -181,11 +181,13 @@
 func (l *Ledger) addOwn(to map[string]Load) {
 	for r := range l.own {
 		load, copies := r.load()
-		sum := to[r.server]
-		sum.add(load, 1)
-		to[r.server] = sum
+		if !r.remains {
+			sum := to[r.server]
+			sum.add(load, 1)
+			to[r.server] = sum
+		}
 		if r.backup != "" {
-			sum = to[r.backup]
+			sum := to[r.backup]
 			sum.add(copies, 1)
 			to[r.backup] = sum
 		}
--- a/internal/engineload/ledger_test.go
+++ b/internal/engineload/ledger_test.go
@@ -271,3 +271,13 @@
 	l.Forget("p")
 	require.Zero(t, l.Heard("p", on(digest.Load{Server: "a", Streams: 9})))
 }
+
+// TestRemain: a copy that can't be freed takes memory where it is, and is nobody's generation.
+func TestRemain(t *testing.T) {
+	l := engineload.New()
+	left := l.Remain("a", 3000)
+	require.Equal(t, map[string]engineload.Load{"a": {Copies: 3000}}, l.All())
+	require.Equal(t, []digest.Load{{Server: "a", Copies: 3000}}, l.Own())
+	left.End()
+	require.Empty(t, l.Own())
+}
--- a/internal/engineload/run.go
+++ b/internal/engineload/run.go
@@ -15,6 +15,8 @@
 	moving bool
 	// settled means that no move of it will be tried any more while it is where it is.
 	settled bool
+	// remains means that it is no generation but a copy of one, of as many tokens as the prompt.
+	remains bool
 	// made counts generated tokens; -1 until the first.
 	made atomic.Int64
 }
@@ -30,6 +32,15 @@
 	return r
 }
 
+// Remain counts in a copy that nobody goes on from and that can't be freed, until its End.
+func (l *Ledger) Remain(server string, tokens int) *Run {
+	r := &Run{ledger: l, prompt: tokens, backup: server, remains: true}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own[r] = struct{}{}
+	return r
+}
+
 // Move counts the generation on other engines from now on.
 func (r *Run) Move(server, backup string) {
 	r.ledger.mu.Lock()
@@ -70,6 +81,9 @@
 // load returns what the generation takes on its engine and on the one that
 // holds its copy.
 func (r *Run) load() (own, copies Load) {
+	if r.remains {
+		return Load{}, Load{Copies: r.prompt}
+	}
 	made := int(r.made.Load())
 	begun := made >= 0
 	prefill := 0
--- a/internal/streaming/copyahead.go
+++ b/internal/streaming/copyahead.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/drainplan"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/registry"
 )
@@ -26,7 +27,14 @@
 	target *registry.Server
 	// name names the copy there, empty if there is none.
 	name string
-	err  error
+	// called is set when an engine was told to copy.
+	called bool
+	err    error
+}
+
+// unnamed reports whether there may be a copy that has no name, as no reply came to the call.
+func (a *ahead) unnamed() bool {
+	return a.called && a.name == "" && !errors.Is(a.err, hop.ErrNoRoom) && !errors.Is(a.err, hop.ErrNotRunning)
 }
 
 // copyAhead copies what there is of the memory to an engine that stays, while
@@ -35,7 +43,11 @@
 	// A copy call goes on when the request has ended, so that its copy can be named and freed.
 	ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(x.ctx), x.relay.Clock, moveTime)
 	defer cancel()
-	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Homes: x.job.Homes, Avoid: []string{source.ID}}
+	held := x.size()
+	need := &choose.Need{
+		Prompt: held, Expected: max(0, x.job.Request.PromptTokens+x.expected-held),
+		Homes: x.job.Homes, Avoid: []string{source.ID},
+	}
 	a := ahead{target: source}
 	if x.relay.Budget.Left(x.job.Service.Name) == 0 {
 		// Once stopped, it could not go on elsewhere.
@@ -48,8 +60,13 @@
 			a.err = errNoEngine
 			return a
 		}
+		if !drainplan.WorthMoving(x.cutOff(source), c.Overrun(need, x.job.Service.Engine)) {
+			a.err = errNotWorth
+			return a
+		}
 		a.target = c.Server
 		x.reserve(a.target)
+		a.called = !x.over()
 		a.name, a.err = x.copyUntilSettled(ctx, source, a.target)
 		if !errors.Is(a.err, hop.ErrNoRoom) {
 			return a
--- a/internal/streaming/cutoff.go
+++ b/internal/streaming/cutoff.go
@@ -29,7 +29,7 @@
 	chances := make(map[*run]float64, len(runs))
 	for _, x := range runs {
 		chances[x] = x.cutOff(engine)
-		if x.begun() && !drainplan.WorthMoving(chances[x]) {
+		if x.begun() && !drainplan.WorthMoving(chances[x], 0) {
 			x.spared()
 		}
 	}
--- a/internal/streaming/errors.go
+++ b/internal/streaming/errors.go
@@ -4,6 +4,7 @@
 
 // Why a generation was not offered to another engine.
 var (
+	errNotWorth      = errors.New("the move would push out more than it saves")
 	errNoEngine      = errors.New("no engine may take new work")
 	errCrowded       = errors.New("no engine has room in time")
 	errBudgetSpent   = errors.New("retry budget is spent")
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -93,7 +93,7 @@
 	for len(runs) > 0 {
 		x := runs[0]
 		runs = runs[1:]
-		if x.begun() && drainplan.WorthMoving(x.cutOff(engine)) && x.evacuate(x.pending(), engine) {
+		if x.begun() && drainplan.WorthMoving(x.cutOff(engine), 0) && x.evacuate(x.pending(), engine) {
 			passed = 0
 			continue
 		}
@@ -128,16 +128,19 @@
 
 // evacuate copies the memory while the generation runs, then stops it and
 // copies the rest, so that the pause is short. It returns false if the engine has no
-// memory of the generation yet.
+// memory of the generation yet, or if a move would now push out more than it saves.
 func (x *run) evacuate(m *move, source *registry.Server) bool {
 	ctx, cancel := clockwork.WithTimeout(x.ctx, x.relay.Clock, moveTime)
 	defer cancel()
 	a := x.copyAhead(source)
-	if errors.Is(a.err, hop.ErrNotRunning) && !x.over() {
+	if errors.Is(a.err, hop.ErrNotRunning) && !x.over() || errors.Is(a.err, errNotWorth) {
 		return false
 	}
 	defer x.evacuated(m)
 	if a.err != nil {
+		if a.unnamed() {
+			x.remains(a.target)
+		}
 		x.free(source, a.name)
 		x.moveOver(m, source, a.target, a.err)
 		return true
--- a/internal/streaming/free.go
+++ b/internal/streaming/free.go
@@ -25,3 +25,28 @@
 	err := x.relay.Mover.Free(ctx, source, name)
 	x.logFreed(source, err)
 }
+
+// freeBackup gives back the memory of the copy at the backup engine, after a generation that did not
+// end by itself. Engines free those of others themselves.
+func (x *run) freeBackup() {
+	x.mu.Lock()
+	backup, begun := x.backup, x.split.Events() > 0
+	x.mu.Unlock()
+	if backup != nil && begun {
+		x.free(backup, x.job.Request.ID)
+	}
+}
+
+// remains counts the copy at an engine that a call which failed may have left there, until it runs out: it has
+// no name by which it could be freed.
+func (x *run) remains(target *registry.Server) {
+	life := x.job.Service.Engine.CopyLife
+	if life <= 0 {
+		return
+	}
+	left := x.relay.Ledger.Remain(target.ID, x.size())
+	x.relay.Clock.AfterFunc(life, func() {
+		left.End()
+		x.relay.loadChanged()
+	})
+}
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -114,9 +114,14 @@
 	x := &run{ctx: ctx, relay: r, job: j, sink: sink, expected: r.expected(j), began: j.Request.Arrived}
 	r.add(x)
 	defer r.remove(x)
-	defer x.settle()
-	defer cancel()
-	return x.serve(ctx)
+	err := x.serve(ctx)
+	cancel()
+	x.settle()
+	if err != nil {
+		// Only now, as a switch to the backup may have been under way.
+		go x.freeBackup()
+	}
+	return err
 }
 
 // expected returns how many tokens the answer is expected to have.
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -33,8 +33,9 @@
 // step is how far the clock moves at once.
 const step = 5 * time.Millisecond
 
-// longestCall is longer than a relay waits for the reply to any call to an engine.
-const longestCall = 4 * time.Second
+// longestCall is longer than a relay waits for the reply to any call to an engine, and then for the copy
+// that this may have left.
+const longestCall = 6 * time.Second
 
 // rig is a relay with one generation, in a bubble of synctest with a clock that
 // the test moves. After each action everything that can happen has happened.
@@ -74,7 +75,7 @@
 	r := &rig{fleet: f, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)), servers: make(map[string]registry.Server)}
 	r.service = &routetable.Service{Name: "chat", Engine: &routetable.Engine{
 		Slots: 20, MemoryTokens: 100000, Moves: true, Backups: tm.backups, TokensPerEvent: 4,
-		TokenBytes: 160000, LinkMbps: float64(tm.linkMbps),
+		CopyLife: 2 * time.Second, TokenBytes: 160000, LinkMbps: float64(tm.linkMbps),
 	}}
 	r.route = &routetable.Route{Name: "r", Stream: true, Objective: tm.objective}
 	r.sink = &sink{rig: r}
