--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -43,6 +43,8 @@
 	moves   []string
 	// leaves is what it says when it is asked whether it leaves: not yet, soon, or nothing.
 	leaves string
+	// mute means that it answers no call to free a copy.
+	mute bool
 	// held is closed to let calls go on that hang.
 	held chan struct{}
 	// streams are all streams of the engine, the newest last.
@@ -281,10 +283,17 @@
 }
 
 // Free frees a copy that the source named.
-func (f *fleet) Free(_ context.Context, source *registry.Server, name string) error {
+func (f *fleet) Free(ctx context.Context, source *registry.Server, name string) error {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.note("%s frees %s", source.ID, name)
+	mute := f.engines[source.ID].mute
+	f.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.copies, source.Addr+"/"+name)
 	return nil
 }
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -36,6 +36,7 @@
 //	say ENGINE N / part ENGINE [N]   the engine's newest stream gives N events / N and a part of one
 //	end ENGINE / break ENGINE    it ends cleanly / breaks
 //	old say|end|break ENGINE     the same of the stream before the newest
+//	mute ENGINE                  it answers no call to free a copy
 //	release ENGINE               calls that hang there go on
 //	drain ENGINE / ready ENGINE / gone ENGINE   it is about to leave / is not any more / its entry is removed
 //	cordon [DOMAIN]...           these failure domains get no more work; engines named far... stand in
@@ -128,6 +129,8 @@
 	case "old":
 		streams := r.fleet.engines[args[1]].streams
 		s.act(streams[len(streams)-2], args[0], args[2:])
+	case "mute":
+		r.fleet.engines[args[0]].mute = true
 	case "release":
 		r.fleet.release(args[0])
 	case "drain":
