streaming: a copy that could not be freed is counted until it runs out

Cause: only copies without a name were; one whose engine did not answer the call to free it was not. Change: both are.

--- a/internal/streaming/copyahead.go
+++ b/internal/streaming/copyahead.go
@@ -71,7 +71,7 @@
 		if !errors.Is(a.err, hop.ErrNoRoom) {
 			return a
 		}
-		x.free(source, a.name)
+		x.discard(source, &a)
 		need.Avoid = append(need.Avoid, a.target.ID)
 	}
 }
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -138,17 +138,14 @@
 	}
 	defer x.evacuated(m)
 	if a.err != nil {
-		if a.unnamed() {
-			x.remains(a.target)
-		}
-		x.free(source, a.name)
+		x.discard(source, &a)
 		x.moveOver(m, source, a.target, a.err)
 		return true
 	}
 	// Taken before the generation is stopped: once stopped it must go on elsewhere,
 	// and others take retries meanwhile.
 	if !x.relay.Budget.Spend(x.job.Service.Name) {
-		x.free(source, a.name)
+		x.discard(source, &a)
 		x.moveOver(m, source, a.target, errBudgetSpent)
 		return true
 	}
@@ -180,7 +177,7 @@
 	name, err := x.relay.Mover.Copy(ctx, source, x.job.Request.ID, target.Addr, true)
 	if name == "" {
 		// In the background, as the stream waits to go on elsewhere. No other copy is made of it.
-		go x.free(source, a.name)
+		go x.discard(source, &a)
 		m.tooLate = errors.Is(err, hop.ErrNotRunning)
 		x.moveOver(m, source, target, err)
 		return
--- a/internal/streaming/free.go
+++ b/internal/streaming/free.go
@@ -13,17 +13,25 @@
 // the copy with it or soon after by itself.
 const freeTime = 500 * time.Millisecond
 
+// discard gives back the memory of a copy ahead, or counts what can't be given back.
+func (x *run) discard(source *registry.Server, a *ahead) {
+	if a.unnamed() || x.free(source, a.name) != nil {
+		x.remains(a.target)
+	}
+}
+
 // free gives back the memory of a copy of the generation, if there is one. The copy takes the memory
 // of a whole generation at an engine for seconds otherwise, of which no box knows. All copies of a
 // generation may have one name, so that no further one may be made before it returns.
-func (x *run) free(source *registry.Server, name string) {
+func (x *run) free(source *registry.Server, name string) error {
 	if name == "" {
-		return
+		return nil
 	}
 	ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(x.ctx), x.relay.Clock, freeTime)
 	defer cancel()
 	err := x.relay.Mover.Free(ctx, source, name)
 	x.logFreed(source, err)
+	return err
 }
 
 // freeBackup gives back the memory of the copy at the backup engine, after a generation that did not
@@ -33,12 +41,11 @@
 	backup, begun := x.backup, x.split.Events() > 0
 	x.mu.Unlock()
 	if backup != nil && begun {
-		x.free(backup, x.job.Request.ID)
+		_ = x.free(backup, x.job.Request.ID) // it is logged
 	}
 }
 
-// remains counts the copy at an engine that a call which failed may have left there, until it runs out: it has
-// no name by which it could be freed.
+// remains counts the copy at an engine that a call which failed may have left there, until it runs out.
 func (x *run) remains(target *registry.Server) {
 	life := x.job.Service.Engine.CopyLife
 	if life <= 0 {
