choose: half of the weight of a refuge that runs over

Cause: refuges far away were taken for a small chance of running over; copies there take twice as long and streams were cut off meanwhile. Change: overrunRank 1, drawn again from a chance of 0.25 on.

--- a/internal/choose/copies.go
+++ b/internal/choose/copies.go
@@ -27,13 +27,14 @@
 	// notice of 1.5 s: of 24 played days and seeds with 18 engines, 203 streams were lost,
 	// 136 with it.
 	copyTurn = 0.35
-	// overrunRank weighs the chance that a refuge runs over: one that surely does is worse than
-	// one that is empty, in another failure domain, with two copies on their way.
-	overrunRank = 2.0
+	// overrunRank weighs the chance that a refuge runs over: one that surely does is as bad as one that is
+	// empty, in another failure domain, with two copies on their way. With twice of it moves took
+	// longer ways: on two heavy days 260 and 83 long answers failed, and 248 and 62 with this.
+	overrunRank = 1.0
 	// roomy is the chance of running over up to which a refuge is taken as it was drawn, and
 	// redraws how often others are drawn for one that is not. All engines are not looked at, as boxes
 	// that move at the same moment would all take the same one.
-	roomy   = 0.1
+	roomy   = 0.25
 	redraws = 4
 )
 
