--- a/internal/streaming/copyahead.go
+++ b/internal/streaming/copyahead.go
@@ -107,3 +107,13 @@
 	x.mu.Unlock()
 	x.relay.loadChanged()
 }
+
+// unreserve counts the generation where it is, and no longer at a target without room.
+func (x *run) unreserve() {
+	x.mu.Lock()
+	if x.load != nil {
+		x.load.Move(x.engine.ID, idOf(x.backup))
+	}
+	x.mu.Unlock()
+	x.relay.loadChanged()
+}
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -133,7 +133,11 @@
 	ctx, cancel := clockwork.WithTimeout(x.ctx, x.relay.Clock, moveTime)
 	defer cancel()
 	a := x.copyAhead(source)
-	if errors.Is(a.err, hop.ErrNotRunning) && !x.over() || errors.Is(a.err, errNotWorth) {
+	if errors.Is(a.err, errNotWorth) {
+		x.unreserve()
+		return false
+	}
+	if errors.Is(a.err, hop.ErrNotRunning) && !x.over() {
 		return false
 	}
 	defer x.evacuated(m)
