--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -45,6 +45,8 @@
 	born int64
 	// leaves is what it says when it is asked whether it leaves: not yet, soon, or nothing.
 	leaves string
+	// mute means that it answers no call to free a copy.
+	mute bool
 	// held is closed to let calls go on that hang.
 	held chan struct{}
 	// streams are all streams of the engine, the newest last.
@@ -256,6 +258,9 @@
 			return "", hop.ErrNoRoom
 		}
 		mode = "kept"
+	case mode == "made" && !stop:
+		// It was copied before the generation ended.
+		return "ahead", nil
 	case mode == "not-running", s == nil, s != nil && s.isOver():
 		return "", hop.ErrNotRunning
 	case mode == "fail":
@@ -292,6 +297,22 @@
 	}
 }
 
+// Free frees a copy that the source named.
+func (f *fleet) Free(ctx context.Context, source *registry.Server, name string) error {
+	f.mu.Lock()
+	f.note("%s frees %s", source.ID, name)
+	mute := f.engines[source.ID].mute
+	f.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.copies, source.Addr+"/"+name)
+	return nil
+}
+
 func (e *engine) newest() *stream {
 	if len(e.streams) == 0 {
 		return nil
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -50,6 +50,8 @@
 	// of the copy; a name may come with an error, when the engine stopped the
 	// generation and keeps the memory itself.
 	Copy(ctx context.Context, source *registry.Server, id, target string, stop bool) (name string, err error)
+	// Free gives back the memory of a copy that nobody goes on from, by the engine that named it.
+	Free(ctx context.Context, source *registry.Server, name string) error
 }
 
 // Sink takes the answer for the caller.
@@ -115,9 +117,14 @@
 	x := &run{ctx: ctx, relay: r, job: j, sink: sink, expected: r.expected(j), began: j.Request.Arrived}
 	r.add(x)
 	defer r.remove(x)
-	defer x.settle()
-	defer cancel()
-	return x.serve(ctx)
+	err := x.serve(ctx)
+	cancel()
+	x.settle()
+	if err != nil {
+		// Only now, as a switch to the backup may have been under way.
+		go x.freeBackup()
+	}
+	return err
 }
 
 // expected returns how many tokens the answer is expected to have.
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -33,6 +33,10 @@
 // step is how far the clock moves at once.
 const step = 5 * time.Millisecond
 
+// longestCall is longer than a relay waits for the reply to any call to an engine, and then for the copy
+// that this may have left.
+const longestCall = 6 * time.Second
+
 // rig is a relay with one generation, in a bubble of synctest with a clock that
 // the test moves. After each action everything that can happen has happened.
 type rig struct {
@@ -61,6 +65,8 @@
 	linkMbps int
 	// expected is the number of tokens that the caller expects.
 	expected int
+	// most is the most tokens that the caller takes; 0 is no bound.
+	most int
 	// objective is the route's for the first event; 0 is none.
 	objective time.Duration
 }
@@ -69,7 +75,7 @@
 	r := &rig{fleet: f, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)), servers: make(map[string]registry.Server)}
 	r.service = &routetable.Service{Name: "chat", Engine: &routetable.Engine{
 		Slots: 20, MemoryTokens: 100000, Moves: true, Backups: tm.backups, TokensPerEvent: 4,
-		TokenBytes: 160000, LinkMbps: float64(tm.linkMbps),
+		CopyLife: 2 * time.Second, TokenBytes: 160000, LinkMbps: float64(tm.linkMbps),
 	}}
 	r.route = &routetable.Route{Name: "r", Stream: true, Objective: tm.objective}
 	r.sink = &sink{rig: r}
@@ -149,7 +155,7 @@
 	r.done = make(chan struct{})
 	job := &streaming.Job{
 		Request: &request.Request{
-			ID: "q1", Method: http.MethodPost, PromptTokens: 100, HintTokens: tm.expected, Arrived: r.clock.Now(),
+			ID: "q1", Method: http.MethodPost, PromptTokens: 100, HintTokens: tm.expected, MaxTokens: tm.most, Arrived: r.clock.Now(),
 		},
 		Route: r.route, Service: r.service, Deadline: deadline,
 	}
@@ -213,6 +219,8 @@
 		r.caller()
 		<-r.done
 	}
+	// Calls that hang are given up.
+	r.advance(longestCall)
 	synctest.Wait()
 }
 
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -30,7 +30,7 @@
 // TestScripts runs the stories in testdata/stories. Each command prints what followed
 // from it: what was sent to which engine, and what the caller got.
 //
-//	new [no-backups] [retries=N] [expected=N] [link=MBPS] [objective=DURATION] ENGINE...
+//	new [no-backups] [retries=N] [expected=N] [most=N] [link=MBPS] [objective=DURATION] ENGINE...
 //	                             a relay; engines are chosen in this order
 //	start [within=DURATION]      the caller sends its generation
 //	answers ENGINE MODE...       how the engine answers the next requests
@@ -38,6 +38,7 @@
 //	say ENGINE N / part ENGINE [N]   the engine's newest stream gives N events / N and a part of one
 //	end ENGINE / break ENGINE    it ends cleanly / breaks
 //	old say|end|break ENGINE     the same of the stream before the newest
+//	mute ENGINE                  it answers no call to free a copy
 //	release ENGINE               calls that hang there go on
 //	restart ENGINE SECONDS       it starts again under its id and holds nothing
 //	learn ENGINE                 the list of servers has its present start
@@ -97,6 +98,7 @@
 	td.MaybeScanArgs(s.t, "link", &s.terms.linkMbps)
 	td.MaybeScanArgs(s.t, "retries", &s.terms.retries)
 	td.MaybeScanArgs(s.t, "expected", &s.terms.expected)
+	td.MaybeScanArgs(s.t, "most", &s.terms.most)
 	objective := "0s"
 	td.MaybeScanArgs(s.t, "objective", &objective)
 	s.terms.objective = s.duration(objective)
@@ -132,6 +134,8 @@
 	case "old":
 		streams := r.fleet.engines[args[1]].streams
 		s.act(streams[len(streams)-2], args[0], args[2:])
+	case "mute":
+		r.fleet.engines[args[0]].mute = true
 	case "release":
 		r.fleet.release(args[0])
 	case "drain":
