accountshare: which client accounts had more than their share of the engines

Cause: at a crest that one account makes, whoever asks most often gets most of what frees, and accounts that ask seldom get as little as it.

Change: tokens that each account had engines take, counted over all boxes and forgotten with time; an account with half more than an equal share is over. Not used yet.

--- /dev/null
+++ b/internal/accountshare/book.go
@@ -0,0 +1,155 @@
+// Package accountshare counts, over all boxes, what each client account lately had engines take, and
+// tells which accounts had more than their share.
+//
+// The load that it answers is one above what engines carry, most of it by few accounts. Whoever
+// asks most often gets most of what frees then, and accounts that ask seldom get nothing for as
+// long as that lasts. The counts are those of a virtual token counter, prompt and expected answer
+// together, that forgets: an account that was quiet has no claim on more than its share later.
+//
+// Boxes tell each other what they placed in notes of a few bytes. A note that is lost, or a box that
+// dies, makes an account seem smaller than it is for some seconds; two halves of a fleet count what
+// each of them placed.
+package accountshare
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// memory is the time in which what an account took loses all but 1/e of its weight: that for
+	// which long answers hold their memory.
+	memory = 10 * time.Second
+	// fair is the most that an account may take before others go first, in equal shares of all
+	// that took anything. Above 1, as no account asks evenly.
+	fair = 1.5
+	// least is what an account must have taken to count as one of those who share, in tokens:
+	// less than one short prompt.
+	least = 100
+	// most bounds the accounts that are counted: 40 KB.
+	most = 1024
+	// gather is how long is gathered for one note; a crest lasts for seconds.
+	gather = 500 * time.Millisecond
+)
+
+// Book is safe for concurrent use. Set the exported fields before use.
+type Book struct {
+	Clock clockwork.Clock
+	// Tell, if set, takes a note for all other boxes. It must not block.
+	Tell func(note []byte)
+
+	mu sync.Mutex
+	// taken is what each account took, by the hash of its name, as of the time at.
+	taken map[uint32]float64
+	at    time.Time
+	// untold is what the next note says; it is on its way when telling is set.
+	untold  map[uint32]int
+	telling bool
+}
+
+// Took counts tokens that an engine takes for an account by way of this box.
+func (b *Book) Took(account string, tokens int) {
+	if b == nil || tokens <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := keyOf(account)
+	b.add(key, tokens)
+	b.tell(key, tokens)
+}
+
+// Noted takes a note of another box. Nothing that it says counts if a part of it cannot be read.
+func (b *Book) Noted(note []byte) {
+	list, ok := decode(note)
+	if !ok {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range list {
+		b.add(e.key, e.tokens)
+	}
+}
+
+// Over reports whether an account had more than its share.
+func (b *Book) Over(account string) bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.decay()
+	total, sharers := 0.0, 0
+	for _, tokens := range b.taken {
+		total += tokens
+		sharers++
+	}
+	return b.taken[keyOf(account)]*float64(sharers) > fair*total
+}
+
+// keyOf returns the number that names an account in notes.
+func keyOf(account string) uint32 { return uint32(xxhash.Sum64String(account)) }
+
+// add counts tokens. Accounts beyond the bound are not counted. The lock must be held.
+func (b *Book) add(key uint32, tokens int) {
+	b.decay()
+	if _, known := b.taken[key]; !known && len(b.taken) >= most {
+		return
+	}
+	b.taken[key] += float64(tokens)
+}
+
+// decay brings the counts up to now and drops accounts that hardly count. The lock must be held.
+func (b *Book) decay() {
+	now := b.Clock.Now()
+	if b.taken == nil {
+		b.taken = make(map[uint32]float64)
+		b.at = now
+	}
+	since := now.Sub(b.at)
+	if since <= 0 {
+		return
+	}
+	b.at = now
+	left := math.Exp(-since.Seconds() / memory.Seconds())
+	for key := range b.taken {
+		b.taken[key] *= left
+		if b.taken[key] < least {
+			delete(b.taken, key)
+		}
+	}
+}
+
+// tell has the next note say something. The lock must be held.
+func (b *Book) tell(key uint32, tokens int) {
+	if b.Tell == nil {
+		return
+	}
+	if b.untold == nil {
+		b.untold = make(map[uint32]int)
+	}
+	if _, known := b.untold[key]; !known && len(b.untold) >= mostTold {
+		return
+	}
+	b.untold[key] += tokens
+	if b.telling {
+		return
+	}
+	b.telling = true
+	b.Clock.AfterFunc(gather, b.send)
+}
+
+// send hands over the note.
+func (b *Book) send() {
+	b.mu.Lock()
+	note := encode(b.untold)
+	clear(b.untold)
+	b.telling = false
+	b.mu.Unlock()
+	b.Tell(note)
+}
