--- a/internal/box/beliefs.go
+++ b/internal/box/beliefs.go
@@ -7,7 +7,9 @@
 	"strings"
 	"time"
 
+	"github.com/dalebend/dalebend/internal/accountshare"
 	"github.com/dalebend/dalebend/internal/belief"
+	"github.com/dalebend/dalebend/internal/comeback"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/digest"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -142,6 +144,22 @@
 	}
 }
 
+// spread tells all peers which callers may come back first, or what accounts took. It need not
+// reach them: they decide by what they know.
+func (b *Box) spread(note []byte) { b.node.Spread(note) }
+
+// noted takes a note of a peer.
+func (b *Box) noted(note []byte) {
+	switch {
+	case comeback.IsNote(note):
+		b.comeBack.Noted(note)
+	case accountshare.IsNote(note):
+		b.shares.Noted(note)
+	default:
+		b.share.TakeChange(note)
+	}
+}
+
 // serversLeft is told of backend servers that have begun to leave or are gone.
 func (b *Box) serversLeft(ids []string) {
 	b.streams.Left(ids)
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -16,9 +16,11 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/accountshare"
 	"github.com/dalebend/dalebend/internal/arrival"
 	"github.com/dalebend/dalebend/internal/boxsettings"
 	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/comeback"
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/exchange"
@@ -95,6 +97,10 @@
 	prefill *prefill.Rates
 	chooser *choose.Chooser
 	budget  *spend.Budget
+	// comeBack knows the callers that any box refused and that may come back first.
+	comeBack *comeback.Book
+	// shares counts what client accounts have engines take, over all boxes.
+	shares  *accountshare.Book
 	streams *streaming.Relay
 	front   *front.Server
 
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -44,6 +44,8 @@
 	Homes routetable.Homes
 	// MaxPause is the longest pause between events that its caller accepts; 0 is any.
 	MaxPause time.Duration
+	// Objective is the time to the first event that its caller expects; 0 is none.
+	Objective time.Duration
 	// Within is the longest wait for its first event that is acceptable; 0 is any.
 	Within time.Duration
 }
--- a/internal/choose/wait.go
+++ b/internal/choose/wait.go
@@ -46,13 +46,13 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
-// lateFirst returns how likely a first event is to come after the time that is acceptable.
+// lateFirst returns how likely a first event is to come after the objective.
 func (c *Chooser) lateFirst(engine string, load engineload.Load, need *Need, e *routetable.Engine) float64 {
-	if need.Within <= 0 {
+	if need.Objective <= 0 {
 		return 0
 	}
-	part := float64(c.firstEvent(engine, load, need, e)) / float64(need.Within)
-	return min(max(0, (part-1)/(surelyLate-1)), 1)
+	part := float64(c.firstEvent(engine, load, need, e)) / float64(need.Objective)
+	return min(max(0, (part-mayBeLate)/(1-mayBeLate)), 1)
 }
 
 // missing returns the memory that a generation's prompt lacks on an engine, in tokens; below 0
@@ -110,10 +110,9 @@
 	// caller gets little of what it asked for. With three times as much, prompts crowd on fast
 	// engines until their memory runs out: 13 generations instead of 1 were pushed out on a calm day.
 	lateMs = 4000.0
-	// surelyLate is how many times the acceptable time a first event that is expected then is
-	// sure to come too late: what is acceptable leaves a quarter of the objective for what is
-	// believed wrongly.
-	surelyLate = 4.0 / 3
+	// mayBeLate is the part of the objective from which a first event that is expected then may
+	// come too late; one that is expected at the objective does.
+	mayBeLate = 0.75
 	// alike is the logarithm of the factor within which engines count as equally fast: how many
 	// run on an engine alone makes that difference. Without it what waits was thought to wait
 	// longer on busy engines, and 69 callers instead of 27 were refused twice on a heavy day.
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -193,7 +193,7 @@
 func (x *run) stopAndCopy(ctx context.Context, m *move, source *registry.Server, a ahead) {
 	target := a.target
 	if x.replaced(target) {
-		go x.discard(source, &a)
+		// Its later start does not hold the copy.
 		x.moveOver(m, source, target, errReplaced)
 		return
 	}
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -34,10 +34,12 @@
 	// began is when the request came; first is the time to its first event and
 	// longest the longest pause after that, as passed on. They belong to the
 	// goroutine that passes events on.
-	began   time.Time
-	passed  time.Time
-	first   time.Duration
-	longest time.Duration
+	began time.Time
+	// returned is set when the caller was refused and goes first now.
+	returned bool
+	passed   time.Time
+	first    time.Duration
+	longest  time.Duration
 	// longestBeside is the number of prompt tokens that the engine had to read at the longest pause.
 	longestBeside int
 	// forecast is when the first event was expected, zero before an offer.
@@ -359,6 +361,7 @@
 	x.engine = engine
 	x.backup = backup
 	if x.load == nil {
+		x.relay.Shares.Took(x.job.Account, x.job.Request.PromptTokens+x.expected)
 		x.load = x.relay.Ledger.Place(engine.ID, idOf(backup), x.job.Request.PromptTokens, x.expected)
 	} else {
 		x.load.Move(engine.ID, idOf(backup))
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -30,7 +30,7 @@
 // TestScripts runs the stories in testdata/stories. Each command prints what followed
 // from it: what was sent to which engine, and what the caller got.
 //
-//	new [no-backups] [retries=N] [expected=N] [most=N] [link=MBPS] [objective=DURATION] ENGINE...
+//	new [no-backups] [retries=N] [expected=N] [most=N] [link=MBPS] [objective=DURATION] [urgent=DURATION] ENGINE...
 //	                             a relay; engines are chosen in this order
 //	start [within=DURATION]      the caller sends its generation
 //	answers ENGINE MODE...       how the engine answers the next requests
@@ -50,6 +50,8 @@
 //	says ENGINE not yet|soon|nothing  what an engine says when it is asked whether it leaves
 //	load ENGINE TOKENS UNREAD    other boxes have so many tokens there of 100,000, prompts unread
 //	peer BOX ENGINE              another box runs a generation on the engine
+//	took ACCOUNT TOKENS          engines take so many tokens for an account; the caller's is "kiosk"
+//	short ACCOUNT                a caller of that account was refused
 //	spend                        another request takes a retry, if one is left
 //	advance DURATION / leave / deaf   time passes / the caller leaves / it takes no more bytes
 func TestScripts(t *testing.T) {
@@ -102,6 +104,9 @@
 	objective := "0s"
 	td.MaybeScanArgs(s.t, "objective", &objective)
 	s.terms.objective = s.duration(objective)
+	urgent := "0s"
+	td.MaybeScanArgs(s.t, "urgent", &urgent)
+	s.terms.urgent = s.duration(urgent)
 	var ids []string
 	for _, a := range td.CmdArgs {
 		if len(a.Vals) == 0 && a.Key != "no-backups" {
@@ -120,6 +125,7 @@
 	r := s.rig
 	switch td.Cmd {
 	case "start":
+		s.over = false
 		within := 30 * time.Second
 		if td.HasArg("within") {
 			var text string
@@ -160,6 +166,10 @@
 		r.relay.Ledger.Heard(args[0], []digest.Load{{Server: args[1], Streams: 1}})
 	case "load":
 		r.load(args[0], s.number(args[1]), s.number(args[2]))
+	case "took":
+		r.relay.Shares.Took(args[0], s.number(args[1]))
+	case "short":
+		r.relay.Shares.Refused(args[0])
 	case "spend":
 		r.relay.Budget.Spend(r.service.Name)
 	case "advance":
