backlog: what a box keeps for slow readers is one sum, and the slowest give way

Cause: bodies, answers and events that callers don't take were bounded one by one only. Change: a book counts them by connection, account and in total; at a bound the one longest without progress gives way, then the one for which most is kept. Waits for room end.

--- /dev/null
+++ b/internal/backlog/hold.go
@@ -0,0 +1,261 @@
+package backlog
+
+import (
+	"context"
+	"time"
+)
+
+// Hold is what is kept for one connection. Get one from Book.Open.
+type Hold struct {
+	book *Book
+	cut  func()
+
+	// The book's lock guards what follows.
+
+	account string
+	bytes   int64
+	// since is when its caller last made progress, while the box waits for it.
+	since time.Time
+	// unread is what servers hold of an answer that isn't read on.
+	unread int64
+	gone   *GaveWay
+	closed bool
+}
+
+// Assign counts the connection to a client account; "" is none.
+func (h *Hold) Assign(account string) {
+	b := h.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.account == account {
+		return
+	}
+	b.addTo(h, -h.bytes)
+	h.account = account
+	b.addTo(h, h.bytes)
+}
+
+// Add counts bytes whose room was waited for, or that can't wait; fewer than 0 free some.
+func (h *Hold) Add(n int) {
+	h.book.mu.Lock()
+	defer h.book.mu.Unlock()
+	h.book.add(h, int64(n))
+}
+
+// Waits notes that the box waits for the caller from now on: to read, or to send.
+func (h *Hold) Waits() {
+	b := h.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h.waits()
+}
+
+func (h *Hold) waits() {
+	b := h.book
+	h.since = b.Clock.Now()
+	if b.slow == nil {
+		b.slow = make(map[*Hold]struct{})
+	}
+	b.slow[h] = struct{}{}
+}
+
+// Rests notes that the box no longer waits for the caller.
+func (h *Hold) Rests() {
+	b := h.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.slow, h)
+}
+
+// Kept counts bytes that the caller didn't take at once, and begins to wait for it.
+func (h *Hold) Kept(n int) {
+	b := h.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.slow[h]; !ok && !h.closed {
+		h.waits()
+	}
+	b.add(h, int64(n))
+}
+
+// Took frees bytes that the caller has taken. With done, the box waits no longer.
+func (h *Hold) Took(n int, done bool) {
+	b := h.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h.since = b.Clock.Now()
+	if done {
+		delete(b.slow, h)
+	}
+	b.add(h, -int64(n))
+}
+
+// Err returns why the connection gave way, or nil.
+func (h *Hold) Err() error {
+	h.book.mu.Lock()
+	defer h.book.mu.Unlock()
+	if h.gone == nil {
+		return nil
+	}
+	return h.gone
+}
+
+// AddBody counts n bytes of a request's body that have come, once there is room. It returns
+// *GaveWay if there is none within a moment.
+func (h *Hold) AddBody(ctx context.Context, n int) error {
+	return h.await(ctx, wish{add: int64(n), room: int64(n), patience: bodyPatience})
+}
+
+// AddAnswer counts n bytes of an answer, once there is room; unread is what its server is believed to
+// hold of it meanwhile. It returns *GaveWay if there is none before the server would cut the answer off.
+func (h *Hold) AddAnswer(ctx context.Context, n, unread int) error {
+	return h.await(ctx, wish{add: int64(n), room: int64(n), unread: int64(unread), patience: pausedMost})
+}
+
+// AwaitRoom waits until there is room for n more bytes of an answer, without counting them.
+func (h *Hold) AwaitRoom(ctx context.Context, n, unread int) error {
+	return h.await(ctx, wish{room: int64(n), unread: int64(unread), patience: pausedMost})
+}
+
+// wish is what somebody waits for.
+type wish struct {
+	// room is what is to fit, add the part of it that is counted then.
+	room, add int64
+	// unread is what a server holds meanwhile.
+	unread   int64
+	patience time.Duration
+}
+
+// await waits for room. The usual case takes the lock once.
+func (h *Hold) await(ctx context.Context, w wish) error {
+	if bound, err := h.try(w); bound == "" {
+		return err
+	}
+	h.pause(w.unread)
+	defer h.pause(-w.unread)
+	timer := h.book.Clock.NewTimer(w.patience)
+	defer timer.Stop()
+	ticker := h.book.Clock.NewTicker(checkEvery)
+	defer ticker.Stop()
+	for {
+		changed, bound, err := h.look(w)
+		if bound == "" {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-ticker.Chan():
+		case <-timer.Chan():
+			return h.tooSlow(bound)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// try counts the bytes if there is room, or returns the bound that they pass.
+func (h *Hold) try(w wish) (Bound, error) {
+	b := h.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.gone != nil {
+		return "", h.gone
+	}
+	bound := b.boundAt(h, w.room)
+	if bound == "" {
+		b.add(h, w.add)
+	}
+	return bound, nil
+}
+
+// look tries again and has others make room where they may. Without a bound the wait is over.
+func (h *Hold) look(w wish) (changed <-chan struct{}, bound Bound, err error) {
+	b := h.book
+	changed = b.change()
+	if bound, err = h.try(w); bound == "" {
+		return nil, "", err
+	}
+	b.mu.Lock()
+	leaves := b.makeRoom(h, bound, w.room)
+	if leaves == nil && b.serversFull() {
+		leaves = b.makeRoom(h, BoundServers, 0)
+	}
+	full := leaves == nil && b.serversFull()
+	b.mu.Unlock()
+	if leaves != nil {
+		leaves.cut()
+	}
+	switch {
+	case leaves == h:
+		return nil, "", h.Err()
+	case full:
+		return nil, "", h.tooSlow(BoundServers)
+	default:
+		return changed, bound, nil
+	}
+}
+
+// pause counts what servers hold while an answer isn't read on.
+func (h *Hold) pause(unread int64) {
+	b := h.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.gone != nil {
+		return
+	}
+	h.unread += unread
+	b.unread += unread
+}
+
+// tooSlow says that the connection finds no room, as no other gave way in time.
+func (h *Hold) tooSlow(bound Bound) error {
+	b := h.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.gone != nil {
+		return h.gone
+	}
+	return h.wayAt(bound, b.Clock.Now())
+}
+
+func (h *Hold) wayAt(bound Bound, now time.Time) *GaveWay {
+	way := &GaveWay{Bound: bound, Bytes: h.bytes}
+	if _, ok := h.book.slow[h]; ok {
+		way.Idle = now.Sub(h.since)
+	}
+	return way
+}
+
+// giveWay marks the connection. The caller cuts it after it has given the lock back.
+func (h *Hold) giveWay(bound Bound, now time.Time) {
+	b := h.book
+	h.gone = h.wayAt(bound, now)
+	delete(b.slow, h)
+	b.addLeaving(h, h.bytes)
+	b.unread -= h.unread
+	h.unread = 0
+	// Those that wait look whether it is them.
+	b.wake()
+}
+
+// frees reports whether the connection's end would help another at a bound.
+func (h *Hold) frees(bound Bound, other *Hold) bool {
+	switch bound {
+	case BoundAccount:
+		return h.account == other.account
+	case BoundServers:
+		return h.unread > 0
+	default:
+		return true
+	}
+}
+
+// Close ends the count of a connection that has ended.
+func (h *Hold) Close() {
+	b := h.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.slow, h)
+	b.add(h, -h.bytes)
+	h.closed = true
+}
--- /dev/null
+++ b/internal/backlog/script_test.go
@@ -0,0 +1,182 @@
+package backlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+// script is a book with connections that a data file names.
+type script struct {
+	t     *testing.T
+	clock *clockwork.FakeClock
+	book  *Book
+	holds map[string]*Hold
+	ctx   context.Context
+	stop  context.CancelFunc
+
+	mu    sync.Mutex
+	lines []string
+}
+
+func (s *script) note(line string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lines = append(s.lines, line)
+}
+
+// TestScripts runs the stories in testdata/stories. Each command prints who gave way, whose wait
+// ended, and what is kept.
+//
+//	new box=N account=N connection=N servers=N   a book with such bounds in bytes; 0 is none
+//	open NAME [ACCOUNT]     a connection
+//	keep NAME N             its caller does not take N bytes
+//	takes NAME N [all]      it takes N bytes; with all, it is no longer waited for
+//	sends NAME N            N bytes of its request's body come
+//	answer NAME N [unread=N] N bytes of a whole answer come for it, unread are left at the server
+//	room NAME N [unread=N]  it waits for room for N bytes of events
+//	close NAME              it ends
+//	advance DURATION        time passes
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/stories", func(t *testing.T, path string) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &script{t: t, stop: func() {}}
+			t.Cleanup(func() { s.stop() })
+			datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+				s.t = t
+				return s.run(td)
+			})
+		})
+	})
+}
+
+func (s *script) create(td *datadriven.TestData) {
+	s.stop()
+	synctest.Wait()
+	s.clock = clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	s.book = &Book{Clock: s.clock}
+	l := &s.book.Limits
+	td.MaybeScanArgs(s.t, "box", &l.Box)
+	td.MaybeScanArgs(s.t, "account", &l.Account)
+	td.MaybeScanArgs(s.t, "connection", &l.Connection)
+	td.MaybeScanArgs(s.t, "servers", &l.Servers)
+	s.holds = make(map[string]*Hold)
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	go s.book.Run(s.ctx)
+	synctest.Wait()
+}
+
+func (s *script) run(td *datadriven.TestData) string {
+	var args []string
+	for _, a := range td.CmdArgs {
+		if len(a.Vals) == 0 {
+			args = append(args, a.Key)
+		}
+	}
+	unread := 0
+	if td.Cmd != "new" {
+		td.MaybeScanArgs(s.t, "unread", &unread)
+	}
+	switch td.Cmd {
+	case "new":
+		s.create(td)
+		return ""
+	case "open":
+		s.open(args)
+	case "keep":
+		s.holds[args[0]].Kept(s.number(args[1]))
+	case "takes":
+		s.holds[args[0]].Took(s.number(args[1]), len(args) > 2)
+	case "close":
+		s.holds[args[0]].Close()
+	case "advance":
+		s.advance(args[0])
+	default:
+		s.wait(td.Cmd, args, unread)
+	}
+	synctest.Wait()
+	return s.show()
+}
+
+func (s *script) open(args []string) {
+	name := args[0]
+	h := s.book.Open(func() { s.note(name + " gives way") })
+	if len(args) > 1 {
+		h.Assign(args[1])
+	}
+	s.holds[name] = h
+}
+
+// wait begins what may have to wait.
+func (s *script) wait(cmd string, args []string, unread int) {
+	name, n := args[0], s.number(args[1])
+	h, ctx := s.holds[name], s.ctx
+	go func() {
+		var err error
+		switch cmd {
+		case "sends":
+			h.Waits()
+			err = h.AddBody(ctx, n)
+		case "answer":
+			err = h.AddAnswer(ctx, n, unread)
+		case "room":
+			err = h.AwaitRoom(ctx, n, unread)
+		}
+		if ctx.Err() != nil {
+			return // of a story that is over
+		}
+		s.note(outcome(name, err))
+	}()
+}
+
+func outcome(name string, err error) string {
+	var way *GaveWay
+	if errors.As(err, &way) {
+		return fmt.Sprintf("%s has no room: bound %s, %d bytes, idle %v", name, way.Bound, way.Bytes, way.Idle)
+	}
+	return fmt.Sprintf("%s goes on", name)
+}
+
+func (s *script) number(text string) int {
+	var n int
+	_, err := fmt.Sscan(text, &n)
+	require.NoError(s.t, err)
+	return n
+}
+
+func (s *script) advance(text string) {
+	d, err := time.ParseDuration(text)
+	require.NoError(s.t, err)
+	const step = 10 * time.Millisecond
+	for left := d; left > 0; left -= step {
+		s.clock.Advance(min(left, step))
+		synctest.Wait()
+	}
+}
+
+func (s *script) show() string {
+	lines := s.lines
+	s.lines = nil
+	slices.Sort(lines)
+	kept, most := s.book.Kept()
+	var each []string
+	for _, name := range slices.Sorted(maps.Keys(s.holds)) {
+		if h := s.holds[name]; h.bytes > 0 {
+			each = append(each, fmt.Sprintf("%s=%d", name, h.bytes))
+		}
+	}
+	lines = append(lines, fmt.Sprintf("kept %d, most %d, unread %d, waited for %d: %s",
+		kept, most, s.book.Unread(), s.book.Waiting(), strings.Join(each, " ")))
+	return strings.Join(lines, "\n") + "\n"
+}
