front, streaming, single: callers and servers that read slowly are bounded

Cause: a write to a caller that doesn't read waited for ever with its answer in memory; a stream's lock was held as long, so that looking for moves of all streams waited for it, and its engine held the rest of the answer. Change: writes to callers never wait; what isn't taken is kept, counted and bounded, and who is slowest gives way. Bodies and whole answers are counted while they come. Events aren't read on without room; that wait holds no lock, and the engine isn't taken for silent meanwhile.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dalebend/dalebend/internal/arrival"
+	"github.com/dalebend/dalebend/internal/backlog"
 	"github.com/dalebend/dalebend/internal/boxsettings"
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/coldstart"
@@ -157,6 +158,7 @@
 		},
 		Streams: b.streams, Table: b.share.Table, Recent: b.duty.Recent,
 		Beliefs: b.beliefs, Metrics: b.Metrics,
+		Backlog: &backlog.Book{Clock: b.Clock, Limits: backlog.LimitsOf(s.MemoryBytes, s.KeptShare)},
 	}
 }
 
--- a/internal/box/metrics.go
+++ b/internal/box/metrics.go
@@ -25,6 +25,11 @@
 	m.ServersEjected.Compute(func() float64 { return float64(b.evidence.Ejected()) })
 	m.RetryBudgetLeft.Compute(func() float64 { return float64(b.budget.LeftInAll()) })
 	m.OpenConnections.Compute(func() float64 { return float64(b.front.Connections()) })
+	kept := b.front.Backlog
+	m.KeptBytes.Compute(func() float64 { now, _ := kept.Kept(); return float64(now) })
+	m.KeptMost.Compute(func() float64 { _, most := kept.Kept(); return float64(most) })
+	m.UnreadBytes.Compute(func() float64 { return float64(kept.Unread()) })
+	m.SlowCallers.Compute(func() float64 { return float64(kept.Waiting()) })
 	m.OpenStreams.Compute(func() float64 { return float64(b.streams.Open()) })
 }
 
--- a/internal/boxsettings/settings.go
+++ b/internal/boxsettings/settings.go
@@ -31,6 +31,9 @@
 	Store string
 	// MemoryBytes is the most memory that the process may use; 0 is not stated.
 	MemoryBytes int64
+	// KeptShare is the part of the memory that may be kept for callers and servers that read
+	// slowly; 0 is no bound.
+	KeptShare float64
 	// Descriptors is the most open files; 0 is not stated.
 	Descriptors int
 	// LinkMbps is the rate of the box's link in Mbit/s, Cores the share of a processor core
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -16,8 +16,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/dalebend/dalebend/internal/backlog"
 )
 
@@ -123,10 +121,10 @@
 // write writes what the kernel takes, 0 bytes if none.
 func write(fd uintptr, p []byte) (int, error) {
 	for {
-		n, err := unix.Write(int(fd), p)
+		n, err := syscall.Write(int(fd), p)
 		switch {
-		case errors.Is(err, unix.EINTR):
-		case errors.Is(err, unix.EAGAIN):
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
 			return 0, nil
 		case err != nil:
 			return 0, err
@@ -221,6 +219,17 @@
 	_ = c.Conn.Close() // an error says that it is closed already
 }
 
+// Drop ends a connection whose caller is too slow, with what is kept for it.
+func (c *Conn) Drop(cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failed == nil {
+		c.failed = cause
+	}
+	c.wakeLocked()
+	_ = c.Conn.Close() // an error says that it is closed already
+}
+
 // Await waits until at most n bytes are left to write. It returns why the connection failed or
 // gave way, or the end of the context.
 func (c *Conn) Await(ctx context.Context, n int) error {
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -97,6 +97,8 @@
 			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyStatus, KeyEvents, KeyCause, KeyConfigVersion, KeyElapsed),
 		info(CallerLeft, "the caller closed its connection before the answer was complete; the attempt is cancelled",
 			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyEvents, KeyConfigVersion, KeyElapsed),
+		warn(CallerGaveWay, "the caller was too slow to read or to send: bound is what it gave way to, kept_bytes is what the box keeps for all; the line of the request's end follows",
+			KeyRequest, KeyRoute, KeyAccount, KeyBound, KeyBytes, KeyIdle, KeyKept, KeyConfigVersion, KeyElapsed),
 	}
 }
 
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -51,6 +51,7 @@
 	RequestNotResent Name = "request-not-resent"
 	RequestEnded     Name = "request-ended"
 	CallerLeft       Name = "caller-left"
+	CallerGaveWay    Name = "caller-gave-way"
 )
 
 // A stream after its first byte.
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -49,6 +49,13 @@
 	KeyMoves  = "moves"
 	KeyPause  = "pause_ms"
 
+	// KeyBound is a bound on what is kept, KeyBytes what was kept for one connection and KeyKept
+	// for all; KeyIdle is how long its caller made no progress.
+	KeyBound = "bound"
+	KeyBytes = "bytes"
+	KeyKept  = "kept_bytes"
+	KeyIdle  = "idle_ms"
+
 	KeyConfigVersion = "config_version"
 	KeyConfigAge     = "config_age_ms"
 	KeyViewRevision  = "view_revision"
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -8,6 +8,8 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/backlog"
+	"github.com/dalebend/dalebend/internal/callerconn"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/runerr"
@@ -17,9 +19,12 @@
 
 // exchange is one request and its answer.
 type exchange struct {
-	server  *Server
-	w       http.ResponseWriter
-	http    *http.Request
+	server *Server
+	w      http.ResponseWriter
+	http   *http.Request
+	conn   *callerconn.Conn
+	// kept is what is kept for the request besides what the connection keeps.
+	kept    *backlog.Request
 	req     *request.Request
 	table   *routetable.Table
 	route   *routetable.Route
@@ -29,6 +34,8 @@
 }
 
 func (x *exchange) answer() {
+	x.kept = x.conn.Hold().Begin()
+	defer x.kept.End()
 	if err := x.server.Wire.Parse(x.req); err != nil {
 		x.refuse(refusal{status: http.StatusBadRequest, class: badRequest, reason: err.Error()})
 		return
@@ -64,7 +71,7 @@
 func (x *exchange) single(ctx context.Context, service *routetable.Service, deadline time.Time) {
 	answer, err := x.server.Singles.Do(ctx, &single.Job{
 		Request: x.req, Route: x.route, Service: service, Account: x.account.Name, Homes: x.homes(),
-		Deadline: deadline,
+		Deadline: deadline, Kept: x.kept,
 	})
 	if err != nil {
 		x.failed(ctx, err)
@@ -73,7 +80,7 @@
 	s := &sink{x: x}
 	s.Head(answer.Status, answer.Header)
 	if err := s.whole(answer.Body); err != nil {
-		x.cut(0)
+		x.brokenOff(err, 0)
 		return
 	}
 	x.ended(answer.Status, 0)
@@ -86,7 +93,9 @@
 		Priority: x.priority(), Deadline: deadline,
 	}, s)
 	if err == nil {
-		s.finish()
+		err = s.finish()
+	}
+	if err == nil {
 		x.ended(s.status, s.events)
 		return
 	}
@@ -99,6 +108,7 @@
 
 // failed answers a request that no backend server answered.
 func (x *exchange) failed(ctx context.Context, err error) {
+	x.noteGaveWay(err)
 	if x.http.Context().Err() != nil {
 		x.cut(0)
 		return
--- a/internal/front/log.go
+++ b/internal/front/log.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 
+	"github.com/dalebend/dalebend/internal/backlog"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 )
 
@@ -74,14 +76,33 @@
 
 // brokenOff notes an answer that ended early after a part of it was passed on.
 func (x *exchange) brokenOff(err error, events int) {
-	if x.http.Context().Err() != nil {
+	gaveWay := x.noteGaveWay(err)
+	if !gaveWay && x.http.Context().Err() != nil {
 		x.cut(events)
 		return
 	}
+	if gaveWay {
+		x.conn.Drop(err)
+	}
 	x.count(outcomeBroken)
 	x.log(event.RequestEnded, slog.Int(event.KeyEvents, events), slog.String(event.KeyCause, err.Error()))
 }
 
+// noteGaveWay tells of a caller that was too slow, and reports whether it was. The usual line
+// of the request's end follows.
+func (x *exchange) noteGaveWay(err error) bool {
+	var way *backlog.GaveWay
+	if !errors.As(err, &way) && !errors.As(x.conn.Hold().Err(), &way) {
+		return false
+	}
+	x.server.Metrics.OrUnseen().GaveWay.Inc(string(way.Bound))
+	kept, _ := x.server.Backlog.Kept()
+	x.log(event.CallerGaveWay,
+		slog.String(event.KeyBound, string(way.Bound)), slog.Int64(event.KeyBytes, way.Bytes),
+		slog.Int64(event.KeyIdle, way.Idle.Milliseconds()), slog.Int64(event.KeyKept, kept))
+	return true
+}
+
 // cut notes a connection that ended before the answer: by the caller, or by this box
 // at the end of its time to stop.
 func (x *exchange) cut(events int) {
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -26,6 +26,7 @@
 	unknownKey   class = "unknown-key"
 	bodyTooLarge class = "body-too-large"
 	bodyMissing  class = "body-missing"
+	callerSlow   class = "caller-slow"
 	boxStopping  class = "box-stopping"
 	notTaken     class = "not-taken"
 )
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dalebend/dalebend/internal/backlog"
 	"github.com/dalebend/dalebend/internal/front"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -90,6 +91,11 @@
 }
 
 func newRigAt(t *testing.T, now time.Time) *rig {
+	return newRigWith(t, now, backlog.Limits{})
+}
+
+// newRigWith has a front that keeps within bounds.
+func newRigWith(t *testing.T, now time.Time, limits backlog.Limits) *rig {
 	r := &rig{t: t, clock: clockwork.NewFakeClockAt(now), ended: make(chan error, 1)}
 	r.recent.Store(true)
 	r.use(spec())
@@ -97,13 +103,14 @@
 		Clock: r.clock, Logger: slog.New(slog.DiscardHandler), Wire: wire{},
 		Singles: singles(func(context.Context, *single.Job) (*single.Answer, error) { return answer(http.StatusOK, "good"), nil }),
 		Table:   r.table.Load, Recent: r.recent.Load,
+		Backlog: &backlog.Book{Clock: r.clock, Limits: limits},
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	r.addr = ln.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	go func() { r.ended <- r.Run(ctx, ln) }()
+	go func() { r.ended <- r.Run(ctx, smallListener{ln}) }()
 	t.Cleanup(func() {
 		cancel()
 		require.NoError(t, <-r.ended)
@@ -150,6 +157,21 @@
 	return jobs
 }
 
+// smallBuffer is what the sending side of a connection holds, in bytes, so that a caller that reads
+// nothing shows soon.
+const smallBuffer = 128 << 10
+
+// smallListener gives connections a small buffer.
+type smallListener struct{ net.Listener }
+
+func (l smallListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return nc, nc.(*net.TCPConn).SetWriteBuffer(smallBuffer)
+}
+
 // caller is one connection of a caller.
 type caller struct {
 	t *testing.T
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -24,7 +24,9 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/backlog"
 	"github.com/dalebend/dalebend/internal/belief"
+	"github.com/dalebend/dalebend/internal/callerconn"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/moment"
 	"github.com/dalebend/dalebend/internal/request"
@@ -95,6 +97,8 @@
 	// may be nil.
 	Beliefs belief.Source
 	Metrics *telemetry.Metrics
+	// Backlog counts and bounds what is kept for callers; nil is without bounds.
+	Backlog *backlog.Book
 
 	// stopAt is when the process ends; zero while it does not stop.
 	stopAt moment.Moment
@@ -111,7 +115,13 @@
 // Run serves the listener until the context ends, then closes every connection.
 // Stop first and wait for Open to fall to 0 to cut no request.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+	if s.Backlog == nil {
+		s.Backlog = &backlog.Book{Clock: s.Clock}
+	}
+	go s.Backlog.Run(ctx)
+	callers := &callerconn.Listener{Listener: ln, Book: s.Backlog}
 	server := &http.Server{
+		ConnContext:       withConn,
 		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
@@ -121,11 +131,12 @@
 	}
 	ended := context.AfterFunc(ctx, func() {
 		s.closing.Store(true)
+		callers.End()
 		// The listener is closed already when Serve has ended by itself.
 		_ = server.Close()
 	})
 	defer ended()
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	s.awaitCut()
@@ -192,7 +203,7 @@
 	uri := uriOf(r)
 	path, _, _ := strings.Cut(uri, "?")
 	x := &exchange{
-		server: s, w: w, http: r,
+		server: s, w: w, http: r, conn: connOf(r.Context()),
 		req: &request.Request{
 			Method: r.Method, Host: hostOf(r.Host), URI: uri, Path: path,
 			Header: r.Header, HasBody: r.ContentLength != 0, Arrived: s.Clock.Now(),
@@ -201,6 +212,17 @@
 	x.answer()
 }
 
+// connKey is the key of a caller's connection in the context of its requests.
+type connKey struct{}
+
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+func connOf(ctx context.Context) *callerconn.Conn {
+	return ctx.Value(connKey{}).(*callerconn.Conn)
+}
+
 // hostOf returns a host without its port.
 func hostOf(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- /dev/null
+++ b/internal/front/slow_test.go
@@ -0,0 +1,277 @@
+package front_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/backlog"
+	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/single"
+	"github.com/dalebend/dalebend/internal/streaming"
+)
+
+// large is an answer far above what the connections of a test take, in bytes.
+const large = 8 << 20
+
+// newSlowRig has callers whose answers are large, and bounds on what is kept for them.
+func newSlowRig(t *testing.T, limits backlog.Limits) *rig {
+	r := newRigWith(t, time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC), limits)
+	s := spec()
+	s.HasAccounts = true
+	s.Keys = map[string]routetable.Account{"kb": {Name: "big"}, "ks": {Name: "small"}}
+	for i := range s.Routes {
+		s.Routes[i].Anonymous = true
+	}
+	r.use(s)
+	r.Singles = singles(func(context.Context, *single.Job) (*single.Answer, error) {
+		return answer(http.StatusOK, strings.Repeat("a", large)), nil
+	})
+	return r
+}
+
+// slowCaller is a caller with a small buffer.
+func (r *rig) slowCaller() *caller {
+	c := r.call()
+	require.NoError(r.t, c.Conn.(*net.TCPConn).SetReadBuffer(smallBuffer))
+	return c
+}
+
+// until lets time pass until something holds: what a kernel takes at first takes a moment of
+// another clock.
+func (r *rig) until(holds func() bool) { r.every(100*time.Millisecond, holds) }
+
+// readingTime is a step of time that leaves a caller that reads making progress.
+const readingTime = 10 * time.Microsecond
+
+func (r *rig) every(step time.Duration, holds func() bool) {
+	for !holds() {
+		r.clock.Advance(step)
+		runtime.Gosched()
+	}
+}
+
+// await waits, without time passing, until something holds.
+func (r *rig) await(holds func() bool) {
+	for !holds() {
+		runtime.Gosched()
+	}
+}
+
+func (r *rig) keepsNothing() bool {
+	kept, _ := r.Backlog.Kept()
+	return kept == 0
+}
+
+// events serves a stream of large events as the relay does: it reads on when the caller may be
+// kept more. Each event's number is sent to seen.
+func events(count int, seen chan<- int) streams {
+	return func(ctx context.Context, _ *streaming.Job, s streaming.Sink) error {
+		s.Head(http.StatusOK, http.Header{})
+		for n := range count {
+			if s.Behind() {
+				if err := s.Await(ctx, 1000); err != nil {
+					return err
+				}
+			}
+			if err := s.Events([]byte("data: " + strings.Repeat("e", 64<<10) + "\n\n")); err != nil {
+				return err
+			}
+			if seen != nil {
+				seen <- n
+			}
+		}
+		return nil
+	}
+}
+
+// TestReadsNothing: a caller that reads nothing of its answer is cut off in the end; nothing
+// stays, and the answer doesn't look complete.
+func TestReadsNothing(t *testing.T) {
+	for _, host := range []string{"plain.test", "chat.test"} {
+		t.Run(host, func(t *testing.T) {
+			r := newSlowRig(t, backlog.Limits{})
+			r.Streams = events(large/(64<<10), nil)
+			c := r.slowCaller().send("GET / HTTP/1.1\nHost: " + host + "\nX-Wait: 1h\n\n")
+			r.await(func() bool { return r.Backlog.Waiting() == 1 })
+			require.Equal(t, 1, r.Open())
+			r.until(func() bool { return r.Open() == 0 })
+			r.until(r.keepsNothing)
+			resp, err := http.ReadResponse(c.in, nil)
+			require.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			require.Error(t, err)
+			require.Less(t, len(body), large)
+			_ = resp.Body.Close() // its error is that of the read
+		})
+	}
+}
+
+// TestReadsInBursts: a caller that takes something from time to time gets its whole answer, far past
+// its deadline.
+func TestReadsInBursts(t *testing.T) {
+	for _, host := range []string{"plain.test", "chat.test"} {
+		t.Run(host, func(t *testing.T) {
+			r := newSlowRig(t, backlog.Limits{})
+			r.Streams = events(large/(64<<10), nil)
+			c := r.slowCaller().send("GET / HTTP/1.1\nHost: " + host + "\nX-Wait: 1s\n\n")
+			resp := c.head()
+			burst := make([]byte, large/16)
+			got := 0
+			for {
+				n, err := io.ReadFull(resp.Body, burst)
+				got += n
+				if err != nil {
+					require.True(t, errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+					break
+				}
+				r.clock.Advance(10 * time.Second)
+			}
+			require.NoError(t, resp.Body.Close())
+			require.GreaterOrEqual(t, got, large)
+			r.until(r.keepsNothing)
+		})
+	}
+}
+
+// TestSlowCallerLeaves: a caller that leaves while its answer is kept is seen at once.
+func TestSlowCallerLeaves(t *testing.T) {
+	for _, host := range []string{"plain.test", "chat.test"} {
+		t.Run(host, func(t *testing.T) {
+			r := newSlowRig(t, backlog.Limits{})
+			r.Streams = events(large/(64<<10), nil)
+			c := r.slowCaller().send("GET / HTTP/1.1\nHost: " + host + "\nX-Wait: 1h\n\n")
+			r.await(func() bool { return r.Backlog.Waiting() == 1 })
+			require.NoError(t, c.Close())
+			r.await(func() bool { return r.Open() == 0 })
+			r.until(r.keepsNothing)
+		})
+	}
+}
+
+// TestManySlowCallers: however many read nothing, what is kept stays within the bound and one read
+// of each, the slowest give way, and one that reads gets its answer.
+func TestManySlowCallers(t *testing.T) {
+	const many, each = 40, 64 << 10
+	limits := backlog.Limits{Box: 8 << 20, Connection: 2 << 20}
+	r := newSlowRig(t, limits)
+	r.Streams = events(large/each, nil)
+	for range many {
+		r.slowCaller().send("GET / HTTP/1.1\nHost: chat.test\nX-Wait: 1h\n\n")
+	}
+	r.await(func() bool { return r.Open() == many })
+	r.until(func() bool { return r.Open() < many/2 })
+	_, most := r.Backlog.Kept()
+	require.LessOrEqual(t, most, limits.Box+many*2*each)
+	got := make(chan *reply, 1)
+	reads := r.call()
+	go func() { got <- reads.send("GET / HTTP/1.1\nHost: chat.test\nX-Wait: 1h\n\n").read() }()
+	r.every(readingTime, func() bool { return len(got) > 0 })
+	served := <-got
+	require.NoError(t, served.err)
+	require.GreaterOrEqual(t, len(served.text), large)
+	r.until(func() bool { return r.Open() == 0 })
+	r.until(r.keepsNothing)
+}
+
+// TestSlowAccount: callers of one account that read nothing leave room to those of others.
+func TestSlowAccount(t *testing.T) {
+	limits := backlog.Limits{Box: 8 << 20, Account: 4 << 20}
+	r := newSlowRig(t, limits)
+	seen := make(chan int, 1000)
+	r.Streams = events(100, seen)
+	for range 4 {
+		r.slowCaller().send("GET / HTTP/1.1\nHost: chat.test\nX-Key: kb\nX-Wait: 1h\n\n")
+	}
+	// A body of another account finds its room at once, whatever the first account's callers do.
+	r.await(func() bool { kept, _ := r.Backlog.Kept(); return kept > limits.Account })
+	r.Singles = singles(func(context.Context, *single.Job) (*single.Answer, error) { return answer(http.StatusOK, "good"), nil })
+	body := strings.Repeat("b", 2<<20)
+	head := fmt.Sprintf("POST / HTTP/1.1\nHost: plain.test\nX-Key: ks\nX-Wait: 1h\nContent-Length: %d\n\n", len(body))
+	require.Equal(t, "good", r.call().send(head+body).read().text)
+}
+
+// TestBodyByteByByte: a body that comes a byte a second is read as long as there is room. When another
+// caller needs it, the slow one is told that its request has not run.
+func TestBodyByteByByte(t *testing.T) {
+	r := newSlowRig(t, backlog.Limits{Box: 1 << 20})
+	jobs := r.capture()
+	c := r.call().send("POST / HTTP/1.1\nHost: plain.test\nX-Wait: 1h\nContent-Length: 2000000\n\n" + strings.Repeat("b", 1000<<10))
+	for n := range 30 {
+		r.await(func() bool { kept, _ := r.Backlog.Kept(); return kept == int64(1000<<10+n) })
+		r.clock.Advance(time.Second)
+		_, err := io.WriteString(c.Conn, "b")
+		require.NoError(t, err)
+	}
+	r.await(func() bool { kept, _ := r.Backlog.Kept(); return kept == 1000<<10+30 })
+	require.Equal(t, 1, r.Open())
+	r.clock.Advance(time.Second)
+	body := strings.Repeat("c", 100<<10)
+	other := r.call().send(fmt.Sprintf("POST / HTTP/1.1\nHost: plain.test\nContent-Length: %d\n\n%s", len(body), body))
+	got := c.read()
+	require.Equal(t, http.StatusServiceUnavailable, got.StatusCode)
+	require.Equal(t, "0.250", got.Header.Get("Retry-After"))
+	require.True(t, got.Close)
+	require.Equal(t, "good", other.read().text)
+	require.Equal(t, body, string((<-jobs).Request.Body))
+	require.Empty(t, jobs, "the request that was refused has run")
+	r.until(r.keepsNothing)
+}
+
+// TestNoRoomForBody: a body that finds no room is refused at once, as another box may have some.
+func TestNoRoomForBody(t *testing.T) {
+	r := newSlowRig(t, backlog.Limits{Box: 1 << 20})
+	body := strings.Repeat("c", 1<<20+1)
+	c := r.call()
+	go func() {
+		// The box may close before it has read all.
+		_, _ = fmt.Fprintf(c.Conn, "POST / HTTP/1.1\r\nHost: plain.test\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}()
+	var resp *http.Response
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		resp, _ = http.ReadResponse(c.in, nil) //nolint:bodyclose // the connection closes
+	}()
+	r.until(func() bool {
+		select {
+		case <-read:
+			return true
+		default:
+			return false
+		}
+	})
+	require.NotNil(t, resp)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	r.until(r.keepsNothing)
+}
+
+// TestStopWithSlowCaller: a box that stops counts an answer as open until its caller has taken it,
+// and cuts it at the end.
+func TestStopWithSlowCaller(t *testing.T) {
+	r := newSlowRig(t, backlog.Limits{})
+	slow := r.slowCaller().send("GET / HTTP/1.1\nHost: plain.test\nX-Wait: 4s\n\n")
+	r.await(func() bool { return r.Backlog.Waiting() == 1 })
+	reads := r.slowCaller().send("GET / HTTP/1.1\nHost: plain.test\nX-Wait: 4s\n\n")
+	r.await(func() bool { return r.Backlog.Waiting() == 2 })
+	r.Stop(r.clock.Now().Add(8 * time.Second))
+	require.Equal(t, 2, r.Open())
+	got := reads.read()
+	require.NoError(t, got.err)
+	require.Len(t, got.text, large)
+	r.await(func() bool { return r.Open() == 1 })
+	r.cancel()
+	r.await(func() bool { return r.Open() == 0 })
+	late := slow.read()
+	require.Error(t, late.err)
+	r.until(r.keepsNothing)
+}
--- a/internal/program/box.go
+++ b/internal/program/box.go
@@ -49,7 +49,7 @@
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
-	read := func() (*boxsettings.Settings, error) { return readBoxSettings(path, s.MetricsPort) }
+	read := func() (*boxsettings.Settings, error) { return readBoxSettings(path, s) }
 	file, err := read()
 	if err != nil {
 		fmt.Fprintln(errOut, "dalebend-box:", err)
@@ -72,12 +72,13 @@
 }
 
 // readBoxSettings reads the settings file and adds what the flags say.
-func readBoxSettings(path string, metricsPort int) (*boxsettings.Settings, error) {
+func readBoxSettings(path string, flags *settings.Box) (*boxsettings.Settings, error) {
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return nil, err
 	}
-	s.Metrics = net.JoinHostPort(hostOf(s.Front), strconv.Itoa(metricsPort))
+	s.Metrics = net.JoinHostPort(hostOf(s.Front), strconv.Itoa(flags.MetricsPort))
+	s.KeptShare = flags.KeptShare
 	return s, nil
 }
 
--- a/internal/single/flight.go
+++ b/internal/single/flight.go
@@ -142,9 +142,9 @@
 		return f.failed(ctx, c, start, err)
 	}
 	if s.Codec.NotRun(resp.Status, resp.Header) {
-		return f.turnedAway(c, resp)
+		return f.turnedAway(ctx, c, resp)
 	}
-	body, err := readAll(resp)
+	body, err := readAll(ctx, resp, f.job.Kept)
 	if err != nil {
 		return f.failed(ctx, c, start, err)
 	}
@@ -190,11 +190,11 @@
 }
 
 // turnedAway is a server's word that it did not run the request.
-func (f *flight) turnedAway(c *choose.Candidate, resp *exchange.Response) verdict {
+func (f *flight) turnedAway(ctx context.Context, c *choose.Candidate, resp *exchange.Response) verdict {
 	if f.sender.Codec.Moved(resp.Status) {
 		f.sender.Evidence.Unreachable(c.ID, "another server has its address")
 	}
-	body, err := readAll(resp)
+	body, err := readAll(ctx, resp, f.job.Kept)
 	if err != nil {
 		f.sender.Logger.Debug("refusal could not be read to its end", "server", c.ID, "error", err)
 	}
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -9,12 +9,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/backlog"
 	"github.com/dalebend/dalebend/internal/belief"
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/evidence"
@@ -69,6 +69,8 @@
 	Homes routetable.Homes
 	// Deadline is when the caller must have been answered.
 	Deadline time.Time
+	// Kept counts what is kept for the request; nil counts nothing.
+	Kept *backlog.Request
 }
 
 // Answer is what the caller gets.
@@ -103,15 +105,3 @@
 	}
 	return f.inTurn(ctx, resend{})
 }
-
-func readAll(r *exchange.Response) ([]byte, error) {
-	defer func() { _ = r.Body.Close() }() // of an exchange it never fails
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnswer+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxAnswer {
-		return nil, errors.New("answer is too large to be kept whole")
-	}
-	return body, nil
-}
--- a/internal/streaming/guard.go
+++ b/internal/streaming/guard.go
@@ -39,10 +39,11 @@
 
 // watch starts a switch if the stream has been silent for too long.
 func (x *run) watch(now time.Time) {
-	if x.silentFor(now) < silence {
+	// A stream that isn't read on, as its caller doesn't take events, is not silent.
+	if x.paused.Load() || x.silentFor(now) < silence {
 		return
 	}
-	// A caller that does not read holds the lock, and the stream is not silent then.
+	// Whoever holds the lock changes what is looked at; there is another look soon.
 	if !x.mu.TryLock() {
 		return
 	}
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -55,8 +55,15 @@
 type Sink interface {
 	// Head begins the answer.
 	Head(status int, header http.Header)
-	// Events passes whole events on. An error means that the caller is gone.
+	// Events passes whole events on, without waiting for the caller. An error means that
+	// it is gone.
 	Events(p []byte) error
+	// Behind reports whether the caller has not taken all events.
+	Behind() bool
+	// Await waits until further events may be read for a caller that is behind. unread is
+	// what the engine holds of the answer meanwhile, in bytes. An error means that the
+	// stream must end.
+	Await(ctx context.Context, unread int) error
 }
 
 // Relay is safe for concurrent use. Set the exported fields before use.
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -235,6 +235,49 @@
 	gone   bool
 	// taken counts the bytes that were shown.
 	taken int
+	// full, if set, is closed when a caller that takes nothing gives way, or takes all.
+	full    chan struct{}
+	fullErr error
+}
+
+// Behind reports whether the caller takes nothing.
+func (s *sink) Behind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.full != nil
+}
+
+// errTooSlow ends the stream of a caller that gives way.
+var errTooSlow = errors.New("the caller is too slow")
+
+// fill has the caller be behind, and empty ends that.
+func (s *sink) fill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.full = make(chan struct{})
+}
+
+func (s *sink) empty(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fullErr = err
+	close(s.full)
+}
+
+// Await waits until the caller takes something, or gives way.
+func (s *sink) Await(ctx context.Context, _ int) error {
+	s.mu.Lock()
+	full := s.full
+	s.mu.Unlock()
+	select {
+	case <-full:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.full = nil
+		return s.fullErr
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 func (s *sink) Head(status int, _ http.Header) {
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -39,12 +39,16 @@
 	first   time.Duration
 	longest time.Duration
 	moves   atomic.Int32
+	// paused is set while events are not read on, as the caller doesn't take them.
+	paused atomic.Bool
+	// passedBytes is the size of the events passed on. It belongs to that goroutine, too.
+	passedBytes int
 	// aloneSince is when the prompt was sent to an engine where no other stood before it, zero
 	// if others did. The goroutine that passes events on owns it, too.
 	aloneSince time.Time
 
-	// mu guards what follows. It is held while events are passed on, so that a
-	// switch to another engine sees exactly what the caller has.
+	// mu guards what follows. It is held while events are passed on, which doesn't wait for
+	// the caller, so that a switch to another engine sees exactly what was passed on.
 	mu     sync.Mutex
 	split  sse.Splitter
 	load   *engineload.Run
@@ -126,6 +130,10 @@
 	buf := make([]byte, readSize)
 	for {
 		a := x.current()
+		if err := x.awaitCaller(ctx); err != nil {
+			a.close()
+			return &Broken{cause: err}
+		}
 		n, err := a.Body.Read(buf)
 		passErr := x.pass(ctx, buf[:n])
 		if err == nil && passErr == nil {
@@ -190,6 +198,7 @@
 	if err := x.sink.Events(events); err != nil {
 		return err
 	}
+	x.passedBytes += len(events)
 	x.split.Take(events)
 	x.notePause()
 	x.load.Made(x.split.Events() * x.job.Service.Engine.TokensPerEvent)
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -46,6 +46,7 @@
 //	peer BOX ENGINE              another box runs a generation on the engine
 //	spend                        another request takes a retry, if one is left
 //	advance DURATION / leave / deaf   time passes / the caller leaves / it takes no more bytes
+//	full / takes / gives-way     the caller is behind and must not be kept more / takes all / is too slow
 func TestScripts(t *testing.T) {
 	unsent, shed := notSent(t), full(t)
 	datadriven.Walk(t, "testdata/stories", func(t *testing.T, path string) {
@@ -153,6 +154,12 @@
 		r.caller()
 	case "deaf":
 		r.sink.gone = true
+	case "full":
+		r.sink.fill()
+	case "takes":
+		r.sink.empty(nil)
+	case "gives-way":
+		r.sink.empty(errTooSlow)
 	default:
 		s.act(r.fleet.engines[args[0]].newest(), td.Cmd, args[1:])
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -34,6 +34,8 @@
 	Crowded *counters
 	// CallersLeft counts callers that went away before the end, by kind of route.
 	CallersLeft *counters
+	// GaveWay counts callers that were too slow for what was kept for them, by bound.
+	GaveWay *counters
 	// Ejections counts ejections of backend servers, by cause.
 	Ejections *counters
 
@@ -72,6 +74,13 @@
 	OpenConnections *gauge
 	// OpenStreams counts streams that are running.
 	OpenStreams *gauge
+	// KeptBytes is what is kept for callers and servers now, KeptMost the most so far.
+	KeptBytes *gauge
+	KeptMost  *gauge
+	// UnreadBytes is what servers hold as their answers aren't read on.
+	UnreadBytes *gauge
+	// SlowCallers counts connections whose callers are waited for.
+	SlowCallers *gauge
 	// LogLinesDropped counts lines that the decision log left out.
 	LogLinesDropped *gauge
 
@@ -113,6 +122,7 @@
 	m.StreamsLost = m.counters("streams_lost_total", "streams cut at the caller", "cause")
 	m.Crowded = m.counters("crowded_total", "generations refused as no engine would begin them in time", "route")
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
+	m.GaveWay = m.counters("gave_way_total", "callers that were too slow for what was kept for them", "bound")
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
 }
 
@@ -137,6 +147,10 @@
 	m.RetryBudgetLeft = m.gauge("retry_budget_left", "attempts that this box may repeat now, for all services together")
 	m.OpenConnections = m.gauge("open_connections", "open connections of callers")
 	m.OpenStreams = m.gauge("open_streams", "running streams")
+	m.KeptBytes = m.gauge("kept_bytes", "bodies, answers and events kept for callers and servers now")
+	m.KeptMost = m.gauge("kept_bytes_most", "the most of them kept at once since the start")
+	m.UnreadBytes = m.gauge("unread_bytes", "what servers are believed to hold as their answers are not read on")
+	m.SlowCallers = m.gauge("slow_callers", "connections whose callers are waited for, to read or to send")
 	m.LogLinesDropped = m.gauge("log_lines_dropped", "lines that the decision log left out since the start")
 }
 
