--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -70,9 +70,9 @@
 	return p
 }
 
-// pattern returns bytes that differ by their place.
-func pattern(n int) []byte {
-	p := make([]byte, n)
+// pattern returns a large number of bytes that differ by their place.
+func pattern() []byte {
+	p := make([]byte, large)
 	for i := range p {
 		p[i] = byte(i ^ i>>8 ^ i>>16)
 	}
@@ -83,7 +83,7 @@
 // it reads, all of it comes in order.
 func TestWriteNeverWaits(t *testing.T) {
 	p := newPair(t)
-	sent := pattern(large)
+	sent := pattern()
 	for rest := sent; len(rest) > 0; rest = rest[1<<16:] {
 		n, err := p.Write(rest[:1<<16])
 		require.NoError(t, err)
@@ -108,7 +108,7 @@
 // TestBursts: a caller that reads in bursts gets all, and who waits for room goes on with each.
 func TestBursts(t *testing.T) {
 	p := newPair(t)
-	sent := pattern(large)
+	sent := pattern()
 	got := make(chan []byte)
 	more := make(chan struct{})
 	go func() {
@@ -133,7 +133,7 @@
 // TestAwaitEnds: a wait ends when its context does.
 func TestAwaitEnds(t *testing.T) {
 	p := newPair(t)
-	_, err := p.Write(pattern(large))
+	_, err := p.Write(pattern())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
@@ -145,7 +145,7 @@
 // so does a read, by which its requests are cancelled.
 func TestCallerLeaves(t *testing.T) {
 	p := newPair(t)
-	_, err := p.Write(pattern(large))
+	_, err := p.Write(pattern())
 	require.NoError(t, err)
 	read := make(chan error)
 	go func() {
@@ -177,7 +177,7 @@
 		<-ended
 	}()
 	require.NoError(t, p.clock.BlockUntilContext(context.Background(), 1))
-	_, err := p.Write(pattern(large))
+	_, err := p.Write(pattern())
 	require.NoError(t, err)
 	// What the kernel takes at first takes a moment of another clock.
 	for p.Hold().Err() == nil {
@@ -202,7 +202,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPair(t)
-			sent := pattern(large)
+			sent := pattern()
 			_, err := p.Write(sent)
 			require.NoError(t, err)
 			require.NoError(t, end(p.Conn))
@@ -216,7 +216,7 @@
 // TestEnd: once the process ends, a connection closes at once with what is kept.
 func TestEnd(t *testing.T) {
 	p := newPair(t)
-	_, err := p.Write(pattern(large))
+	_, err := p.Write(pattern())
 	require.NoError(t, err)
 	p.ln.End()
 	require.NoError(t, p.Close())
