soak: slow callers, and a checker of what boxes keep for them

Callers send bodies in pieces and never whole; boxes run with a small share, and tell by a metric what they kept at most.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -86,8 +86,11 @@
 	defer x.conn.Arriving(false)
 	defer hold.Rests()
 	body, err := io.ReadAll(&arrivingReader{from: from, x: x})
-	// Its end may come as the body's last byte does; the connection is of no more use then.
-	return body, errors.Join(hold.Err(), err)
+	if way := hold.Err(); way != nil {
+		// That may come as the body's last byte does; the connection is of no more use then.
+		return nil, way
+	}
+	return body, err
 }
 
 // arrivingReader counts a body while it comes.
--- a/internal/soak/bounds/bounds.go
+++ b/internal/soak/bounds/bounds.go
@@ -1,7 +1,22 @@
 // Package bounds holds the figures that the promises of dalebend are stated with.
 package bounds
 
-import "time"
+import (
+	"time"
+
+	"github.com/dalebend/dalebend/internal/backlog"
+)
+
+const (
+	// MemoryMB is the memory of the smallest box.
+	MemoryMB = 134
+	// keptShare is small, so that a few slow callers reach the bound of their account, 1.4 MB, and
+	// leaves to a connection four times the largest answer of the servers.
+	keptShare = 0.02
+	// readOn is what may come on top, in bytes: of events and answers that callers don't take, one
+	// read or piece for each of a few connections.
+	readOn = 256 << 10
+)
 
 // Bounds are the figures of one run. The zero value is of no use; see Default.
 type Bounds struct {
@@ -23,6 +38,10 @@
 	RetryRatio  float64
 	RetryFloor  int
 	RetryWindow time.Duration
+	// KeptShare is the part of its memory that a box may keep for slow readers, KeptBytes the
+	// most that it may say it kept, in bytes.
+	KeptShare float64
+	KeptBytes int64
 	// Slack is added to each bound on time: what a busy machine may take to run
 	// three processes in turn (box, proxy, server).
 	Slack time.Duration
@@ -35,6 +54,7 @@
 		Contact: 3 * time.Second, Drain: 2 * time.Second, Apply: 2 * time.Second,
 		Rollback: 250 * time.Millisecond, Grace: 6 * time.Second, LostSlack: 200 * time.Millisecond,
 		Recovery: 12 * time.Second, RetryRatio: 0.2, RetryFloor: 8, RetryWindow: 10 * time.Second,
+		KeptShare: keptShare, KeptBytes: backlog.LimitsOf(MemoryMB<<20, keptShare).Box + readOn,
 		Slack: 500 * time.Millisecond,
 	}
 }
--- a/internal/soak/history/events.go
+++ b/internal/soak/history/events.go
@@ -101,6 +101,15 @@
 	End string `json:"end"`
 }
 
+// Kept is what a box says that it kept at most for callers and servers that read slowly.
+type Kept struct {
+	Box  string        `json:"box"`
+	Life int           `json:"life"`
+	At   time.Duration `json:"at"`
+	// Most is in bytes, since the process began.
+	Most int64 `json:"most"`
+}
+
 // Phase is a point in the run.
 type Phase struct {
 	// Calm is when the last fault was over, End when callers ended.
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -16,6 +16,7 @@
 	Leavings []Leaving
 	Lives    []Life
 	Troubles []Trouble
+	Kept     []Kept
 }
 
 // Write writes the history as JSON lines: objects with one field, that names what
@@ -25,7 +26,7 @@
 	err := errors.Join(
 		write(out, "phase", []Phase{h.Phase}), write(out, "version", h.Versions), write(out, "leaving", h.Leavings),
 		write(out, "life", h.Lives), write(out, "trouble", h.Troubles), write(out, "request", h.Requests),
-		write(out, "arrival", h.Arrivals),
+		write(out, "arrival", h.Arrivals), write(out, "kept", h.Kept),
 	)
 	if err != nil {
 		return fmt.Errorf("write the history: %w", err)
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -32,6 +32,8 @@
 	Boxes   int
 	Servers int
 	Callers int
+	// SlowCallers is how many others send bodies slowly and never whole.
+	SlowCallers int
 	// Program is the path of dalebend-box, Args are its arguments.
 	Program string
 	Args    []string
@@ -129,6 +131,9 @@
 	for n := range r.Callers {
 		g.Go(func() error { return s.Call(ctx, n) })
 	}
+	for n := range r.SlowCallers {
+		g.Go(func() error { return s.CallSlowly(ctx, n) })
+	}
 	for n := range r.Boxes {
 		g.Go(func() error { return s.Probe(ctx, n) })
 	}
--- a/internal/soak/run/start.go
+++ b/internal/soak/run/start.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/dalebend/dalebend/internal/soak/backends"
+	"github.com/dalebend/dalebend/internal/soak/bounds"
 	"github.com/dalebend/dalebend/internal/soak/callers"
 	"github.com/dalebend/dalebend/internal/soak/inject"
 	"github.com/dalebend/dalebend/internal/soak/operator"
@@ -24,13 +25,13 @@
 	// serveOn is how long servers serve on after the time that they must: longer
 	// than any stream.
 	serveOn = 2500 * time.Millisecond
-	// memoryMB is the memory of the smallest box.
-	memoryMB = 134
 	// seedBoxes is how many boxes the settings name to each other.
 	seedBoxes = 3
 	// boxThreads bounds the threads of a box that run at once, so that many boxes
 	// share one machine.
 	boxThreads = "GOMAXPROCS=2"
+	// keptSetting is the setting of what a box may keep for slow readers.
+	keptSetting = "DALEBEND_KEPT_SHARE"
 	// storeHeaderTime bounds how long a box takes to send the head of a call.
 	storeHeaderTime = time.Minute
 	// fileMode is that of settings files, which only the boxes read.
@@ -125,9 +126,9 @@
 		return err
 	}
 	r.boxes = append(r.boxes, inject.Box{Process: p, Callers: toFront, Store: toStore})
-	r.balancer.Boxes = append(r.balancer.Boxes, &callers.Box{
-		Name: file.Name, Front: toFront.Addr(), Ready: file.Ready(), Life: p.Life,
-	})
+	box := &callers.Box{Name: file.Name, Front: toFront.Addr(), Ready: file.Ready(), Life: p.Life}
+	r.balancer.Boxes = append(r.balancer.Boxes, box)
+	r.group.Go(func() error { return r.watchKept(ctx, box, file.IP) })
 	return nil
 }
 
@@ -143,7 +144,7 @@
 	}
 	p := &process.Process{
 		Name: file.Name, Path: r.Program, Args: r.Args,
-		Env: []string{platform.SettingsVariable + "=" + settings, boxThreads}, Log: log,
+		Env: []string{platform.SettingsVariable + "=" + settings, boxThreads, fmt.Sprint(keptSetting, "=", r.Bounds.KeptShare)}, Log: log,
 		Grace: r.Bounds.Grace, Clock: r.Clock, Record: r.record, Logger: r.Logger,
 	}
 	r.group.Go(func() error { return errors.Join(p.Run(ctx), log.Close()) })
@@ -167,7 +168,7 @@
 func (r *Run) settings(n int) standin.BoxFile {
 	f := standin.BoxFile{
 		Name: fmt.Sprintf("box-%d", n+1), Domain: domains()[n%len(domains())], IP: r.loopback.box(n),
-		MemoryMB: memoryMB, Grace: r.Bounds.Grace,
+		MemoryMB: bounds.MemoryMB, Grace: r.Bounds.Grace,
 		RetryRatio: r.Bounds.RetryRatio, RetryFloor: r.Bounds.RetryFloor, RetryWindow: r.Bounds.RetryWindow,
 	}
 	for seed := range min(seedBoxes, r.Boxes) {
