callerconn, backlog: a connection with bytes kept is always waited for

Cause: a write between the last byte that was taken and its count left the connection out of those that are waited for, so that it could not give way, nor stall, until its next write. Found by reading. Change: both happen under the connection's lock, and a body's end leaves it in while bytes are kept.

--- a/internal/backlog/hold.go
+++ b/internal/backlog/hold.go
@@ -72,7 +72,7 @@
 	b := h.book
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, ok := b.slow[h]; !ok && !h.closed {
+	if _, ok := b.slow[h]; !ok && !h.closed && h.gone == nil {
 		h.waits()
 	}
 	b.add(h, int64(n))
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -181,10 +181,10 @@
 
 // note counts bytes that the caller took.
 func (c *Conn) note(n int) {
-	left := c.left.Add(-int64(n))
-	c.hold.Took(n, left == 0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	left := c.left.Add(-int64(n))
+	c.hold.Took(n, left == 0)
 	c.wakeLocked()
 }
 
@@ -196,9 +196,9 @@
 	}
 	c.kept = nil
 	c.draining = false
+	c.hold.Took(int(c.left.Swap(0)), true)
 	c.wakeLocked()
 	c.mu.Unlock()
-	c.hold.Took(int(c.left.Swap(0)), true)
 	_ = c.Conn.Close() // the first error counts
 }
 
@@ -275,11 +275,17 @@
 // Left returns the number of bytes that the caller hasn't taken.
 func (c *Conn) Left() int { return int(c.left.Load()) }
 
-// Arriving tells whether a request's body is being read.
+// Arriving tells whether a request's body is being read, for which the caller is waited for, too.
 func (c *Conn) Arriving(is bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.arriving = is
+	switch {
+	case is:
+		c.hold.Waits()
+	case c.left.Load() == 0:
+		c.hold.Rests()
+	}
 }
 
 // CloseWrite ends the writing side once nothing is left.
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -84,7 +84,6 @@
 	hold := x.conn.Hold()
 	x.conn.Arriving(true)
 	defer x.conn.Arriving(false)
-	defer hold.Rests()
 	body, err := io.ReadAll(&arrivingReader{from: from, x: x})
 	if way := hold.Err(); way != nil {
 		// That may come as the body's last byte does; the connection is of no more use then.
