single: an answer without room is no fault of its server, and is asked of no other

Cause: a send whose answer found no room counted as the server's failure and was repeated at another server, whose answer would find none either. Change: it ends as perhaps run; stories of answers that wait for room.

--- a/internal/single/flight.go
+++ b/internal/single/flight.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/dalebend/dalebend/internal/backlog"
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
@@ -40,6 +41,8 @@
 	// ran is set when the server ran the request or may have.
 	ran bool
 	err error
+	// noRoom is set when there was no room to keep the answer. Another server's would find none, too.
+	noRoom bool
 	// result names the end in the metrics.
 	result string
 }
@@ -65,6 +68,9 @@
 			// A server's own failure tells the caller more than one of ours.
 			v.answer = last.answer
 		}
+		if v.noRoom {
+			return f.ended(v, errNoRoom)
+		}
 		last = v
 		why = resend{from: c.ID, cause: v.err, result: v.result}
 	}
@@ -217,6 +223,11 @@
 		}
 		return verdict{err: err, result: stage.String()}
 	}
+	var full *backlog.GaveWay
+	if errors.As(err, &full) {
+		// The server has answered; what lacks is this box's own.
+		return verdict{arrived: true, ran: true, err: err, noRoom: true, result: resultNoRoom}
+	}
 	took := f.sender.Clock.Since(start)
 	if goal := f.job.Route.Objective; ctx.Err() == nil || goal > 0 && took > goal {
 		// Given up while it was silent for longer than answers may take: a server
--- a/internal/single/log.go
+++ b/internal/single/log.go
@@ -15,6 +15,7 @@
 	resultAnswered  = "answered"
 	resultStatus    = "failed"
 	resultSlow      = "slow"
+	resultNoRoom    = "no-room"
 	stageTurnedAway = "turned-away"
 	stageAnswered   = "answered"
 )
--- a/internal/single/script_test.go
+++ b/internal/single/script_test.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dalebend/dalebend/internal/backlog"
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -37,6 +38,7 @@
 	// directory is where the sender's chooser finds the servers.
 	directory *registry.Directory
 	route     *routetable.Route
+	book      *backlog.Book
 	ids       []string
 
 	leave  context.CancelFunc
@@ -52,7 +54,9 @@
 //	new once|repeatable [aimless] [most=N] [retries=N] SERVER...
 //	                          servers are chosen in this order; aimless routes have no objective
 //	answers SERVER MODE...    how the server answers the next requests
-//	start [within=DURATION]   the caller sends its request; its objective is 100 ms
+//	start [within=DURATION] [room=BYTES]
+//	                          the caller sends its request; its objective is 100 ms. The box has
+//	                          so much room for answers
 //	release SERVER            calls that hang there go on
 //	cordon [DOMAIN]...        these failure domains get no more work; servers named far... stand in
 //	                          the domain "far", the others in "hall"
@@ -145,7 +149,9 @@
 	case "start":
 		within := "30s"
 		td.MaybeScanArgs(s.t, "within", &within)
-		s.start(s.duration(within))
+		room := 0
+		td.MaybeScanArgs(s.t, "room", &room)
+		s.start(s.duration(within), room)
 	case "answers":
 		s.servers.answers[args[0]] = args[1:]
 	case "release":
@@ -172,7 +178,7 @@
 	return d
 }
 
-func (s *script) start(within time.Duration) {
+func (s *script) start(within time.Duration, room int) {
 	deadline := s.clock.Now().Add(within)
 	timed, over := clockwork.WithDeadline(context.Background(), s.clock, deadline)
 	// The context of a fake clock waits for its end when asked for its error, one
@@ -187,8 +193,12 @@
 		Request: &request.Request{ID: "q1", Method: http.MethodPost, Arrived: s.clock.Now()},
 		Route:   s.route, Service: &routetable.Service{Name: "plain"}, Deadline: deadline,
 	}
+	s.book = &backlog.Book{Clock: s.clock, Limits: backlog.Limits{Box: int64(room)}}
+	kept := s.book.Open(func() {}).Begin()
+	job.Kept = kept
 	go func() {
 		defer close(s.done)
+		defer kept.End()
 		s.answer, s.err = s.sender.Do(ctx, job)
 	}()
 }
@@ -210,6 +220,8 @@
 	<-s.done
 	synctest.Wait()
 	require.Zero(s.t, s.servers.open, "bodies stay open")
+	left, _ := s.book.Kept()
+	require.Zero(s.t, left, "an answer is kept for nobody")
 	require.LessOrEqual(s.t, s.servers.runs, s.route.MaxServers, "too many servers may have run it")
 	var notRun *runerr.NotRun
 	if errors.As(s.err, &notRun) {
--- a/internal/single/single.go
+++ b/internal/single/single.go
@@ -87,6 +87,7 @@
 	errBudgetSpent   = errors.New("retry budget is spent")
 	errRanEnough     = errors.New("it may not run on another backend server")
 	errOfferedEnough = errors.New("it was offered to enough backend servers")
+	errNoRoom        = errors.New("there is no room for its answer")
 	errServerFailed  = errors.New("the backend server answered that it failed")
 )
 
