--- a/internal/front/answer_test.go
+++ b/internal/front/answer_test.go
@@ -128,6 +128,7 @@
 		require.Equal(t, 1, r.Open())
 		require.NoError(t, c.Close())
 		require.ErrorIs(t, <-ended, context.Canceled, target)
+		r.await(func() bool { return r.Open() == 0 })
 	}
 }
 
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -17,6 +17,7 @@
 	Restarts []Restart
 	Lives    []Life
 	Troubles []Trouble
+	Kept     []Kept
 }
 
 // Write writes the history as JSON lines: objects with one field, that names what
@@ -27,7 +28,7 @@
 		write(out, "phase", []Phase{h.Phase}), write(out, "version", h.Versions), write(out, "leaving", h.Leavings),
 		write(out, "restart", h.Restarts),
 		write(out, "life", h.Lives), write(out, "trouble", h.Troubles), write(out, "request", h.Requests),
-		write(out, "arrival", h.Arrivals),
+		write(out, "arrival", h.Arrivals), write(out, "kept", h.Kept),
 	)
 	if err != nil {
 		return fmt.Errorf("write the history: %w", err)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -41,6 +41,8 @@
 	Returned *counters
 	// CallersLeft counts callers that went away before the end, by kind of route.
 	CallersLeft *counters
+	// GaveWay counts callers that were too slow for what was kept for them, by bound.
+	GaveWay *counters
 	// Ejections counts ejections of backend servers, by cause.
 	Ejections *counters
 
@@ -88,6 +90,13 @@
 	OpenConnections *gauge
 	// OpenStreams counts streams that are running.
 	OpenStreams *gauge
+	// KeptBytes is what is kept for callers and servers now, KeptMost the most so far.
+	KeptBytes *gauge
+	KeptMost  *gauge
+	// UnreadBytes is what servers hold as their answers aren't read on.
+	UnreadBytes *gauge
+	// SlowCallers counts connections whose callers are waited for.
+	SlowCallers *gauge
 	// LogLinesDropped counts lines that the decision log left out.
 	LogLinesDropped *gauge
 
@@ -132,6 +141,7 @@
 	m.LongPauses = m.counters("long_pauses_total", "pauses of streams that callers call too long, by what the engine did beside", "beside")
 	m.Returned = m.counters("returned_total", "generations of callers that came back after a refusal and went first", "route")
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
+	m.GaveWay = m.counters("gave_way_total", "callers that were too slow for what was kept for them", "bound")
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
 }
 
@@ -160,6 +170,10 @@
 	m.ComeBacks = m.gauge("comebacks_known", "callers that were refused by any box and may come back first")
 	m.OpenConnections = m.gauge("open_connections", "open connections of callers")
 	m.OpenStreams = m.gauge("open_streams", "running streams")
+	m.KeptBytes = m.gauge("kept_bytes", "bodies, answers and events kept for callers and servers now")
+	m.KeptMost = m.gauge("kept_bytes_most", "the most of them kept at once since the start")
+	m.UnreadBytes = m.gauge("unread_bytes", "what servers are believed to hold as their answers are not read on")
+	m.SlowCallers = m.gauge("slow_callers", "connections whose callers are waited for, to read or to send")
 	m.LogLinesDropped = m.gauge("log_lines_dropped", "lines that the decision log left out since the start")
 }
 
