member: boxes of a small fleet meet whatever order they start in

Cause: while heartbeats are lost, two things depended on the order of starts. A box that was only told of got a heartbeat each second, so a peer that heard one of them before it was heard itself counted its sender as lost after 1.5 s (two lost datagrams: 3 s). And a box whose first datagram from a seed had no members stopped joining and knew only the seeds, until one of the samples, of which each round has one, arrived.

Change: in a fleet of which a box knows at most 24 others, live or not, one that was only told of gets a heartbeat each round for 2.8 s, and a new peer gets members in the heartbeats of its first 1.2 s. Other fleets send as before.

--- a/internal/member/receive.go
+++ b/internal/member/receive.go
@@ -165,7 +165,7 @@
 	if p == nil || n.peers.relayed() {
 		return
 	}
-	p.next = now.Add(suspectInterval)
+	p.next = now.Add(n.peers.knockInterval(p, now))
 	if data := n.encode(false, false); data != nil {
 		n.send(data, p.addr)
 	}
--- a/internal/member/send.go
+++ b/internal/member/send.go
@@ -94,10 +94,23 @@
 	sampled := n.Rand.IntN(len(peers))
 	n.answer(peers[sampled])
 	if !n.peers.relayed() {
-		n.sendAll(slices.Concat(peers[:sampled], peers[sampled+1:]))
+		n.sendRest(slices.Concat(peers[:sampled], peers[sampled+1:]), now)
 	}
 }
 
+// sendRest sends heartbeats to peers, with a sample to those that are meeting the fleet.
+func (n *Node) sendRest(peers []*peer, now time.Time) {
+	rest := peers[:0]
+	for _, p := range peers {
+		if n.peers.meeting(p, now) {
+			n.answer(p)
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	n.sendAll(rest)
+}
+
 // tellAll tells all live peers, itself or by relays.
 func (n *Node) tellAll(now time.Time) {
 	if n.peers.relayed() {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -37,6 +37,9 @@
 	// listedInterval is the time between heartbeats to a silent peer that the store
 	// still lists.
 	listedInterval = 5 * time.Second
+	// meetFor is how long two boxes of a small fleet may take to hear each other while
+	// heartbeats are lost: missedBeats of them each way, and one round.
+	meetFor = (2*missedBeats + 1) * roundInterval
 )
 
 // peer is what is known of another box.
@@ -59,6 +62,8 @@
 	lost time.Time
 	// came is when it came, or came back, while this box was there.
 	came time.Time
+	// met is when it was first heard, or first heard again or anew.
+	met time.Time
 	// heard is the time of the last digest, and liveFor how long a silence may follow it.
 	heard   time.Time
 	liveFor time.Duration
@@ -136,9 +141,8 @@
 	t.keep(p, d)
 	p.box, p.addr = box, addr
 	p.heard, p.liveFor = now, liveFor(d.IntervalMs)
-	if what != sameBox && now.Sub(t.self.came) > settleTime {
-		// What a box hears first may have been there for long.
-		p.came = now
+	if what != sameBox {
+		t.meet(p, now)
 	}
 	if !p.live {
 		p.live = true
@@ -147,6 +151,15 @@
 	return p, what
 }
 
+// meet notes that a peer came, came back or started anew.
+func (t *table) meet(p *peer, now time.Time) {
+	p.met = now
+	if now.Sub(t.self.came) > settleTime {
+		// What a box hears first may have been there for long.
+		p.came = now
+	}
+}
+
 // insert puts a peer that is live now in its place.
 func (t *table) insert(p *peer) {
 	at, _ := slices.BinarySearchFunc(t.order, p.box.Name, func(other *peer, name string) int {
@@ -251,7 +264,7 @@
 		if p.live || now.Before(p.next) {
 			continue
 		}
-		p.next = now.Add(suspectInterval)
+		p.next = now.Add(t.knockInterval(p, now))
 		if now.Sub(p.lost) >= suspectFor {
 			if !p.listed {
 				delete(t.byName, name)
@@ -266,6 +279,25 @@
 	return out
 }
 
+// small reports whether the boxes that are known at all are few, so that they can be sent
+// more while they meet.
+func (t *table) small() bool { return len(t.byName) <= directPeers }
+
+// knockInterval is the time between heartbeats to a peer that is not heard. One that was only
+// told of may hear this box already, and is to go on doing so until it is heard.
+func (t *table) knockInterval(p *peer, now time.Time) time.Duration {
+	if t.small() && p.incarnation == 0 && now.Sub(p.lost) < meetFor {
+		return roundInterval
+	}
+	return suspectInterval
+}
+
+// meeting reports whether a live peer is so new that it may not have heard of the others yet:
+// of any missedBeats heartbeats in a row one arrives.
+func (t *table) meeting(p *peer, now time.Time) bool {
+	return t.small() && now.Sub(p.met) <= missedBeats*roundInterval
+}
+
 // round is the time between heartbeats.
 func (t *table) round() time.Duration {
 	if t.relayed() {
