--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -11,7 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dalebend/dalebend/internal/digest"
@@ -144,7 +143,7 @@
 	f.t.Helper()
 	r := &running{done: make(chan error, 1)}
 	r.Node = &member.Node{
-		Self: b, Seeds: seeds, Conn: f.listen(b.Addr), Clock: clockwork.NewRealClock(),
+		Self: b, Seeds: seeds, Conn: f.listen(b.Addr), Clock: newBubbleClock(),
 		Logger: slog.New(slog.NewTextHandler(r, nil)), Rand: rand.New(rand.NewPCG(1, uint64(len(f.sockets)))),
 		Local: r.local, Heard: r.hear,
 	}
--- a/internal/member/node_test.go
+++ b/internal/member/node_test.go
@@ -10,7 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dalebend/dalebend/internal/digest"
@@ -261,7 +260,7 @@
 		b := &running{done: make(chan error, 1)}
 		ctx, cancel := context.WithCancel(t.Context())
 		b.Node = &member.Node{
-			Self: box(1), Conn: f.listen(addr(1)), Clock: clockwork.NewRealClock(),
+			Self: box(1), Conn: f.listen(addr(1)), Clock: newBubbleClock(),
 			Logger: slog.New(slog.NewTextHandler(b, nil)), Rand: rand.New(rand.NewPCG(1, 1)), Heard: b.hear,
 			Local: func(d *digest.Digest) { d.Loads = make([]digest.Load, 5000) },
 		}
