--- a/internal/explain/sentence.go
+++ b/internal/explain/sentence.go
@@ -48,12 +48,21 @@
 	case event.StreamLost:
 		return fmt.Sprintf("the stream is cut at the caller after %s: %s", count(l.Events, "event"), l.causes())
 	case event.StreamEnded:
-		return fmt.Sprintf("%s ends the stream after %s and %s", l.Server, count(l.Events, "event"), count(l.Moves, "move"))
+		return l.sentenceStreamEnded()
 	default:
 		return string(l.Event)
 	}
 }
 
+func (l *line) sentenceStreamEnded() string {
+	text := fmt.Sprintf("%s ends the stream after %s and %s", l.Server, count(l.Events, "event"), count(l.Moves, "move"))
+	if l.Unread > 0 {
+		text += fmt.Sprintf("; its longest pause of %s came while %d prompt tokens were to be read beside it",
+			duration(l.Pause), l.Unread)
+	}
+	return text
+}
+
 func (l *line) sentenceCrowded() string {
 	text := fmt.Sprintf("none of %s is expected to begin it in time: %s, the best, in %s, with %d tokens to be read before it",
 		count(l.Candidates, "candidate"), l.Server, duration(l.Wait), l.Unread)
