--- /dev/null
+++ b/internal/choose/pace.go
@@ -0,0 +1,57 @@
+package choose
+
+import (
+	"math"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/engineload"
+	"github.com/dalebend/dalebend/internal/outlook"
+	"github.com/dalebend/dalebend/internal/pace"
+	"github.com/dalebend/dalebend/internal/routetable"
+)
+
+// alike is the logarithm of the factor within which engines count as equally fast: how many
+// run on an engine alone makes that difference, and its callers would seem to wait longer there.
+const alike = 0.22
+
+// promptMs is the time that an engine takes to read a prompt token, in milliseconds: the usual time,
+// less or more as it makes tokens faster or slower than usual.
+func (c *Chooser) promptMs(engine string) float64 {
+	prompts := c.Prompts
+	if prompts == nil {
+		prompts = &pace.Prompts{}
+	}
+	return float64(prompts.PerToken()) / float64(time.Millisecond) * c.slowness(engine)
+}
+
+// slowness returns how many times the usual an engine takes for a token.
+func (c *Chooser) slowness(engine string) float64 {
+	if c.Tempo == nil {
+		return 1
+	}
+	usual := c.Tempo.Usual()
+	if usual <= 0 {
+		return 1
+	}
+	times := float64(c.Tempo.PerToken(engine)) / float64(usual)
+	if math.Abs(math.Log(times)) < alike {
+		return 1
+	}
+	return times
+}
+
+// outlook returns what is believed of an engine.
+func (c *Chooser) outlook(engine string, load engineload.Load, e *routetable.Engine) *outlook.Engine {
+	o := &outlook.Engine{
+		Load: load, PerEvent: e.TokensPerEvent,
+		PerPromptToken: time.Duration(c.promptMs(engine) * float64(time.Millisecond)),
+	}
+	if c.Tempo != nil {
+		o.PerToken = c.Tempo.PerToken(engine)
+		o.Beyond = c.Tempo.Beyond
+	}
+	if c.Prefill != nil {
+		o.Reading = min(1, c.Prefill.PerSecond(engine)*o.PerPromptToken.Seconds())
+	}
+	return o
+}
