choose, streaming: comments and names that a newcomer stumbled on

The digest's pace is coded by another package than its comment said. The fields of a stream that only the passing goroutine writes stood between others, and the comment didn't say that some are read under the lock. chooser's rank called its part for prompts "meets"; it is readingCost. Nothing else changed; tests of the packages pass.

--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -61,8 +61,8 @@
 	Region func(domain string) string
 	// Prompts is how long engines take to read a prompt. Nil is the usual time.
 	Prompts *pace.Prompts
-	// Tempo is how fast engines make tokens, and Prefill how much they are given to read. Nil
-	// takes all engines for alike.
+	// Tempo is how fast engines make tokens; nil takes all for alike. Prefill is how much they are
+	// given to read; nil expects nothing beside what waits there.
 	Tempo   *tempo.Book
 	Prefill *prefill.Rates
 	// Cold bounds what goes to cold servers, and ColdRate returns the requests a second that
@@ -85,8 +85,8 @@
 	Of int
 	// Wait is what is believed of the wait for the first event on an engine.
 	Wait admission.Wait
-	// Pauses is how many generations, this one among them, are expected to have a pause that is
-	// too long because of it or at it.
+	// Pauses is how many generations are expected to have a pause that their callers do not accept:
+	// this one at the engine, and those that run there while its prompt is read.
 	Pauses float64
 	// cold means that the server is cold.
 	cold bool
--- a/internal/choose/cost.go
+++ b/internal/choose/cost.go
@@ -11,7 +11,7 @@
 
 const (
 	// lateMs is the cost of a generation that is made late, by a first event that comes too late or
-	// by a pause that is too long, in the time that it weighs as: about two objectives, as such a
+	// by a pause that is too long, in milliseconds of prompt reading: about two objectives, as such a
 	// caller gets little of what it asked for. With much more, prompts crowd on fast engines until
 	// their memory runs out.
 	lateMs = 4000.0
@@ -29,16 +29,17 @@
 	return min(max(0, (part-mayBeLate)/(1-mayBeLate)), 1)
 }
 
-// meets returns what a generation is expected to lose on an engine, and to cost those that run there,
-// by prompts that are read, in milliseconds.
-func (c *Chooser) meets(m *registry.Member, load engineload.Load, need *Need, e *routetable.Engine) float64 {
+// readingCost returns what the reading of prompts is expected to cost on an engine, in milliseconds:
+// the time until the generation's own is read, and lateMs for each that is made late by it, the
+// generation or one that runs there.
+func (c *Chooser) readingCost(m *registry.Member, load engineload.Load, need *Need, e *routetable.Engine) float64 {
 	o := c.outlook(m.ID, load, e)
 	g := need.generation()
 	ms := float64(o.Read(g)) / float64(time.Millisecond)
 	return ms + lateMs*(c.lateFirst(m.ID, load, need, e)+o.Own(g)+o.Others(g))
 }
 
-// generation returns what matters of the need to what it meets.
+// generation returns the need as outlook takes it.
 func (n *Need) generation() *outlook.Generation {
 	return &outlook.Generation{Prompt: n.Prompt, Expected: n.Expected, MaxPause: n.MaxPause}
 }
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -63,7 +63,7 @@
 		if !c.bears(m) {
 			return noCandidate
 		}
-		return c.engineRank(m, load, need, service.Engine) + c.meets(m, load, need, service.Engine)
+		return c.engineRank(m, load, need, service.Engine) + c.readingCost(m, load, need, service.Engine)
 	}
 	members := c.Directory.Service(service.Name)
 	loads := c.Ledger.All()
--- a/internal/choose/pace.go
+++ b/internal/choose/pace.go
@@ -14,8 +14,8 @@
 // run on an engine alone makes that difference, and its callers would seem to wait longer there.
 const alike = 0.22
 
-// promptMs is the time that an engine takes to read a prompt token, in milliseconds: the usual time,
-// less or more as it makes tokens faster or slower than usual.
+// promptMs returns the time that an engine takes to read a prompt token, in milliseconds: the usual
+// time, scaled by how much slower than usual it makes tokens.
 func (c *Chooser) promptMs(engine string) float64 {
 	prompts := c.Prompts
 	if prompts == nil {
@@ -24,7 +24,8 @@
 	return float64(prompts.PerToken()) / float64(time.Millisecond) * c.slowness(engine)
 }
 
-// slowness returns how many times the usual an engine takes for a token.
+// slowness returns how many times as long as usual an engine takes for a token; it is 1 for small
+// differences and for an engine of which nothing is known.
 func (c *Chooser) slowness(engine string) float64 {
 	if c.Tempo == nil {
 		return 1
@@ -40,7 +41,7 @@
 	return times
 }
 
-// outlook returns what is believed of an engine.
+// outlook returns what is believed of an engine now: its load, its speed and how much it reads.
 func (c *Chooser) outlook(engine string, load engineload.Load, e *routetable.Engine) *outlook.Engine {
 	o := &outlook.Engine{
 		Load: load, PerEvent: e.TokensPerEvent,
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -72,7 +72,7 @@
 	Bare int32
 	// Arriving is the number of copies of streams that are on their way to the server.
 	Arriving int32
-	// Pace is how fast the server makes tokens, as the box sees it, coded by package pace; 0 is
+	// Pace is how fast the server makes tokens, as the box sees it, as tempo.Book.Code returns it; 0 is
 	// not known.
 	Pace int32
 }
--- a/internal/engineload/ledger.go
+++ b/internal/engineload/ledger.go
@@ -49,9 +49,11 @@
 
 // Ledger is safe for concurrent use. Get one from New, and set the exported fields before use.
 type Ledger struct {
-	// Pace, if set, returns what this box tells its peers of the pace of an engine.
+	// Pace, if set, returns what this box tells its peers of the pace of an engine, as
+	// digest.Load.Pace; 0 is nothing.
 	Pace func(server string) int32
-	// Prompt, if set, is told of each prompt that an engine is to read.
+	// Prompt, if set, is told of each prompt that an engine is to read, by this box or a peer. It is
+	// called with the lock held and must not call the ledger.
 	Prompt func(server string, tokens int)
 
 	mu     sync.Mutex
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -31,29 +31,33 @@
 	// progress is when the last event came. Its distance to now must not change with the time
 	// of day: every generation would seem silent when that is set ahead.
 	progress moment.Moment
-	// began is when the request came; first is the time to its first event and
-	// longest the longest pause after that, as passed on. They belong to the
-	// goroutine that passes events on.
+	// moves counts switches to another engine.
+	moves atomic.Int32
+	// paused is set while events are not read on, as the caller doesn't take them.
+	paused atomic.Bool
+
+	// What follows up to mu is written by the goroutine that passes events on, from the first event
+	// on with mu held; other goroutines read it with mu held.
+
+	// began is when the request came.
 	began time.Time
 	// returned is set when the caller was refused and goes first now.
 	returned bool
-	passed   time.Time
-	first    time.Duration
-	longest  time.Duration
-	// longestBeside is the number of prompt tokens that the engine had to read at the longest pause.
-	longestBeside int
+	// aloneSince is when the prompt was sent to an engine where no other stood before it, zero
+	// if others did.
+	aloneSince time.Time
 	// forecast is when the first event was expected, zero before an offer.
 	forecast time.Time
-	moves    atomic.Int32
-	// paused is set while events are not read on, as the caller doesn't take them.
-	paused atomic.Bool
-	// passedBytes is the size of the events passed on. It belongs to that goroutine, too.
+	// passed is when the last event was passed on, zero before the first, and passedBytes the size
+	// of all.
+	passed      time.Time
 	passedBytes int
-	// aloneSince is when the prompt was sent to an engine where no other stood before it, zero
-	// if others did. The goroutine that passes events on owns it, too.
-	aloneSince time.Time
-
-	// tempo measures how fast the engine makes tokens. It belongs to that goroutine as well.
+	// first is the time to the first event, longest the longest pause after that, and
+	// longestBeside the number of prompt tokens that the engine had to read at that pause.
+	first         time.Duration
+	longest       time.Duration
+	longestBeside int
+	// tempo measures how fast the engine makes tokens.
 	tempo window
 
 	// mu guards what follows. It is held while events are passed on, which doesn't wait for
