accountshare, comeback, overrun, prefill, drainplan: concept, invariants and units in the comments

The packages' comments tell their invariants, constants their unit and reason, nil books what they do, and the first byte of notes why no change of a view begins with it. Tests of the packages and the linter pass.

--- a/internal/accountshare/book.go
+++ b/internal/accountshare/book.go
@@ -12,6 +12,9 @@
 // Boxes tell each other what they placed in notes of a few bytes. A note that is lost, or a box that
 // dies, makes an account seem smaller than it is for some seconds; two halves of a fleet count what
 // each of them placed.
+//
+// Invariants: never all accounts had more than their share; the book is bounded; what it knows
+// fades by itself.
 package accountshare
 
 import (
@@ -28,20 +31,22 @@
 	// which long answers hold their memory.
 	memory = 10 * time.Second
 	// fair is the most that an account may take before others go first, in equal shares of all
-	// that took anything. Above 1, as no account asks evenly.
+	// that took anything. It is above 1, as no account asks evenly.
 	fair = 1.5
 	// least is what an account must have taken to count as one of those who share, in tokens:
 	// less than one short prompt.
 	least = 100
-	// most bounds the accounts that are counted: 40 KB.
+	// most bounds the accounts that are counted, to 40 KB: several times those of the users.
 	most = 1024
 	// shortFor is how long room counts as short after a refusal: as long as a crest lasts.
 	shortFor = 4 * time.Second
-	// gather is how long is gathered for one note; a crest lasts for seconds.
+	// gather is how long tokens are gathered for one note: short beside a crest, which lasts for
+	// seconds.
 	gather = 500 * time.Millisecond
 )
 
-// Book is safe for concurrent use. Set the exported fields before use.
+// Book is what accounts took, as this box knows it. It is safe for concurrent use. Set the exported
+// fields before use. A nil Book counts nothing, and no account is over its share.
 type Book struct {
 	Clock clockwork.Clock
 	// Tell, if set, takes a note for all other boxes. It must not block.
@@ -70,7 +75,8 @@
 	b.tell(key, tokens)
 }
 
-// Refused notes that a caller of an account was refused for lack of room.
+// Refused notes that a caller of an account was refused for lack of room. That of one which had more
+// than its share says nothing, as others go first.
 func (b *Book) Refused(account string) {
 	if b == nil {
 		return
@@ -177,7 +183,7 @@
 	b.Clock.AfterFunc(gather, b.send)
 }
 
-// send hands over the note.
+// send hands over the note that was gathered.
 func (b *Book) send() {
 	b.mu.Lock()
 	note := encode(b.untold)
--- a/internal/accountshare/note.go
+++ b/internal/accountshare/note.go
@@ -3,15 +3,16 @@
 import "encoding/binary"
 
 const (
-	// tag is the first byte of a note, which tells it from notes of other packages.
+	// tag is the first byte of a note, which tells it from notes of other packages. No change of a
+	// view begins with it: those are arrays in msgpack, from 0x90 on.
 	tag = 0xc2
-	// entryBytes is the length of an account in a note: its key and what it took.
+	// entryBytes is the length of an account in a note, in bytes: its key and what it took.
 	entryBytes = 4 + 2
-	// unit is the unit of tokens in a note.
+	// unit is the unit of a note, in tokens: a sixth of what an account must have taken to count.
 	unit = 16
 	// mostUnits is the most that a note can say of an account: a million tokens.
 	mostUnits = 0xffff
-	// mostTold bounds the accounts of a note.
+	// mostTold bounds the accounts of a note, which fits into a datagram with them: 1.5 KB.
 	mostTold = 256
 )
 
--- a/internal/comeback/book.go
+++ b/internal/comeback/book.go
@@ -35,18 +35,20 @@
 	gather = 100 * time.Millisecond
 )
 
-// Book is safe for concurrent use. Set the exported fields before use.
+// Book is the callers that may come back first, as this box knows them. It is safe for concurrent
+// use. Set the exported fields before use. A nil Book knows nobody.
 type Book struct {
 	Clock clockwork.Clock
 	// Tell, if set, takes a note for all other boxes. It must not block.
 	Tell func(note []byte)
 
 	mu sync.Mutex
-	// until is when each caller that is known is forgotten.
+	// until is when each caller that is known is forgotten, by key.
 	until map[uint64]time.Time
-	// own are the refusals of this box.
+	// own are the refusals of this box, by key, also those whose callers have come back: they count
+	// against the bounds until their time is over.
 	own map[uint64]ownRefusal
-	// ofAccount counts them by account.
+	// ofAccount counts own by account.
 	ofAccount map[string]int
 	// untold is what the next note says; it is on its way when telling is set.
 	untold  []entry
@@ -183,7 +185,7 @@
 	b.Clock.AfterFunc(gather, b.send)
 }
 
-// send hands over the note.
+// send hands over the note that was gathered.
 func (b *Book) send() {
 	b.mu.Lock()
 	note := encode(b.untold)
--- a/internal/comeback/note.go
+++ b/internal/comeback/note.go
@@ -6,11 +6,12 @@
 )
 
 const (
-	// tag is the first byte of a note, which tells it from notes of other packages.
+	// tag is the first byte of a note, which tells it from notes of other packages. No change of a
+	// view begins with it: those are arrays in msgpack, from 0x90 on.
 	tag = 0xc1
-	// entryBytes is the length of a caller in a note: its key and the time left.
+	// entryBytes is the length of a caller in a note, in bytes: its key and the time left.
 	entryBytes = 8 + 2
-	// unit is the unit of the time left in a note.
+	// unit is the unit of the time left in a note: fine beside the slack of a return.
 	unit = 10 * time.Millisecond
 	// longest is the longest time left that a note can say: eleven minutes.
 	longest = 0xffff * unit
--- a/internal/drainplan/generation.go
+++ b/internal/drainplan/generation.go
@@ -3,6 +3,8 @@
 // It answers a load in which engines with many generations leave at short notice. Copies go one after
 // the other over an engine's link, and a copy takes memory at its refuge. A generation that ends before
 // its engine does needs neither, and its move holds up those that are cut off without one.
+//
+// Decisions only: no clock, no network, no state.
 package drainplan
 
 import "time"
@@ -47,8 +49,8 @@
 	return g.Outlives(g.Made, ahead)
 }
 
-// WorthMoving reports whether a generation with this chance of being cut off is to be moved now, when
-// the best refuge runs over with the other chance.
+// WorthMoving reports whether a generation is to be moved now: cutOff is its chance of being cut off,
+// overrun that of its best refuge's memory running over.
 func WorthMoving(cutOff, overrun float64) bool {
 	return cutOff >= max(worthMoving, pushedOut*overrun)
 }
--- a/internal/overrun/memory.go
+++ b/internal/overrun/memory.go
@@ -1,16 +1,18 @@
-// Package overrun tells how likely an engine is to run out of memory, so that what runs there is pushed
-// out and read again.
+// Package overrun tells how likely an engine's memory is to run over, so that a generation that runs
+// there is pushed out and its prompt read again.
+//
+// Decisions only: no clock, no network, no state.
 package overrun
 
 import "math"
 
 const (
-	// grown is the part of the growth to come that is there at once at the worst moment: others end
-	// while the rest grows. On two heavy days the median was 0.26.
+	// grown is the part of the growth to come that is there at once at the worst moment: some
+	// generations end while the rest grows.
 	grown = 0.25
 	// unknown is the part of a usual generation's memory by which a box's knowledge of an
-	// engine is off, as a standard deviation: in one case of ten another box has just sent one that is
-	// not known here.
+	// engine is off, as a standard deviation: in one case of ten another box has just sent a
+	// generation that is not known here.
 	unknown = 0.4
 )
 
--- a/internal/prefill/rates.go
+++ b/internal/prefill/rates.go
@@ -1,4 +1,7 @@
-// Package prefill measures how much of prompts each engine has been given to read lately.
+// Package prefill measures how many prompt tokens each engine has lately been given to read, by all
+// boxes: how much of its time it spends on prefill follows from that.
+//
+// Invariant: a rate fades by itself, so that an engine that gets no more prompts has none soon.
 package prefill
 
 import (
@@ -9,7 +12,7 @@
 	"github.com/dalebend/dalebend/internal/arrival"
 )
 
-// Rates is the rate of prompt tokens by engine. It is safe for concurrent use. Set Clock before use.
+// Rates is the rate of prompt tokens of each engine. It is safe for concurrent use. Set Clock before use.
 type Rates struct {
 	Clock clockwork.Clock
 
@@ -32,7 +35,7 @@
 	rate.Add(tokens)
 }
 
-// PerSecond returns the prompt tokens a second of an engine.
+// PerSecond returns the prompt tokens a second of an engine, 0 for one that is not known.
 func (r *Rates) PerSecond(engine string) float64 {
 	r.mu.Lock()
 	rate := r.engines[engine]
