--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -2,21 +2,16 @@
 // in time: whether it is offered all the same, or its caller is told to come back.
 //
 // The load that it answers is one above what the engines' memory and their reading of prompts
-// carry for some seconds, as at the crest of a day's traffic or while a failure domain is being
+// carry for some seconds, as at the crest of the day's traffic or while a failure domain is being
 // emptied. Sent on, what is too much waits in the engines' queues, where it cannot be offered
 // elsewhere, until it is late or given up; it takes memory from what runs, which is pushed out and
-// read again, and makes the next ones late as well. On a day with a failure domain emptied twice,
-// 589 of 1,416 drafts and 1,259 of 2,724 summaries were in time and 830 failed when all was sent on;
-// 780, 1,699 and 258 with refusals, and 739 were refused twice.
+// read again, and makes the next ones late as well.
 //
 // More urgent generations go before less urgent ones, and callers that come back before new ones, by
 // the wait with which each is offered.
 //
-// Tried and left: holding what is refused for up to an eighth of the objective, looking for an
-// engine every 20 ms. More is offered then than the engines carry: with usable as it is, 101, 158
-// and 138 generations were pushed out on three heavy days, and 77, 119 and 91 without. With
-// more urgent ones first it is the same: held for up to a fifth, 125 were pushed out on a heavy day and
-// 2,067 of 2,581 verdicts were in time; 76 and 2,252 when refused at once.
+// Nothing is held in the box for room that may free: many boxes hear of the same room at the same
+// moment, and more is offered then than the engines carry.
 //
 // Invariants: what an engine could begin at once is offered, however long its prompt takes; a
 // caller that is refused hears so at once.
@@ -36,32 +31,26 @@
 
 const (
 	// usable is the part of the objective within which an engine is to begin a generation by
-	// what is believed. The rest is for what is believed wrongly: of 294 that were expected to
-	// wait for 0.8 to 1 s nine in ten began within 1.16 s, and one in a hundred after 3.2 s or more.
-	// With 0.75, 81 and 117 drafts of 869 and 960 were late on two heavy days, with 0.9, 104 and 135.
+	// what is believed. The rest is for what is believed wrongly: one in ten waits
+	// for more than a fifth longer than expected, and one in a hundred for several times as long.
 	usable = 0.75
 	// returned is that part for a caller that comes back: it has no third try. The wider it is the
-	// more new ones are refused in their turn: on a heavy day of short work 787 of 960 long answers were
-	// in time and 63 of 2,745 callers refused twice with 0.75, 754 and 37 with 1.
+	// more new ones are refused in their turn.
 	returned = 1.0
-	// ofOver is that part for an account that had more than its share while others lack room, and
-	// ofOverReturned for one of its callers that comes back, who is as good as a new one of theirs.
-	// Beside a large account 8 of 108 callers of a middle one were refused twice, 21 with 0.9 for
-	// those of the large one that come back.
-	ofOver         = 0.6
-	ofOverReturned = 0.75
-	// soonest and latest are the time to come back, in objectives. A crest lasts for some seconds.
-	// With the expected wait as the time to come back and the whole objective as usable, three heavy
-	// days had a worth of 0.761, 0.691 and 0.362; with both as they are 0.792, 0.725 and 0.385.
+	// overShare is that part for an account that had more than its share while others lack room, and
+	// overShareReturned for one of its callers that comes back, who goes like a new one of another
+	// account: with more, its many callers that come back take what others lack.
+	overShare         = 0.6
+	overShareReturned = 0.75
+	// soonest and latest are the time to come back, in objectives. A crest lasts for some seconds,
+	// which is longer than the wait that is expected at its beginning.
 	soonest = 2.0
 	latest  = 4.0
 	// latestOfLeft is the most of the time that a caller has left: what remains is for the
 	// answer, and no caller waits for longer however late it is told to come.
 	latestOfLeft = 1.0 / 3
 	// spread is the least part of the time to come back within which callers that are refused
-	// together return. With a half, callers with little time left came back into the crest: on a
-	// heavy day 2,161 of 2,581 verdicts were in time and 71 refused twice, and 2,252 and 41 when
-	// they came after all of that third.
+	// together return. With more, callers with little time left come back into the crest.
 	spread = 0.1
 )
 
@@ -113,9 +102,9 @@
 func (p Policy) part() float64 {
 	switch {
 	case p.Over && p.Returned:
-		return ofOverReturned
+		return overShareReturned
 	case p.Over:
-		return ofOver
+		return overShare
 	case p.Returned:
 		return returned
 	default:
--- a/internal/box/beliefs.go
+++ b/internal/box/beliefs.go
@@ -123,9 +123,8 @@
 }
 
 // tellView tells the peers at once of a view that this box read from the store, and of its
-// first one. What it has from a peer they have heard from that one. When each of 295 boxes told it
-// again, to 128 others, a calm day was given up after 8.9 s of 34 for 660 s of processor
-// time; without that, and with relays, the whole day took 289 s.
+// first one. What it has from a peer they have heard from that one: when each of hundreds of boxes tells
+// it again, that takes most of their processor time.
 func (b *Box) tellView() {
 	_, source := b.share.Sources()
 	if toldAtOnce(source, b.directory.View() == nil) {
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -67,8 +67,8 @@
 }
 
 // noteGrace is how long a peer may have a newer document before it is asked: a change of the
-// servers comes by itself within 50 ms by way of relays. When each of 295 boxes asked for every
-// change instead, 0.29 GB went between failure domains on a calm day of 34 s, and 0.25 GB now.
+// servers comes by itself within 50 ms by way of relays, with fewer bytes between failure domains than
+// when each box asks for every change.
 const noteGrace = 60 * time.Millisecond
 
 func (b *Box) buildPeers() {
--- a/internal/box/register.go
+++ b/internal/box/register.go
@@ -22,7 +22,7 @@
 //
 // Only boxes that are needed there have an entry: those that follow the store, one in each
 // failure domain, and those that hear nobody. Others are found by their heartbeats. An entry
-// of each of 295 boxes took a fifth of all calls of a quiet day.
+// of each of hundreds of boxes is a fifth of all calls to the store.
 func (b *Box) register(ctx context.Context) error {
 	select {
 	case <-b.contact:
--- a/internal/choose/copies.go
+++ b/internal/choose/copies.go
@@ -15,21 +15,17 @@
 const (
 	// backupFill is the expected fill up to which an engine takes copies of generations that
 	// run elsewhere: one that holds next to nothing does. A copy takes the memory of a whole
-	// generation for as long as that runs, and all together fill a fleet that has room: with 0.85 187
-	// and 67 generations were pushed out on two heavy days, with this 127 and 24, and no day of
-	// another fleet lost more than chance does. Weighing what a copy saves against the chance that it
-	// pushes another generation out let too many in: 154 and 200 on two days, against 95 and 138.
+	// generation for as long as that runs, and all together fill a fleet that has room, so that generations are pushed out.
 	backupFill = 0.25
 	// copyTurn is the fill that an engine must be below for each copy that is on its
 	// way there, as copies wait for each other on its link, and when it is in another
 	// failure domain than the copy's source: a copy takes twice as long then. Without it
-	// the emptiest engine gets every copy, and moves to it wait for up to 1.1 s of a
-	// notice of 1.5 s: of 24 played days and seeds with 18 engines, 203 streams were lost,
-	// 136 with it.
+	// the emptiest engine gets every copy, and moves to it wait for most of the
+	// notice that engines give.
 	copyTurn = 0.35
 	// overrunRank weighs the chance that a refuge runs over: one that surely does is as bad as one that is
-	// empty, in another failure domain, with two copies on their way. With twice of it moves took
-	// longer ways: on two heavy days 260 and 83 long answers failed, and 248 and 62 with this.
+	// empty, in another failure domain, with two copies on their way. With more, moves
+	// take the longer way to other failure domains, and more streams are cut off on it.
 	overrunRank = 1.0
 	// roomy is the chance of running over up to which a refuge is taken as it was drawn, and
 	// redraws how often others are drawn for one that is not. All engines are not looked at, as boxes
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -54,8 +54,8 @@
 func (n *Need) limits() limits { return limits{avoid: n.Avoid, homes: n.Homes} }
 
 // Engine returns the engine for a generation, or nil when none may take new work. If the best of
-// those considered can't begin it within the time that is acceptable, all are: 23 and 42 of 1,604
-// and 1,785 summaries were refused twice on two heavy days then, and 42 and 81 without.
+// those considered can't begin it within the time that is acceptable, all are, so that nobody is
+// refused while an engine has room.
 func (c *Chooser) Engine(service *routetable.Service, need *Need) *Candidate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -90,9 +90,7 @@
 // share returns the probability with which each of some engines is considered. Boxes that
 // choose at the same moment, not knowing of each other, would all take the emptiest engine:
 // so each considers a part by chance, such that on average one of them considers it. It is
-// 1, all but exactly, for a few boxes that tell each other within milliseconds. With 295
-// boxes that start 170 generations a second, 195 of 5,073 had a late first event on a calm
-// day, and 715 with all engines considered.
+// 1, all but exactly, for a few boxes that tell each other within milliseconds.
 func (c *Chooser) share(engines int) float64 {
 	if c.Unseen == nil {
 		return 1
--- a/internal/routetable/service.go
+++ b/internal/routetable/service.go
@@ -55,8 +55,8 @@
 }
 
 // moveOverhead is the time of a move beside the copy of the memory: the copy of what was
-// made meanwhile, the stop, and the word to the next box in turn. In played days a move of
-// 4,000 tokens, 220 ms of copying, took 270 to 290 ms.
+// made meanwhile, the stop, and the word to the next box in turn. Measured, a move of 4,000
+// tokens, 220 ms of copying, took 270 to 290 ms.
 const moveOverhead = 60 * time.Millisecond
 
 // MoveTime returns how long it takes to move a running request that holds so many tokens to
--- a/internal/streaming/backup.go
+++ b/internal/streaming/backup.go
@@ -9,16 +9,15 @@
 
 const (
 	// worthCopying is the number of expected tokens from which a generation gets a copy
-	// on a second engine. Expectations are often far off: of the drafts, one in seven is
-	// expected to stay below 120 tokens, and they run for seconds all the same. A summary
+	// on a second engine. Expectations are often far off: of long answers one in seven is
+	// expected to stay below 120 tokens, and they run for seconds all the same. An answer
 	// of some 16 tokens ends well within the notice that an engine gives.
 	worthCopying = 32
 	// inNotice is the part of the notice in which an engine must be emptied for its
 	// generations to do without copies; the rest is for copies to other failure domains
 	// and for links that are busy, as several engines leave at once. With copies of all
-	// long generations engines and links fill: of 20 played days and seeds with 18 engines
-	// 110 first events were late and 80 generations preempted, against 73 and 28. With
-	// none, 0.82 instead of 0.93 of the worth of a calm day of 12 engines was left.
+	// long generations engines and links fill, which makes first events late and pushes
+	// generations out; with none, streams are lost with their engines.
 	inNotice = 0.45
 )
 
--- a/internal/watchduty/duty.go
+++ b/internal/watchduty/duty.go
@@ -28,8 +28,7 @@
 	RefusedFor = 3 * time.Second
 	// settleTime is how long after its start a box leaves the store to those that follow it.
 	// It does not know all boxes yet, and each that believes to rank first calls the store
-	// four times or more. With this, and entries only of boxes that follow the store, 295
-	// boxes made 663 calls on a calm day of 34 s, and 1,415 without.
+	// four times or more, which is much when hundreds of boxes start together.
 	settleTime = 2 * time.Second
 	// backupRest and backupSpread are the least rest of the other boxes and what is
 	// added at most. Together they stay within the second that a watcher allows, half
