backlog, callerconn, front, streaming: a file for each concern

Waiting for room, writing what was kept, ending a connection, reading bodies and noting pauses stood in the files of the types that use them. They have files of their own; compared line by line, only comments and two error messages changed, which say now what was attempted. Tests of the packages and the linter pass.

--- a/internal/backlog/book.go
+++ b/internal/backlog/book.go
@@ -13,10 +13,13 @@
 	// Limits bound what is kept; the zero value bounds nothing.
 	Limits Limits
 
-	mu       sync.Mutex
-	all      tally
-	most     int64
-	unread   int64
+	mu  sync.Mutex
+	all tally
+	// most is the highest all.kept so far.
+	most int64
+	// unread is what servers hold as their answers aren't read on, in bytes.
+	unread int64
+	// accounts holds the sums of client accounts for which something is kept, by name.
 	accounts map[string]*tally
 	// slow are the connections that the box waits for.
 	slow map[*Hold]struct{}
@@ -24,7 +27,7 @@
 	changed chan struct{}
 }
 
-// tally is a sum of bytes kept.
+// tally is a sum over connections, in bytes.
 type tally struct {
 	kept int64
 	// leaving is the part of connections that gave way, which is free soon.
@@ -70,6 +73,7 @@
 	}
 }
 
+// sweep ends connections that made no progress at all for too long.
 func (b *Book) sweep() {
 	b.mu.Lock()
 	now := b.Clock.Now()
@@ -86,7 +90,8 @@
 	}
 }
 
-// boundAt returns the bound that n more bytes of a connection would pass, or "".
+// boundAt returns the bound that n more bytes of a connection would pass, or "". The lock must be
+// held, as for all that follows but change.
 func (b *Book) boundAt(h *Hold, n int64) Bound {
 	account := b.accounts[h.account]
 	switch {
@@ -101,6 +106,7 @@
 	}
 }
 
+// passes reports whether a sum is above a limit, of which 0 is none.
 func passes(n, limit int64) bool { return limit > 0 && n > limit }
 
 // serversFull reports whether servers hold too much for this box.
@@ -155,6 +161,7 @@
 	}
 }
 
+// addTo counts bytes for the client account of a connection.
 func (b *Book) addTo(h *Hold, n int64) {
 	if h.account == "" {
 		return
@@ -173,6 +180,7 @@
 	}
 }
 
+// addLeaving counts bytes that a connection which gave way is about to free.
 func (b *Book) addLeaving(h *Hold, n int64) {
 	b.all.leaving += n
 	if t := b.accounts[h.account]; t != nil {
--- a/internal/backlog/hold.go
+++ b/internal/backlog/hold.go
@@ -12,13 +12,17 @@
 
 	// The book's lock guards what follows.
 
+	// account is the client account that it counts to, "" if none.
 	account string
-	bytes   int64
+	// bytes is what is kept.
+	bytes int64
 	// since is when its caller last made progress, while the box waits for it.
 	since time.Time
-	// unread is what servers hold of an answer that isn't read on.
+	// unread is what servers hold of an answer that isn't read on, in bytes.
 	unread int64
-	gone   *GaveWay
+	// gone is set once it gave way.
+	gone *GaveWay
+	// closed is set when its count has ended; nothing counts any more.
 	closed bool
 }
 
@@ -50,6 +54,7 @@
 	h.waits()
 }
 
+// waits is Waits with the lock held.
 func (h *Hold) waits() {
 	b := h.book
 	h.since = b.Clock.Now()
@@ -117,107 +122,7 @@
 	return h.await(ctx, wish{room: int64(n), unread: int64(unread), patience: pausedMost})
 }
 
-// wish is what somebody waits for.
-type wish struct {
-	// room is what is to fit, add the part of it that is counted then.
-	room, add int64
-	// unread is what a server holds meanwhile.
-	unread   int64
-	patience time.Duration
-}
-
-// await waits for room. The usual case takes the lock once.
-func (h *Hold) await(ctx context.Context, w wish) error {
-	if bound, err := h.try(w); bound == "" {
-		return err
-	}
-	h.pause(w.unread)
-	defer h.pause(-w.unread)
-	timer := h.book.Clock.NewTimer(w.patience)
-	defer timer.Stop()
-	ticker := h.book.Clock.NewTicker(checkEvery)
-	defer ticker.Stop()
-	for {
-		changed, bound, err := h.look(w)
-		if bound == "" {
-			return err
-		}
-		select {
-		case <-changed:
-		case <-ticker.Chan():
-		case <-timer.Chan():
-			return h.tooSlow(bound)
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// try counts the bytes if there is room, or returns the bound that they pass.
-func (h *Hold) try(w wish) (Bound, error) {
-	b := h.book
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if h.gone != nil {
-		return "", h.gone
-	}
-	bound := b.boundAt(h, w.room)
-	if bound == "" {
-		b.add(h, w.add)
-	}
-	return bound, nil
-}
-
-// look tries again and has others make room where they may. Without a bound the wait is over.
-func (h *Hold) look(w wish) (changed <-chan struct{}, bound Bound, err error) {
-	b := h.book
-	changed = b.change()
-	if bound, err = h.try(w); bound == "" {
-		return nil, "", err
-	}
-	b.mu.Lock()
-	leaves := b.makeRoom(h, bound, w.room)
-	if leaves == nil && b.serversFull() {
-		leaves = b.makeRoom(h, BoundServers, 0)
-	}
-	full := leaves == nil && b.serversFull()
-	b.mu.Unlock()
-	if leaves != nil {
-		leaves.cut()
-	}
-	switch {
-	case leaves == h:
-		return nil, "", h.Err()
-	case full:
-		return nil, "", h.tooSlow(BoundServers)
-	default:
-		return changed, bound, nil
-	}
-}
-
-// pause counts what servers hold while an answer isn't read on.
-func (h *Hold) pause(unread int64) {
-	b := h.book
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if h.gone != nil {
-		return
-	}
-	h.unread += unread
-	b.unread += unread
-}
-
-// tooSlow says that the connection finds no room, as no other gave way in time.
-func (h *Hold) tooSlow(bound Bound) error {
-	b := h.book
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if h.gone != nil {
-		return h.gone
-	}
-	return h.wayAt(bound, b.Clock.Now())
-}
-
+// wayAt returns what giving way at a bound would be told as. The lock must be held.
 func (h *Hold) wayAt(bound Bound, now time.Time) *GaveWay {
 	way := &GaveWay{Bound: bound, Bytes: h.bytes}
 	if _, ok := h.book.slow[h]; ok {
@@ -226,7 +131,8 @@
 	return way
 }
 
-// giveWay marks the connection. The caller cuts it after it has given the lock back.
+// giveWay marks the connection. The lock must be held; whoever calls cuts the connection once it has
+// released it.
 func (h *Hold) giveWay(bound Bound, now time.Time) {
 	b := h.book
 	h.gone = h.wayAt(bound, now)
--- a/internal/backlog/limits.go
+++ b/internal/backlog/limits.go
@@ -1,6 +1,9 @@
 // Package backlog counts the bytes that a box keeps for callers and servers that read
 // slowly, and decides who gives way when there are too many.
 //
+// A box opens a Hold for each connection and counts in it what it keeps. At a bound the slowest
+// connection gives way, so that those that read go on; a stalled one gives way also below the bounds.
+//
 // Invariants: what is kept is the sum over all connections, and over those of each client account;
 // a connection that gave way is told once, with the bound that it gave way to; waiting for room ends.
 package backlog
@@ -8,10 +11,10 @@
 import "time"
 
 const (
-	// accountPart is the part of a box's bound that one client account may use: half, so that the
+	// accountPart divides a box's bound into what one client account may use: half, so that the
 	// callers of one that doesn't read leave as much to all others.
 	accountPart = 2
-	// connectionPart is the part of an account's bound that one connection may use. On the
+	// connectionPart divides an account's bound into what one connection may use: a quarter. On the
 	// smallest boxes it is still three times the largest answer that is kept whole.
 	connectionPart = 4
 	// unreadAtServers bounds what all servers together hold for a box that doesn't read on, in
--- a/internal/backlog/reader.go
+++ b/internal/backlog/reader.go
@@ -18,12 +18,13 @@
 type GaveWay struct {
 	// Bound is what it gave way to.
 	Bound Bound
-	// Bytes is what was kept for it, Idle how long it had made no progress.
+	// Bytes is what was kept for it; Idle is how long it had made no progress, 0 if the box did not
+	// wait for it.
 	Bytes int64
 	Idle  time.Duration
 }
 
-// Error says why.
+// Error says which bound it gave way to.
 func (e *GaveWay) Error() string { return "the caller is too slow: bound " + string(e.Bound) }
 
 // reader is a connection that its box waits for.
@@ -47,6 +48,7 @@
 	return at
 }
 
+// slower reports whether a reader gives way before another one.
 func (r reader) slower(than reader) bool {
 	if r.idle != than.idle {
 		return r.idle > than.idle
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -10,18 +10,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"github.com/dalebend/dalebend/internal/backlog"
 )
 
-// writeMost bounds one write of what was kept, in bytes, so that progress shows.
-const writeMost = 64 << 10
-
 // Conn is a connection of a caller. Get one from Listener.
 type Conn struct {
 	net.Conn
@@ -55,14 +52,15 @@
 	tookErr  error
 }
 
+// newConn returns a connection that counts in a book; ending is that of its listener.
 func newConn(nc net.Conn, book *backlog.Book, ending *atomic.Bool) (*Conn, error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return nil, errors.New("connection of a caller has no descriptor")
+		return nil, errors.New("a caller's connection has no descriptor")
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("reach the descriptor of a caller's connection: %w", err)
 	}
 	c := &Conn{Conn: nc, raw: raw, ending: ending}
 	c.tryWrite = c.attempt
@@ -70,7 +68,7 @@
 	return c, nil
 }
 
-// Hold is what is kept for the connection.
+// Hold returns the count of what is kept for the connection.
 func (c *Conn) Hold() *backlog.Hold { return c.hold }
 
 // Write writes or keeps all of p. It never waits.
@@ -102,134 +100,6 @@
 	return len(p), nil
 }
 
-// try writes what the kernel takes now.
-func (c *Conn) try(p []byte) (int, error) {
-	c.out = p
-	failed := c.raw.Write(c.tryWrite)
-	c.out = nil
-	if failed != nil {
-		return 0, failed
-	}
-	return c.took, c.tookErr
-}
-
-func (c *Conn) attempt(fd uintptr) bool {
-	c.took, c.tookErr = write(fd, c.out)
-	return true
-}
-
-// write writes what the kernel takes, 0 bytes if none.
-func write(fd uintptr, p []byte) (int, error) {
-	for {
-		n, err := syscall.Write(int(fd), p)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-		case errors.Is(err, syscall.EAGAIN):
-			return 0, nil
-		case err != nil:
-			return 0, err
-		default:
-			return n, nil
-		}
-	}
-}
-
-// drain writes what is kept as the caller reads.
-func (c *Conn) drain() {
-	for {
-		p := c.next()
-		if p == nil {
-			return
-		}
-		for len(p) > 0 {
-			n, err := c.some(p)
-			if err != nil {
-				c.fail(err)
-				return
-			}
-			p = p[n:]
-			c.note(n)
-		}
-	}
-}
-
-// next takes what is kept, or ends the goroutine.
-func (c *Conn) next() []byte {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.kept
-	c.kept = nil
-	if len(p) > 0 && c.failed == nil {
-		return p
-	}
-	c.draining = false
-	if c.failed == nil {
-		c.endLocked()
-	}
-	return nil
-}
-
-// some waits until the kernel takes some of p.
-func (c *Conn) some(p []byte) (n int, err error) {
-	part := p[:min(len(p), writeMost)]
-	failed := c.raw.Write(func(fd uintptr) bool {
-		n, err = write(fd, part)
-		return n > 0 || err != nil
-	})
-	return n, errors.Join(failed, err)
-}
-
-// note counts bytes that the caller took.
-func (c *Conn) note(n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	left := c.left.Add(-int64(n))
-	c.hold.Took(n, left == 0)
-	c.wakeLocked()
-}
-
-// fail drops what is kept and closes the connection, so that its reader sees the end, too.
-func (c *Conn) fail(err error) {
-	c.mu.Lock()
-	if c.failed == nil {
-		c.failed = err
-	}
-	c.kept = nil
-	c.draining = false
-	c.hold.Took(int(c.left.Swap(0)), true)
-	c.wakeLocked()
-	c.mu.Unlock()
-	_ = c.Conn.Close() // the first error counts
-}
-
-// cut ends a connection that gave way, or the body that is read from it.
-func (c *Conn) cut() {
-	c.mu.Lock()
-	arriving := c.arriving
-	if !arriving && c.failed == nil {
-		c.failed = c.hold.Err()
-	}
-	c.wakeLocked()
-	c.mu.Unlock()
-	if arriving {
-		// A time that is over ends a read.
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // it fails only on a closed connection
-		return
-	}
-	_ = c.Conn.Close() // an error says that it is closed already
-}
-
-// Drop ends a connection whose caller is too slow, with what is kept for it.
-func (c *Conn) Drop(cause error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.failed == nil {
-		c.failed = cause
-	}
-	c.wakeLocked()
-	_ = c.Conn.Close() // an error says that it is closed already
-}
-
 // Await waits until at most n bytes are left to write. It returns why the connection failed or
 // gave way, or the end of the context.
 func (c *Conn) Await(ctx context.Context, n int) error {
@@ -287,48 +157,3 @@
 		c.hold.Rests()
 	}
 }
-
-// CloseWrite ends the writing side once nothing is left.
-func (c *Conn) CloseWrite() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.halfClosing = true
-	if c.draining && c.failed == nil {
-		return nil
-	}
-	return c.closeWrite()
-}
-
-func (c *Conn) closeWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
-// Close closes the connection once nothing is left. The book ends one whose caller stays away.
-func (c *Conn) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-	if c.draining && c.failed == nil && !c.ending.Load() {
-		return nil
-	}
-	return c.closeLocked()
-}
-
-// endLocked does what waited for the last byte.
-func (c *Conn) endLocked() {
-	switch {
-	case c.closing:
-		_ = c.closeLocked() // nobody is left to be told
-	case c.halfClosing:
-		_ = c.closeWrite() // the same
-	}
-}
-
-func (c *Conn) closeLocked() error {
-	err := c.Conn.Close()
-	c.hold.Close()
-	return err
-}
