tempo, outlook, streaming, routetable, docs: terms explained, one long function split

A newcomer stumbled over pace, pause, share, kept and others, which the glossary lacked, and over comments that didn't say what a number counts. continueAt was 45 lines; what it notes once the generation runs elsewhere is wentOn. Nothing that is decided changed; tests of the packages and the linter pass.

--- a/internal/outlook/outlook.go
+++ b/internal/outlook/outlook.go
@@ -1,5 +1,5 @@
-// Package outlook says what a generation will meet at an engine: when its first event comes, and how
-// likely it and those that run there are to have a pause that their callers call too long.
+// Package outlook says what a generation will meet at an engine: how long its prompt waits to be read,
+// and how likely it and those that run there are to have a pause that their callers don't accept.
 //
 // While an engine reads a prompt every step takes longer, and engines are slow for fractions of a
 // second now and then. On a slow engine both together make a pause that no caller accepts, in all
@@ -35,15 +35,15 @@
 	PerEvent int
 	// PerPromptToken is how long it takes to read a token of a prompt.
 	PerPromptToken time.Duration
-	// Reading is the share of its time in which it reads prompts.
+	// Reading is the share of its time in which it reads prompts, from 0 to 1.
 	Reading float64
 	// Beyond returns the share of events that take more than so many times the usual time while
-	// a prompt is read.
+	// a prompt is read, from 0 to 1. It may be nil if PerToken is 0.
 	Beyond func(times float64) float64
 }
 
-// readingSteps is by how much a step is longer while a prompt is read: engines read a piece that takes
-// about as long as the step itself.
+// readingSteps is how many times as long a step takes while a prompt is read: engines read a piece that
+// takes about as long as the step itself.
 const readingSteps = 2.0
 
 // Read returns how long it takes to read what waits there and the generation's own prompt.
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -25,11 +25,11 @@
 	spec     Spec
 	hosts    map[string][]*Route
 	services map[string]*Service
-	// ranks are the objectives of each service's streams.
+	// ranks are the priorities and objectives of the routes of streams to each service, by its name.
 	ranks map[string][]rank
 }
 
-// rank is a priority that streams to a service have, and the objective that goes with it.
+// rank is the priority of a route of streams, 0 the most urgent, and its objective for the first event.
 type rank struct {
 	priority  int
 	objective time.Duration
@@ -76,7 +76,7 @@
 	return nil
 }
 
-// addRanks keeps what a route of streams says of its targets.
+// addRanks keeps the rank of a route of streams for each service that it goes to.
 func (t *Table) addRanks(r *Route) {
 	if !r.Stream || r.Objective <= 0 {
 		return
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -6,6 +6,7 @@
 
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/registry"
 )
 
 // goOn continues a stream that has ended early: at the target of a move, or at
@@ -86,13 +87,12 @@
 	start := x.relay.Clock.Now()
 	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Homes: x.job.Homes, Avoid: []string{from.ID}}
 	choice := x.chooseBackup(at.server, need)
-	backup := choice.server
 	cont := &hop.Continue{Holder: at.holder, Copy: at.name, LastEvent: last}
 	if !at.paid {
 		// The target of a move was counted when it was chosen.
 		x.relay.Chooser.GoesOn(at.server)
 	}
-	o := x.offer(ctx, at.server, backup, cont)
+	o := x.offer(ctx, at.server, choice.server, cont)
 	if o.err == nil && o.answer.Status != okStatus {
 		o.answer.close()
 		o.err = errNotContinued
@@ -101,15 +101,20 @@
 		x.logMoveFailed(from, at.server, o.err)
 		return nil, o.err
 	}
-	x.count(at.server, backup)
+	x.wentOn(from, at, choice)
+	x.logMoved(from, at, x.relay.Clock.Since(start))
+	return o.answer, nil
+}
+
+// wentOn notes that the generation runs at the engine with the copy now.
+func (x *run) wentOn(from *registry.Server, at *copyAt, choice backupChoice) {
+	x.count(at.server, choice.server)
 	if at.server.ID != from.ID && !x.relay.Directory.Takes(at.server.ID) {
 		// It began to leave while the generation was on its way there.
 		x.relay.Left([]string{at.server.ID})
 	}
 	x.moves.Add(1)
 	x.logBackup(at.server, choice)
-	x.logMoved(from, at, x.relay.Clock.Since(start))
-	return o.answer, nil
 }
 
 // okStatus is the status of a stream that goes on.
--- a/internal/streaming/tempo.go
+++ b/internal/streaming/tempo.go
@@ -2,17 +2,18 @@
 
 import "time"
 
-// windowEvents is the number of events over which the pace of an engine is measured, so that one
-// that comes late and one that comes early do not count apart.
+// windowEvents is the number of events over which the pace of an engine is measured, so that an
+// event that comes late and the next one that comes early make up for each other.
 const windowEvents = 4
 
-// window is a stretch of a stream on one engine.
+// window is what is measured of a stream on one engine since the last observation.
 type window struct {
+	// engine is the id of the engine's start.
 	engine string
-	// began is when the event before its first came, events the events passed on by then.
+	// began is when the event before its first came, events the number passed on by then.
 	began  time.Time
 	events int
-	// last is when the last event came, and lastEvents the events by then.
+	// last is when the last event came, lastEvents the number passed on by then.
 	last       time.Time
 	lastEvents int
 }
--- a/internal/tempo/book.go
+++ b/internal/tempo/book.go
@@ -6,7 +6,8 @@
 // believes what it saw itself before what it heard. An engine of which nothing is known is taken
 // for the middle of those that are.
 //
-// Invariant: nothing that an engine or a peer says leads out of the bounds below.
+// Invariants: nothing that an engine or a peer says leads out of the bounds below; only what a box saw
+// itself is told to peers, so that nothing echoes.
 package tempo
 
 import (
@@ -22,10 +23,10 @@
 	// enough is the number of windows from which the box believes and tells its own estimate:
 	// half a second of one stream.
 	enough = 4
-	// quiet picks the window that tells the time without prompts beside: one of four is read
-	// between prompts even on an engine that reads for half of its time.
+	// quiet is the quantile of the windows that tells the time without prompts beside: one window of
+	// four lies between prompts even on an engine that reads for half of its time.
 	quiet = 0.25
-	// fastest and slowest bound the time of a token: hardware beyond them is not in use.
+	// fastest and slowest bound the time of a token: no hardware in use is beyond them.
 	fastest = 500 * time.Microsecond
 	slowest = 200 * time.Millisecond
 )
@@ -124,7 +125,8 @@
 	return b.middle()
 }
 
-// Known returns the number of engines of which something is known.
+// Known returns the number of engines that were seen or heard of, also those of which too little was
+// seen for an estimate.
 func (b *Book) Known() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -143,6 +145,7 @@
 	}
 }
 
+// engine returns what is known of an engine, which is nothing at first. The lock must be held.
 func (b *Book) engine(id string) *engine {
 	if b.engines == nil {
 		b.engines = make(map[string]*engine)
--- a/internal/tempo/stretch.go
+++ b/internal/tempo/stretch.go
@@ -19,7 +19,8 @@
 	// memory is the number of events after which an old one counts for 1/e: some minutes of a
 	// box with a few streams.
 	memory = 5000.0
-	// priorEvents is the weight of the prior below.
+	// priorEvents is the weight of the prior below, in events: what a box sees itself counts for
+	// more after a few prompts.
 	priorEvents = 50.0
 )
 
@@ -46,6 +47,7 @@
 	return b.stretches.beyond(times)
 }
 
+// add counts an event that took so many times the usual time.
 func (s *stretches) add(times float64) {
 	keep := 1 - 1/memory
 	for i := range s.counts {
@@ -55,6 +57,7 @@
 	s.counts[bucket(times)]++
 }
 
+// bucket returns the index of the bucket that counts events of so many times the usual time.
 func bucket(times float64) int {
 	if times <= 1 {
 		return 0
@@ -62,7 +65,8 @@
 	return min(int(math.Log(times)/math.Log(growth)), buckets-1)
 }
 
-// beyond takes half of the bucket that the bound falls into.
+// beyond returns the share of events that took longer than so many times the usual time, the prior
+// among them. Of the bucket that the bound falls into it takes half.
 func (s *stretches) beyond(times float64) float64 {
 	at := bucket(times)
 	longer := s.counts[at] / 2
