--- a/internal/pace/prompts.go
+++ b/internal/pace/prompts.go
@@ -1,4 +1,5 @@
-// Package pace learns how long engines take to read a token of a prompt.
+// Package pace learns how long engines take to read a token of a prompt, in prefill. How long they take
+// to make one, in decode, is learned by package tempo.
 //
 // Engines read a prompt in pieces between the tokens of other generations, so that it takes
 // longer than their rate alone tells: with 14 tokens a ms and steps of 7 ms and more, a piece of
--- a/internal/tempo/book.go
+++ b/internal/tempo/book.go
@@ -1,5 +1,6 @@
 // Package tempo learns how fast each model engine makes tokens, from the time between the events of
-// streams, and how much longer an event takes while the engine reads a prompt.
+// streams, and how much longer an event takes while the engine reads a prompt. It is about decode, the
+// time per output token; package pace is about prefill, the time per prompt token.
 //
 // Engines of one service differ: new hardware makes a token in half the time of old. Every box sees
 // a few streams of each engine for a few seconds, so boxes tell each other what they saw, and a box
