tempo: the weight of the prior without a guess

The comment said after how many prompts the prior counts for less, which nobody measured. It says by how many events now. Tests of the package and the linter pass.

--- a/internal/tempo/stretch.go
+++ b/internal/tempo/stretch.go
@@ -19,8 +19,8 @@
 	// memory is the number of events after which an old one counts for 1/e: some minutes of a
 	// box with a few streams.
 	memory = 5000.0
-	// priorEvents is the weight of the prior below, in events: what a box sees itself counts for
-	// more after a few prompts.
+	// priorEvents is the weight of the prior below, in events: what a box sees itself counts
+	// for more once it is as many.
 	priorEvents = 50.0
 )
 
