--- /dev/null
+++ b/internal/streaming/fleet_stream_test.go
@@ -0,0 +1,149 @@
+package streaming_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+)
+
+// stream is the answer of an engine that runs a generation.
+type stream struct {
+	fleet  *fleet
+	engine string
+	run    int
+	// next is the number of the event that comes next.
+	next   int
+	pieces chan piece
+	ended  <-chan struct{}
+	closed chan struct{}
+
+	mu      sync.Mutex
+	reading bool
+	shut    bool
+	over    bool
+	rest    []byte
+	// stopped is set when the engine stopped the run for a move.
+	stopped bool
+	// wholeRead is set when the clean end of the whole answer was read.
+	wholeRead bool
+}
+
+// piece is what a stream gives next: bytes or an end.
+type piece struct {
+	data []byte
+	err  error
+}
+
+func (s *stream) isOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over || s.shut
+}
+
+// stop ends a stream cleanly before its end, in the background.
+func (s *stream) stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.end(io.ErrUnexpectedEOF)
+}
+
+// end ends a stream, in the background. Its reader sees the end once it has
+// read what came before.
+func (s *stream) end(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		return
+	}
+	s.over = true
+	go s.give(piece{err: err})
+}
+
+// say gives the next events, the first of them after the bytes that were said of it.
+func (s *stream) say(n int) {
+	if !s.isOver() {
+		go s.give(piece{data: s.text(n)})
+	}
+}
+
+// sayPart gives the next events, if any, and the first bytes of the one after
+// them, at once.
+func (s *stream) sayPart(n int) {
+	if s.isOver() || n == 0 && s.rest != nil {
+		return
+	}
+	text := s.text(n)
+	s.rest = []byte(event(s.run, s.next)[:5])
+	go s.give(piece{data: append(text, s.rest...)})
+}
+
+// text returns the bytes of the next events that were not said yet.
+func (s *stream) text(n int) []byte {
+	var b strings.Builder
+	for range n {
+		b.WriteString(event(s.run, s.next))
+		s.next++
+	}
+	said := len(s.rest)
+	s.rest = nil
+	return []byte(b.String()[said:])
+}
+
+func (s *stream) give(p piece) {
+	select {
+	case s.pieces <- p:
+	case <-s.closed:
+	case <-s.ended:
+	}
+}
+
+// event is an event of a run.
+func event(run, n int) string { return fmt.Sprintf("id: %d\ndata: run %d\n\n", n, run) }
+
+// Read returns what the stream gives next.
+func (s *stream) Read(p []byte) (int, error) {
+	s.enter("read")
+	defer s.leave()
+	select {
+	case got := <-s.pieces:
+		s.wholeRead = s.wholeRead || errors.Is(got.err, io.EOF) && !s.stopped
+		return copy(p, got.data), got.err
+	case <-s.closed:
+		return 0, errors.New("read on a closed body")
+	case <-s.ended:
+		return 0, context.Canceled
+	}
+}
+
+// Close ends the stream. Like any body of an exchange it must not be closed
+// while it is read.
+func (s *stream) Close() error {
+	s.enter("close")
+	defer s.leave()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.shut {
+		s.shut = true
+		close(s.closed)
+	}
+	return nil
+}
+
+func (s *stream) enter(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reading {
+		s.fleet.fault(fmt.Sprintf("%s of the stream at %s while it is read", what, s.engine))
+	}
+	s.reading = true
+}
+
+func (s *stream) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reading = false
+}
