fingerprint, streaming, single: lines of failures name what attempts of a request have in common

Cause: engines ended one after the other under a request that came again and again. Each attempt has a new id, and no line said what two of them share, so that a request which ends servers could not be told from one that was running beside it.

No decision changes. Computed only when an attempt fails.

--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -13,12 +13,14 @@
 
 	KeyRequest = "request"
 	KeyRoute   = "route"
-	KeyAccount = "account"
-	KeyAttempt = "attempt"
-	KeyStatus  = "status"
-	KeyReason  = "reason"
-	KeyCause   = "cause"
-	KeyCauses  = "causes"
+	// KeyFingerprint is what all attempts of a request have in common.
+	KeyFingerprint = "fingerprint"
+	KeyAccount     = "account"
+	KeyAttempt     = "attempt"
+	KeyStatus      = "status"
+	KeyReason      = "reason"
+	KeyCause       = "cause"
+	KeyCauses      = "causes"
 	// KeyStage holds the text of an exchange.Stage.
 	KeyStage   = "stage"
 	KeyWay     = "way"
--- a/internal/single/log.go
+++ b/internal/single/log.go
@@ -8,6 +8,7 @@
 
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/fingerprint"
 )
 
 // How sends end in the log and the metrics, besides the stages of package exchange.
@@ -78,10 +79,18 @@
 // logFailed tells of a send without an answer.
 func (f *flight) logFailed(c *choose.Candidate, stage string, perhapsRun bool, cause string) {
 	f.count(c, stage)
-	f.log(event.RequestFailed, []slog.Attr{
+	attrs := []slog.Attr{
 		slog.String(event.KeyServer, c.ID), slog.String(event.KeyStage, stage),
 		slog.Bool(event.KeyPerhapsRun, perhapsRun), slog.String(event.KeyCause, cause),
-	})
+	}
+	if perhapsRun {
+		attrs = append(attrs, slog.String(event.KeyFingerprint, f.fingerprint().String()))
+	}
+	f.log(event.RequestFailed, attrs)
+}
+
+func (f *flight) fingerprint() fingerprint.Fingerprint {
+	return fingerprint.Of(f.job.Request, f.job.Account)
 }
 
 // logStatus tells of an answer that says "failed" while another server may be tried.
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -9,6 +9,7 @@
 	"github.com/dalebend/dalebend/internal/admission"
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/fingerprint"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/registry"
 )
@@ -71,9 +72,18 @@
 
 func (x *run) logFailed(engine *registry.Server, stage string, perhapsRun bool, err error) {
 	x.relay.Metrics.OrUnseen().Attempts.Inc(engine.ID, stage)
-	x.log(event.RequestFailed,
+	attrs := []slog.Attr{
 		slog.String(event.KeyServer, engine.ID), slog.String(event.KeyStage, stage),
-		slog.Bool(event.KeyPerhapsRun, perhapsRun), slog.String(event.KeyCause, err.Error()))
+		slog.Bool(event.KeyPerhapsRun, perhapsRun), slog.String(event.KeyCause, err.Error()),
+	}
+	if perhapsRun {
+		attrs = append(attrs, slog.String(event.KeyFingerprint, x.fingerprint().String()))
+	}
+	x.log(event.RequestFailed, attrs...)
+}
+
+func (x *run) fingerprint() fingerprint.Fingerprint {
+	return fingerprint.Of(x.job.Request, x.job.Account)
 }
 
 // countAnswered counts an engine's answer.
@@ -109,6 +119,7 @@
 	x.log(event.StreamBroke,
 		slog.String(event.KeyServer, engine), slog.Int(event.KeyEvents, events),
 		slog.String(event.KeyBackup, backup), slog.String(event.KeyCause, cause.Error()),
+		slog.String(event.KeyFingerprint, x.fingerprint().String()),
 		slog.Int64(event.KeyElapsed, x.relay.Clock.Since(x.began).Milliseconds()))
 }
 
