--- a/internal/box/rig_test.go
+++ b/internal/box/rig_test.go
@@ -86,6 +86,13 @@
 	}
 }
 
+// forget drops the lines so far.
+func (j *journal) forget() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.lines = nil
+}
+
 // rig is a box with a store and backend servers. Its clock stands still unless
 // the test moves it.
 type rig struct {
