--- a/internal/box/beliefs.go
+++ b/internal/box/beliefs.go
@@ -12,6 +12,7 @@
 	"github.com/dalebend/dalebend/internal/comeback"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/viewshare"
@@ -119,6 +120,7 @@
 	b.evidence.Retain(b.directory.Known)
 	b.tempo.Retain(b.directory.Known)
 	b.prefill.Retain(b.directory.Known)
+	b.gate.ServersChanged()
 	b.logView(&v)
 }
 
@@ -143,8 +145,9 @@
 	}
 }
 
-// spread tells all peers which callers may come back first, or what accounts took. It need not
-// reach them: they decide by what they know.
+// spread tells all peers which callers may come back first, what accounts took, or under which
+// requests servers ended. It need not reach them: they decide by what they know, and what must be
+// known is told again.
 func (b *Box) spread(note []byte) { b.node.Spread(note) }
 
 // noted takes a note of a peer.
@@ -154,6 +157,8 @@
 		b.comeBack.Noted(note)
 	case accountshare.IsNote(note):
 		b.shares.Noted(note)
+	case quarantine.IsNote(note):
+		b.quarantine.Noted(note)
 	default:
 		b.share.TakeChange(note)
 	}
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -31,6 +31,9 @@
 	"github.com/dalebend/dalebend/internal/notice"
 	"github.com/dalebend/dalebend/internal/peerstate"
 	"github.com/dalebend/dalebend/internal/prefill"
+	"github.com/dalebend/dalebend/internal/quarantine"
+	"github.com/dalebend/dalebend/internal/quarantine/gate"
+	"github.com/dalebend/dalebend/internal/quarantine/keeper"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/spend"
@@ -56,6 +59,8 @@
 	Mover streaming.Mover
 	// Reporter asks engines what becomes of them.
 	Reporter streaming.Reporter
+	// Holds keeps the requests that are held.
+	Holds keeper.Source
 }
 
 // Boxes lists the boxes of the fleet in the platform's store.
@@ -100,9 +105,14 @@
 	// comeBack knows the callers that any box refused and that may come back first.
 	comeBack *comeback.Book
 	// shares counts what client accounts have engines take, over all boxes.
-	shares  *accountshare.Book
-	streams *streaming.Relay
-	front   *front.Server
+	shares *accountshare.Book
+	// quarantine knows requests under which servers ended, holds keeps those in the store that are
+	// held, and gate asks it before each send.
+	quarantine *quarantine.Book
+	holds      *keeper.Keeper
+	gate       *gate.Gate
+	streams    *streaming.Relay
+	front      *front.Server
 
 	started     time.Time
 	running     atomic.Bool
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -21,6 +21,9 @@
 	"github.com/dalebend/dalebend/internal/pace"
 	"github.com/dalebend/dalebend/internal/peerstate"
 	"github.com/dalebend/dalebend/internal/prefill"
+	"github.com/dalebend/dalebend/internal/quarantine"
+	"github.com/dalebend/dalebend/internal/quarantine/gate"
+	"github.com/dalebend/dalebend/internal/quarantine/keeper"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/single"
 	"github.com/dalebend/dalebend/internal/spend"
@@ -38,6 +41,7 @@
 	b.stopGrace.Store(int64(b.Settings.StopGrace))
 	b.buildBeliefs()
 	b.buildPeers()
+	b.buildQuarantine()
 	b.buildStore()
 	b.buildRequests()
 	b.buildMetrics()
@@ -100,6 +104,18 @@
 	return int32(min(s.LinkMbps/strengthMbps, s.Cores/strengthCores, strongEnough))
 }
 
+func (b *Box) buildQuarantine() {
+	b.quarantine = &quarantine.Book{
+		Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics, Box: b.Settings.Box, Tell: b.spread,
+		Draw: b.random(drawsOfQuarantine).Float64, Boxes: func() int { return len(b.live()) },
+		Changed: func() { b.holds.Wake() },
+	}
+	b.holds = &keeper.Keeper{Clock: b.Clock, Logger: b.Logger, Source: b.Platform.Holds, Book: b.quarantine}
+	b.gate = &gate.Gate{
+		Clock: b.Clock, Exchanger: b.Exchange, Servers: b.directory, Codec: b.Platform.Codec, Book: b.quarantine,
+	}
+}
+
 func (b *Box) buildStore() {
 	least, spread := startTimes(b.Settings)
 	b.watcher = &storewatch.Watcher{
@@ -107,7 +123,7 @@
 		Beliefs: b.beliefs, Active: b.follows, OnConfig: b.configRead, OnServers: b.serversRead,
 		Seekers: func() int { return b.duty.Seekers() }, Draw: b.random(drawsOfWatcher).Float64,
 		StartDelay: least, StartSpread: spread,
-		Rest: func() time.Duration { return b.duty.Rest() }, Known: b.share.View,
+		Rest: func() time.Duration { return b.duty.Rest() }, Known: b.share.View, Companion: b.holds,
 	}
 	if b.Settings.Cordons {
 		b.watcher.OnCordons = b.cordonsRead
@@ -156,17 +172,17 @@
 		Clock: b.Clock, Logger: b.Logger, Chooser: b.chooser, Directory: b.directory,
 		Evidence: b.evidence, Ledger: b.ledger, Lengths: &forecast.Book{}, Notice: b.notice,
 		Prompts: b.chooser.Prompts, Tempo: b.tempo,
-		Exchanger: b.Exchange, Codec: b.Platform.Codec, Mover: b.Platform.Mover, Reporter: b.Platform.Reporter,
+		Exchanger: b.gate, Codec: b.Platform.Codec, Mover: b.Platform.Mover, Reporter: b.Platform.Reporter,
 		Budget: b.budget, ComeBack: b.comeBack, Shares: b.shares, LoadChanged: b.node.Kick, Beliefs: b.beliefs, Metrics: b.Metrics,
 	}
 	b.front = &front.Server{
 		Clock: b.Clock, Logger: b.Logger, Wire: b.Platform.Wire,
 		Singles: &single.Sender{
 			Clock: b.Clock, Logger: b.Logger, Chooser: b.chooser, Evidence: b.evidence,
-			Exchanger: b.Exchange, Codec: b.Platform.Codec, Budget: b.budget,
+			Exchanger: b.gate, Codec: b.Platform.Codec, Budget: b.budget,
 			Beliefs: b.beliefs, Metrics: b.Metrics,
 		},
-		Streams: b.streams, Table: b.share.Table, Recent: b.duty.Recent,
+		Streams: b.streams, Quarantine: b.quarantine, Table: b.share.Table, Recent: b.duty.Recent,
 		Beliefs: b.beliefs, Metrics: b.Metrics,
 		Backlog: &backlog.Book{Clock: b.Clock, Limits: backlog.LimitsOf(s.MemoryBytes, s.KeptShare)},
 	}
@@ -178,6 +194,7 @@
 	drawsOfChooser = iota
 	drawsOfNode
 	drawsOfWatcher
+	drawsOfQuarantine
 )
 
 // random returns a source of random numbers for one part of the box.
--- a/internal/box/metrics.go
+++ b/internal/box/metrics.go
@@ -19,6 +19,7 @@
 	m.LiveBoxes.Compute(func() float64 { return float64(len(b.live())) })
 	m.Servers.Compute(b.serverCount)
 	m.CordonedDomains.Compute(func() float64 { return float64(len(b.directory.Cordons().Domains)) })
+	m.RequestsHeld.Compute(func() float64 { return float64(b.quarantine.Held()) })
 	m.PromptToken.Compute(func() float64 { return b.chooser.Prompts.PerToken().Seconds() })
 	m.EngineToken.Compute(func() float64 { return b.tempo.Usual().Seconds() })
 	m.EnginesPaced.Compute(func() float64 { return float64(b.tempo.Known()) })
--- a/internal/box/rig_test.go
+++ b/internal/box/rig_test.go
@@ -148,7 +148,7 @@
 		Clock: r.clock, Logger: logger, Metrics: r.metrics, Settings: r.settings, Exchange: client, Seed: 1,
 		Platform: box.Platform{
 			Source: store, Boxes: store, Decode: platform.DecodeTable, Wire: platform.Requests{},
-			Codec: platform.Requests{}, Mover: moves, Reporter: moves,
+			Codec: platform.Requests{}, Mover: moves, Reporter: moves, Holds: store,
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -239,9 +239,10 @@
 	r.log.await(event.ConfigInForce, func(a map[string]slog.Value) bool { return a[event.KeyVersion].Int64() == version })
 }
 
-// awaitWatches waits until the box waits for changes of both kinds.
+// awaitWatches waits until the box waits for changes of all kinds: the configuration, the servers
+// and the requests that are held.
 func (r *rig) awaitWatches() {
-	require.Eventually(r.t, func() bool { return r.store.Waiting() == 2 }, time.Minute, time.Millisecond)
+	require.Eventually(r.t, func() bool { return r.store.Waiting() == 3 }, time.Minute, time.Millisecond)
 }
 
 // call sends a request and returns the head of its answer.
--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
@@ -41,6 +42,7 @@
 	g.Go(func() error { return b.register(inner) })
 	g.Go(func() error { return b.serveReady(inner) })
 	g.Go(func() error { return b.front.Run(inner, b.listeners.front) })
+	g.Go(func() error { b.quarantine.Run(inner); return nil })
 	g.Go(func() error { b.streams.Guard(inner); return nil })
 	g.Go(func() error { b.streams.Ask(inner); return nil })
 	g.Go(func() error { b.serveMetrics(inner); return nil })
@@ -56,10 +58,22 @@
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
+	b.keepHolds(ctx)
 	b.log(event.StopEnds, slog.Int64(event.KeyOpen, b.cutAtEnd.Load()))
 	return nil
 }
 
+// flushTime bounds the last write of the requests that are held. The process has a little longer.
+const flushTime = 200 * time.Millisecond
+
+// keepHolds writes to the store, once more, what it lacks of the requests that are held: this box
+// may be the only one that knows of one.
+func (b *Box) keepHolds(ctx context.Context) {
+	last, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), b.Clock, flushTime)
+	defer cancel()
+	b.holds.Flush(last)
+}
+
 // stop serves on until nothing is in flight and callers have had time to go
 // elsewhere, or the time to stop is over.
 func (b *Box) stop(ctx context.Context) {
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -101,6 +101,12 @@
 			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyStatus, KeyEvents, KeyCause, KeyConfigVersion, KeyElapsed),
 		info(CallerLeft, "the caller closed its connection before the answer was complete; the attempt is cancelled",
 			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyEvents, KeyConfigVersion, KeyElapsed),
+		warn(RequestSuspected, "a server ended while it ran a request, which is now tried at one server at a time; servers lists those that did, source is how it is known or who told",
+			KeyFingerprint, KeyAccount, KeyServers, KeySource),
+		warn(RequestHeld, "so many servers ended while they ran a request that none is given it any more; servers lists them, source is how the last is known or who told",
+			KeyFingerprint, KeyAccount, KeyServers, KeySource),
+		info(RequestCleared, "the ends of servers under a request do not count any more; failures is how many there were",
+			KeyFingerprint, KeyAccount, KeyFailures, KeyReason),
 		warn(CallerGaveWay, "the caller was too slow to read or to send: bound is what it gave way to, kept_bytes is what the box keeps for all; the line of the request's end follows",
 			KeyRequest, KeyRoute, KeyAccount, KeyBound, KeyBytes, KeyIdle, KeyKept, KeyConfigVersion, KeyElapsed),
 	}
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -54,6 +54,9 @@
 	RequestEnded     Name = "request-ended"
 	CallerLeft       Name = "caller-left"
 	CallerGaveWay    Name = "caller-gave-way"
+	RequestSuspected Name = "request-suspected"
+	RequestHeld      Name = "request-held"
+	RequestCleared   Name = "request-cleared"
 )
 
 // A stream after its first byte.
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"syscall"
 )
 
@@ -72,6 +73,17 @@
 // is not a reset.
 func (f *Failure) Reset() bool { return f.reset }
 
+// Cut reports whether the server's end of the connection went away while the server had the request:
+// closed, reset, or silent for the kernel. The server may have ended. It is false when the caller
+// gave up, and when the server answered something that is no valid answer.
+func (f *Failure) Cut() bool {
+	if f.stage != Unanswered && f.stage != Torn {
+		return false
+	}
+	return f.reset || errors.Is(f.cause, io.EOF) || errors.Is(f.cause, io.ErrUnexpectedEOF) ||
+		errors.Is(f.cause, syscall.ETIMEDOUT)
+}
+
 // Causes of a Failure that don't come from the operating system.
 var (
 	errNoConnection  = errors.New("connection limit reached")
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -34,6 +34,8 @@
 	// Owns reports whether an answer with this header belongs to the request.
 	// Nil accepts any answer.
 	Owns func(http.Header) bool
+	// Account is the client account that the request is made for. It is not sent.
+	Account string
 	// Fresh limits reuse to connections that were idle for less than this.
 	// 0 means any connection that may be reused.
 	Fresh time.Duration
--- a/internal/fingerprint/fingerprint.go
+++ b/internal/fingerprint/fingerprint.go
@@ -20,14 +20,20 @@
 
 // Of returns the fingerprint of a request of an account, whose whole body must have been read.
 func Of(r *request.Request, account string) Fingerprint {
+	return Sum(account, r.Method, r.Host, r.URI, r.Body)
+}
+
+// Sum returns the fingerprint of a request of which only the parts are at hand. The URI is the path
+// with its query.
+func Sum(account, method, host, uri string, body []byte) Fingerprint {
 	var h xxhash.Digest
 	h.Reset()
-	for _, s := range [...]string{account, r.Method, r.Host, r.URI} {
+	for _, s := range [...]string{account, method, host, uri} {
 		_, _ = h.WriteString(s)
 		// No text of a request holds a zero byte, so that texts do not run into each other.
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(r.Body)
+	_, _ = h.Write(body)
 	return Fingerprint(h.Sum64())
 }
 
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -1,6 +1,10 @@
 package front
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/dalebend/dalebend/internal/fingerprint"
+)
 
 // admit finds the route and the client account.
 func (x *exchange) admit() bool {
@@ -32,6 +36,17 @@
 	return true
 }
 
+// unheld refuses a request that is held, as servers ended under it. It has not run; no time to come
+// back is told, since that is of no use.
+func (x *exchange) unheld() bool {
+	err := x.server.Quarantine.Check(fingerprint.Of(x.req, x.account.Name))
+	if err == nil {
+		return true
+	}
+	x.refuse(refusal{status: http.StatusServiceUnavailable, class: quarantined, reason: err.Error()})
+	return false
+}
+
 // refuseUnknown refuses what the configuration lacks: for good if the
 // configuration is recent, else for now.
 func (x *exchange) refuseUnknown(r refusal) {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -43,7 +43,7 @@
 	if !x.admit() {
 		return
 	}
-	if !x.readBody() || !x.endsInTime() {
+	if !x.readBody() || !x.endsInTime() || !x.unheld() {
 		return
 	}
 	deadline := x.deadline()
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -29,6 +29,7 @@
 	callerSlow   class = "caller-slow"
 	boxStopping  class = "box-stopping"
 	notTaken     class = "not-taken"
+	quarantined  class = "quarantined"
 )
 
 // problem is the body of an answer of our own.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -29,6 +29,7 @@
 	"github.com/dalebend/dalebend/internal/callerconn"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/moment"
+	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/single"
@@ -88,6 +89,8 @@
 	Wire    Wire
 	Singles Singles
 	Streams Streams
+	// Quarantine knows the requests that no server is given. Nil knows none.
+	Quarantine *quarantine.Book
 	// Table returns the configuration in force, nil before the first.
 	Table func() *routetable.Table
 	// Recent reports whether the configuration in force is known to be the newest
--- /dev/null
+++ b/internal/quarantine/book_test.go
@@ -0,0 +1,152 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/fingerprint"
+	"github.com/dalebend/dalebend/internal/quarantine"
+)
+
+func newBook() (*quarantine.Book, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	return &quarantine.Book{Clock: clock, Logger: slog.New(slog.DiscardHandler), Box: "a"}, clock
+}
+
+// endUnder has servers end under a request.
+func endUnder(t *testing.T, b *quarantine.Book, f fingerprint.Fingerprint, account string, ends int) {
+	t.Helper()
+	for n := range ends {
+		try, err := b.Begin(f, account)
+		require.NoError(t, err)
+		try.ServerEnded(fmt.Sprintf("s%d", n), "test")
+	}
+}
+
+// TestBoundOfAccount: an account that ends servers with ever new requests pushes out its own trails,
+// those that are worth least first, and never one that is held.
+func TestBoundOfAccount(t *testing.T) {
+	b, clock := newBook()
+	endUnder(t, b, 1, "other", 1)
+	endUnder(t, b, 2, "greedy", 3)
+	endUnder(t, b, 3, "greedy", 2)
+	for n := range 2 * quarantine.MostOfAccount {
+		clock.Advance(time.Millisecond)
+		endUnder(t, b, fingerprint.Fingerprint(100+n), "greedy", 1)
+	}
+	require.Error(t, b.Check(2))
+	// The trail of two ends is kept too: with one more the request is held.
+	endUnder(t, b, 1, "other", 2)
+	require.NoError(t, b.Check(1), "the same server twice is one end")
+	try, err := b.Begin(3, "greedy")
+	require.NoError(t, err)
+	try.ServerEnded("s9", "test")
+	require.Error(t, b.Check(3))
+	require.Equal(t, 2, b.Held())
+}
+
+// TestBoundOfAll: many accounts together push out trails of one end, not those that are held.
+func TestBoundOfAll(t *testing.T) {
+	b, clock := newBook()
+	endUnder(t, b, 1, "a", 3)
+	for n := range 2 * quarantine.MostTrails {
+		clock.Advance(time.Millisecond)
+		endUnder(t, b, fingerprint.Fingerprint(100+n), fmt.Sprint("account ", n%7), 1)
+	}
+	require.Error(t, b.Check(1))
+	endUnder(t, b, 2, "late", 3)
+	require.Error(t, b.Check(2))
+}
+
+// TestStoredHold: a hold of the store counts for an hour from its end, whatever the time of day at
+// the box that wrote it.
+func TestStoredHold(t *testing.T) {
+	servers := []string{"s1", "s2", "s3"}
+	for name, c := range map[string]struct {
+		since time.Duration
+		after time.Duration
+		held  int
+	}{
+		"fresh":                 {since: -time.Second, held: 1},
+		"nearly over":           {since: -59 * time.Minute, held: 1},
+		"over":                  {since: -time.Hour},
+		"from a clock ahead":    {since: 3 * time.Second, held: 1},
+		"not longer for it":     {since: 10 * time.Hour, after: time.Hour},
+		"over while it is here": {since: -59 * time.Minute, after: time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, clock := newBook()
+			b.Take(quarantine.Hold{Fingerprint: 1, Account: "a", Servers: servers, Since: clock.Now().Add(c.since)})
+			clock.Advance(c.after)
+			b.Look()
+			require.Equal(t, c.held, b.Held())
+			holds := b.Holds()
+			require.Len(t, holds, c.held)
+			if c.held > 0 {
+				require.Equal(t, servers, holds[0].Servers)
+			}
+		})
+	}
+}
+
+// TestRefusalTells: what a caller is told names the servers, the fingerprint and who told the box.
+func TestRefusalTells(t *testing.T) {
+	b, _ := newBook()
+	endUnder(t, b, 0xabc, "a", 3)
+	err := b.Check(0xabc)
+	require.EqualError(t, err, "request is quarantined: s0, s1, s2 ended while they ran it (fingerprint 0000000000000abc)")
+}
+
+// TestDamagedNote: a note that cannot be read changes nothing.
+func TestDamagedNote(t *testing.T) {
+	var notes [][]byte
+	clock := &heldClock{FakeClock: clockwork.NewFakeClock()}
+	a := &quarantine.Book{Clock: clock, Logger: slog.New(slog.DiscardHandler), Tell: func(n []byte) { notes = append(notes, n) }}
+	endUnder(t, a, 1, strings.Repeat("long", 10), 3)
+	for _, f := range clock.waiting {
+		f()
+	}
+	require.Len(t, notes, 1)
+	b, _ := newBook()
+	for n := 1; n < len(notes[0]); n++ {
+		b.Noted(notes[0][:n])
+		require.Zero(t, b.Held())
+	}
+	b.Noted(notes[0])
+	require.Equal(t, 1, b.Held())
+}
+
+// TestNoBook: without a book every request is given to servers.
+func TestNoBook(t *testing.T) {
+	var b *quarantine.Book
+	require.NoError(t, b.Check(1))
+	try, err := b.Begin(1, "a")
+	require.NoError(t, err)
+	try.ServerEnded("s", "test")
+	try.Answered()
+	try.Over()
+	require.Zero(t, b.Held())
+}
+
+// BenchmarkBegin is what a request costs that no server ended under, answered well.
+func BenchmarkBegin(b *testing.B) {
+	book, _ := newBook()
+	for n := range 500 {
+		try, _ := book.Begin(fingerprint.Fingerprint(n), "a")
+		try.ServerEnded("s", "test")
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		try, err := book.Begin(fingerprint.Fingerprint(1000+n), "a")
+		if err != nil {
+			b.Fatal(err)
+		}
+		try.Answered()
+	}
+}
--- /dev/null
+++ b/internal/quarantine/gate/gate_test.go
@@ -0,0 +1,221 @@
+package gate_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/fingerprint"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/quarantine"
+	"github.com/dalebend/dalebend/internal/quarantine/gate"
+	"github.com/dalebend/dalebend/internal/request"
+)
+
+// codec takes answers with the header Proof for those of the server, and status 421 for "not run".
+type codec struct{}
+
+func (codec) Header(*request.Request, *hop.Send) http.Header { return nil }
+func (codec) Owns(*request.Request) func(http.Header) bool   { return nil }
+func (codec) NotRun(status int, _ http.Header) bool          { return status == http.StatusMisdirectedRequest }
+func (codec) Moved(int) bool                                 { return false }
+func (codec) Proven(h http.Header) bool                      { return h.Get("Proof") != "" }
+func (codec) Answer(h http.Header) http.Header               { return h }
+
+// servers says what is known of the one server.
+type servers struct {
+	mu           sync.Mutex
+	takes, known bool
+}
+
+func (s *servers) Takes(string) bool { return s.get(func() bool { return s.takes }) }
+func (s *servers) Known(string) bool { return s.get(func() bool { return s.known }) }
+
+func (s *servers) get(what func() bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return what()
+}
+
+func (s *servers) set(takes, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takes, s.known = takes, known
+}
+
+// rig is a gate before one server that answers with fixed bytes and closes.
+type rig struct {
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	gate    *gate.Gate
+	servers *servers
+	addr    string
+	// ends has the server close its listener before it answers.
+	ends bool
+}
+
+func newRig(t *testing.T, answer string, ends bool) *rig {
+	clock := clockwork.NewFakeClock()
+	logger := slog.New(slog.DiscardHandler)
+	client := &exchange.Client{Clock: clock, Logger: logger, DialTimeout: time.Second}
+	r := &rig{t: t, clock: clock, servers: &servers{takes: true, known: true}, ends: ends}
+	r.gate = &gate.Gate{
+		Clock: clock, Exchanger: client, Servers: r.servers, Codec: codec{},
+		Book: &quarantine.Book{Clock: clock, Logger: logger},
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.addr = ln.Addr().String()
+	var done sync.WaitGroup
+	done.Go(func() { r.serve(ln, answer) })
+	t.Cleanup(func() { _ = ln.Close(); done.Wait() })
+	return r
+}
+
+func (r *rig) serve(ln net.Listener, answer string) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		in := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(in); err == nil {
+			if r.ends {
+				_ = ln.Close()
+			}
+			_, _ = io.WriteString(conn, answer)
+		}
+		_ = conn.Close()
+	}
+}
+
+// send sends the request once as a start of the server, and reads what comes.
+func (r *rig) send(ctx context.Context, server string) error {
+	resp, err := r.gate.Do(ctx, exchange.Target{Key: server, Addr: r.addr}, &exchange.Request{
+		Method: http.MethodGet, URI: "/", Host: "host", Account: "a",
+	})
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return err
+}
+
+// suspected reports whether an end is known: then a second try beside a first one is refused.
+func (r *rig) suspected() bool {
+	f := fingerprint.Sum("a", http.MethodGet, "host", "/", nil)
+	first, err := r.gate.Book.Begin(f, "a")
+	require.NoError(r.t, err)
+	defer first.Over()
+	_, err = r.gate.Book.Begin(f, "a")
+	return err != nil
+}
+
+const (
+	whole    = "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 4\r\n\r\ngood"
+	failed   = "HTTP/1.1 500 No\r\nProof: p\r\nContent-Length: 4\r\n\r\nevil"
+	foreign  = "HTTP/1.1 502 No\r\nContent-Length: 4\r\n\r\nevil"
+	torn     = "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 9\r\n\r\nbegun"
+	unframed = "HTTP/1.1 200 OK\r\nProof: p\r\n\r\nbegun"
+	turned   = "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"
+	garbage  = "no answer\r\n\r\n"
+)
+
+// TestEnds: what counts as the end of a server under a request, and what does not.
+func TestEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer    string
+		ends      bool
+		leaving   bool
+		later     func(r *rig)
+		suspected bool
+	}{
+		"torn, and nobody listens":      {answer: torn, ends: true, suspected: true},
+		"no answer, and nobody listens": {answer: "", ends: true, suspected: true},
+		"torn, the server serves on":    {answer: torn},
+		"no answer, it serves on":       {answer: ""},
+		"torn as it leaves":             {answer: torn, ends: true, leaving: true},
+		"whole, then nobody listens":    {answer: whole, ends: true},
+		"its own failure":               {answer: failed, ends: true},
+		"turned away":                   {answer: turned, ends: true},
+		"not HTTP":                      {answer: garbage, ends: true},
+		"an end that may be the whole":  {answer: unframed, ends: true},
+		"torn, and its entry goes":      {answer: torn, later: func(r *rig) { r.servers.set(false, false) }, suspected: true},
+		"torn, and its entry goes late": {answer: torn, later: func(r *rig) { r.clock.Advance(6 * time.Second); r.servers.set(false, false) }},
+		"torn, and it leaves later":     {answer: torn, later: func(r *rig) { r.servers.set(false, true) }},
+		"failure of a proxy before it":  {answer: foreign},
+		"the same, and its entry goes":  {answer: foreign, later: func(r *rig) { r.servers.set(false, false) }, suspected: true},
+		"its own failure, entry goes":   {answer: failed, later: func(r *rig) { r.servers.set(false, false) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.answer, c.ends)
+			r.servers.set(!c.leaving, true)
+			_ = r.send(t.Context(), "s1") // how it ended is not the question
+			if c.later != nil {
+				c.later(r)
+				r.gate.ServersChanged()
+			}
+			require.Equal(t, c.suspected, r.suspected())
+		})
+	}
+}
+
+// TestNotReached: a request that did not reach a server says nothing of it.
+func TestNotReached(t *testing.T) {
+	r := newRig(t, torn, true)
+	require.Error(t, r.send(t.Context(), "s1"))
+	require.True(t, r.suspected())
+	for n := range 4 {
+		var failure *exchange.Failure
+		require.ErrorAs(t, r.send(t.Context(), string(rune('a'+n))), &failure)
+		require.Equal(t, exchange.NotSent, failure.Stage())
+	}
+	require.Zero(t, r.gate.Book.Held())
+}
+
+// TestCallerLeaves: a caller that gives up says nothing of the server.
+func TestCallerLeaves(t *testing.T) {
+	r := newRig(t, torn, true)
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	require.Error(t, r.send(ctx, "s1"))
+	require.False(t, r.suspected())
+}
+
+// TestHeld: once three have ended no server gets the request, and the error says so.
+func TestHeld(t *testing.T) {
+	r := newRig(t, torn, false)
+	for _, server := range []string{"s1", "s2", "s3"} {
+		require.Error(t, r.send(t.Context(), server))
+		r.servers.set(false, false)
+		r.gate.ServersChanged()
+		r.servers.set(true, true)
+	}
+	var refused *quarantine.Refused
+	require.ErrorAs(t, r.send(t.Context(), "s4"), &refused)
+	require.Equal(t, []string{"s1", "s2", "s3"}, refused.Servers)
+	require.Zero(t, refused.RetryAfter)
+}
+
+// TestAnswerClears: a whole answer clears the request, also after an end.
+func TestAnswerClears(t *testing.T) {
+	r := newRig(t, whole, false)
+	f := fingerprint.Sum("a", http.MethodGet, "host", "/", nil)
+	try, err := r.gate.Book.Begin(f, "a")
+	require.NoError(t, err)
+	try.ServerEnded("s1", "test")
+	require.True(t, r.suspected())
+	require.NoError(t, r.send(t.Context(), "s2"))
+	require.False(t, r.suspected())
+}
--- /dev/null
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -0,0 +1,219 @@
+package keeper_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/fingerprint"
+	"github.com/dalebend/dalebend/internal/quarantine"
+	"github.com/dalebend/dalebend/internal/quarantine/keeper"
+)
+
+// store is a store in memory that can be away.
+type store struct {
+	mu      sync.Mutex
+	holds   map[fingerprint.Fingerprint]quarantine.Hold
+	changes []keeper.Change
+	away    bool
+	changed chan struct{}
+	calls   chan struct{}
+}
+
+var errAway = errors.New("away")
+
+func newStore() *store {
+	return &store{
+		holds: make(map[fingerprint.Fingerprint]quarantine.Hold), changed: make(chan struct{}), calls: make(chan struct{}, 100),
+	}
+}
+
+func (s *store) Holds(context.Context) ([]quarantine.Hold, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return nil, 0, errAway
+	}
+	var list []quarantine.Hold
+	for _, h := range s.holds {
+		list = append(list, h)
+	}
+	return list, int64(len(s.changes)), nil
+}
+
+func (s *store) WatchHolds(ctx context.Context, from int64, _ time.Duration) ([]keeper.Change, int64, error) {
+	for {
+		s.mu.Lock()
+		changes, changed, away := s.changes, s.changed, s.away
+		s.mu.Unlock()
+		if away {
+			return nil, 0, errAway
+		}
+		if int(from) < len(changes) {
+			return changes[from:], int64(len(changes)), nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *store) PutHold(_ context.Context, h quarantine.Hold) error {
+	return s.change(keeper.Change{Hold: h})
+}
+
+func (s *store) DropHold(_ context.Context, f fingerprint.Fingerprint) error {
+	return s.change(keeper.Change{Hold: quarantine.Hold{Fingerprint: f}, Gone: true})
+}
+
+func (s *store) change(c keeper.Change) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer func() { s.calls <- struct{}{} }()
+	if s.away {
+		return errAway
+	}
+	f := c.Hold.Fingerprint
+	if _, there := s.holds[f]; there != c.Gone {
+		return nil
+	}
+	s.changes = append(s.changes, c)
+	s.holds[f] = c.Hold
+	if c.Gone {
+		delete(s.holds, f)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+func (s *store) has() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.holds) > 0
+}
+
+func (s *store) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// box is a book with its keeper.
+type box struct {
+	*keeper.Keeper
+	clock *clockwork.FakeClock
+}
+
+func newBox(s *store) *box {
+	clock := clockwork.NewFakeClock()
+	logger := slog.New(slog.DiscardHandler)
+	b := &box{clock: clock, Keeper: &keeper.Keeper{Clock: clock, Logger: logger, Source: s}}
+	b.Book = &quarantine.Book{Clock: clock, Logger: logger, Changed: b.Wake}
+	return b
+}
+
+// follow has the box follow the store until the test ends.
+func (b *box) follow(t *testing.T) {
+	t.Helper()
+	require.NoError(t, b.Load(t.Context()))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); b.Follow(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// hold has three servers end under request 1.
+func (b *box) hold(t *testing.T) {
+	t.Helper()
+	for _, server := range []string{"s1", "s2", "s3"} {
+		try, err := b.Book.Begin(1, "a")
+		require.NoError(t, err)
+		try.ServerEnded(server, "test")
+	}
+}
+
+func await(t *testing.T, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, time.Minute, time.Millisecond)
+}
+
+// TestHoldsOutliveBoxes: what one box holds is written, and read by another that starts later.
+func TestHoldsOutliveBoxes(t *testing.T) {
+	s := newStore()
+	first := newBox(s)
+	first.follow(t)
+	first.hold(t)
+	await(t, func() bool { return s.has() })
+	second := newBox(s)
+	require.NoError(t, second.Load(t.Context()))
+	require.Error(t, second.Book.Check(1))
+	require.NoError(t, second.Book.Check(2))
+}
+
+// TestHeardInTheStore: a box that hears no peer learns of a hold, and of its end, from the store.
+func TestHeardInTheStore(t *testing.T) {
+	s := newStore()
+	first, second := newBox(s), newBox(s)
+	first.follow(t)
+	second.follow(t)
+	first.hold(t)
+	await(t, func() bool { return second.Book.Held() == 1 })
+	// An operator lifts it.
+	await(t, func() bool { return s.has() })
+	require.NoError(t, s.DropHold(t.Context(), 1))
+	await(t, func() bool { return first.Book.Held()+second.Book.Held() == 0 })
+	require.NoError(t, first.Book.Check(1))
+}
+
+// TestClearedIsTakenOut: a hold that a good answer proves wrong goes from the store.
+func TestClearedIsTakenOut(t *testing.T) {
+	s := newStore()
+	b := newBox(s)
+	b.follow(t)
+	late, err := b.Book.Begin(1, "a")
+	require.NoError(t, err)
+	b.hold(t)
+	await(t, func() bool { return s.has() })
+	b.clock.Advance(time.Millisecond)
+	late.Answered()
+	await(t, func() bool { return !s.has() })
+	require.Zero(t, b.Book.Held())
+}
+
+// TestStoreAway: a hold that could not be written is written once the store is back.
+func TestStoreAway(t *testing.T) {
+	s := newStore()
+	b := newBox(s)
+	b.follow(t)
+	s.setAway(true)
+	b.hold(t)
+	<-s.calls
+	require.False(t, s.has())
+	s.setAway(false)
+	await(t, func() bool {
+		b.clock.Advance(100 * time.Millisecond)
+		return s.has()
+	})
+}
+
+// TestFlush: a box that has never reached the store writes nothing; one that has writes what is
+// lacking.
+func TestFlush(t *testing.T) {
+	s := newStore()
+	b := newBox(s)
+	b.hold(t)
+	require.True(t, b.Flush(t.Context()))
+	require.False(t, s.has())
+	require.NoError(t, b.Load(t.Context()))
+	require.True(t, b.Flush(t.Context()))
+	require.True(t, s.has())
+}
--- /dev/null
+++ b/internal/quarantine/main_test.go
@@ -0,0 +1,9 @@
+package quarantine_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/internal/quarantine/spread.go
@@ -0,0 +1,208 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/fingerprint"
+	"github.com/dalebend/dalebend/internal/periodic"
+)
+
+const (
+	// gather is how long trails are gathered for one note: a server that ends leaves one for each
+	// request that it ran, and callers come again after 0.1 s at the soonest.
+	gather = 5 * time.Millisecond
+	// lookEvery is how often the book looks for trails to tell again or to forget.
+	lookEvery = 250 * time.Millisecond
+	// tellAgain is how long after it was last told of a trail of two ends or more is told again, for
+	// boxes that were cut off or have just started. They are to know within 3 s.
+	tellAgain = 1500 * time.Millisecond
+	// spreadByBox and mostSpread are what is added at most, by chance, for each live box and in
+	// all: of 300 boxes four tell again before the others hear of it.
+	spreadByBox = 20 * time.Millisecond
+	mostSpread  = 4 * time.Second
+)
+
+// Run forgets what is too old, and tells again what other boxes may have missed, until the context
+// ends.
+func (b *Book) Run(ctx context.Context) {
+	periodic.Run(ctx, b.Clock, lookEvery, b.look)
+}
+
+func (b *Book) look() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	for _, t := range b.trails {
+		if t.over(now) {
+			b.expire(t)
+			continue
+		}
+		if !t.due.IsZero() && !now.Before(t.due) {
+			b.tell(t)
+		}
+	}
+}
+
+// expire forgets a trail that is over. The lock must be held.
+func (b *Book) expire(t *trail) {
+	ends := len(t.ends)
+	b.drop(t)
+	if ends > 0 {
+		t.ends = nil
+		b.forgotten(t, ends, reasonAge)
+	}
+}
+
+// delay is a time by which this box tells later than the first that may.
+func (b *Book) delay() time.Duration {
+	if b.Draw == nil || b.Boxes == nil {
+		return 0
+	}
+	spread := min(mostSpread, time.Duration(b.Boxes())*spreadByBox)
+	return time.Duration(b.Draw() * float64(spread))
+}
+
+// toldNow notes that all boxes have been told what is known here. It is told again later if one
+// that misses it could do harm. The lock must be held.
+func (b *Book) toldNow(t *trail) {
+	t.due = time.Time{}
+	if len(t.ends) > 1 {
+		t.due = b.Clock.Now().Add(tellAgain + b.delay())
+	}
+}
+
+// missed notes that a box has told less than is known here. One of those that know tells it soon.
+// The lock must be held.
+func (b *Book) missed(t *trail) {
+	soon := b.Clock.Now().Add(b.delay())
+	if t.due.IsZero() || soon.Before(t.due) {
+		t.due = soon
+	}
+}
+
+// tell has the next note tell of a trail. The lock must be held.
+func (b *Book) tell(t *trail) {
+	b.toldNow(t)
+	if b.Tell == nil {
+		return
+	}
+	if b.untold == nil {
+		b.untold = make(map[fingerprint.Fingerprint]*trail)
+	}
+	b.untold[t.fingerprint] = t
+	if b.telling {
+		return
+	}
+	b.telling = true
+	b.Clock.AfterFunc(gather, b.send)
+}
+
+// send hands over the notes that were gathered.
+func (b *Book) send() {
+	for _, note := range b.notes() {
+		b.Tell(note)
+	}
+}
+
+// notes takes what is to be told.
+func (b *Book) notes() [][]byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.telling = false
+	now := b.Clock.Now()
+	var notes [][]byte
+	var part []*trail
+	flush := func() {
+		note, err := encode(b.Box, part, now)
+		if err != nil {
+			b.Logger.Error("trails of requests cannot be told", "error", err)
+		} else {
+			notes = append(notes, note)
+		}
+		part = nil
+	}
+	for _, t := range b.untold {
+		if part = append(part, t); len(part) == mostTold {
+			flush()
+		}
+	}
+	if len(part) > 0 {
+		flush()
+	}
+	clear(b.untold)
+	return notes
+}
+
+// Noted takes a note of another box. Nothing that it says counts if a part of it cannot be read.
+func (b *Book) Noted(note []byte) {
+	box, trails, err := decode(note, b.Clock.Now())
+	if err != nil {
+		b.Logger.Warn("trails of requests cannot be read", "error", err)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range trails {
+		b.merge(t, box)
+	}
+}
+
+// merge takes what another box or the store knows of a request. Ends of both count, but for those
+// that either knows to be cleared. The lock must be held.
+func (b *Book) merge(heard *trail, source string) {
+	now := b.Clock.Now()
+	if b.trails[heard.fingerprint] == nil && (heard.over(now) || len(heard.ends) == 0) {
+		return
+	}
+	if b.proven.has(heard.fingerprint, now) && len(heard.ends) > 0 {
+		b.disprove(heard, now)
+		return
+	}
+	t := b.open(heard.fingerprint, heard.account)
+	if t == nil {
+		return
+	}
+	b.mergeClear(t, heard.cleared)
+	grown := false
+	for _, e := range heard.ends {
+		grown = t.add(e) || grown
+	}
+	t.triedUntil = heard.triedUntil
+	if grown {
+		t.source = source
+		b.grown(t, source)
+	}
+	if heard.knowsLess(t) {
+		b.missed(t)
+		return
+	}
+	b.toldNow(t)
+}
+
+// knowsLess reports whether somebody who told of a trail lacks ends that count, or has some that do
+// not.
+func (t *trail) knowsLess(than *trail) bool {
+	cleared := slices.ContainsFunc(t.ends, func(e end) bool { return !e.at.After(than.cleared) })
+	return cleared || len(t.ends) < len(than.ends)
+}
+
+// mergeClear takes a clearing that another box has told of. The lock must be held.
+func (b *Book) mergeClear(t *trail, at time.Time) {
+	before := len(t.ends)
+	if at.IsZero() || !t.clear(at) {
+		return
+	}
+	if before > 0 && len(t.ends) == 0 {
+		b.forgotten(t, before, reasonPeer)
+	}
+}
+
+// disprove tells the other boxes that a request with a trail was answered well here a moment ago.
+// The lock must be held.
+func (b *Book) disprove(heard *trail, now time.Time) {
+	if t := b.open(heard.fingerprint, heard.account); t != nil {
+		b.clear(t, now, reasonAnswered)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/story_test.go
@@ -0,0 +1,170 @@
+package quarantine_test
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/fingerprint"
+	"github.com/dalebend/dalebend/internal/quarantine"
+)
+
+// heldClock is a clock whose functions wait until the test runs them.
+type heldClock struct {
+	*clockwork.FakeClock
+
+	waiting []func()
+}
+
+func (c *heldClock) AfterFunc(_ time.Duration, f func()) clockwork.Timer {
+	c.waiting = append(c.waiting, f)
+	return nil
+}
+
+// story is some boxes that tell each other of requests.
+type story struct {
+	t     *testing.T
+	clock *heldClock
+	boxes map[string]*quarantine.Book
+	tries map[string]*quarantine.Try
+	cut   map[string]bool
+	// notes are on their way, by the box that tells.
+	notes []note
+	lost  bool
+}
+
+type note struct {
+	from string
+	data []byte
+}
+
+func newStory(t *testing.T) *story {
+	return &story{
+		t: t, clock: &heldClock{FakeClock: clockwork.NewFakeClock()}, boxes: make(map[string]*quarantine.Book),
+		tries: make(map[string]*quarantine.Try), cut: make(map[string]bool),
+	}
+}
+
+// box returns a box, which starts when it is first named.
+func (s *story) box(name string) *quarantine.Book {
+	b := s.boxes[name]
+	if b == nil {
+		b = &quarantine.Book{
+			Clock: s.clock, Logger: slog.New(slog.DiscardHandler), Box: name,
+			Tell: func(data []byte) { s.notes = append(s.notes, note{from: name, data: data}) },
+		}
+		s.boxes[name] = b
+	}
+	return b
+}
+
+// tell delivers all notes, and those that they lead to.
+func (s *story) tell() {
+	for len(s.clock.waiting) > 0 {
+		waiting := s.clock.waiting
+		s.clock.waiting = nil
+		for _, f := range waiting {
+			f()
+		}
+		notes := s.notes
+		s.notes = nil
+		for _, n := range notes {
+			s.deliver(n)
+		}
+	}
+}
+
+func (s *story) deliver(n note) {
+	for _, name := range slices.Sorted(maps.Keys(s.boxes)) {
+		if name == n.from || s.lost || s.cut[name] || s.cut[n.from] {
+			continue
+		}
+		require.True(s.t, quarantine.IsNote(n.data))
+		s.boxes[name].Noted(n.data)
+	}
+}
+
+// named returns the fingerprint of a request that the test names by a number.
+func named(request string) fingerprint.Fingerprint {
+	var n uint64
+	_, _ = fmt.Sscan(request, &n)
+	return fingerprint.Fingerprint(n)
+}
+
+// play does one line and returns what it shows.
+func (s *story) play(f []string) string {
+	switch f[0] {
+	case "send":
+		return s.send(f[1], f[2])
+	case "ended":
+		s.tries[f[1]+f[2]].ServerEnded(f[3], "test")
+	case "answered":
+		s.tries[f[1]+f[2]].Answered()
+	case "over":
+		s.tries[f[1]+f[2]].Over()
+	case "tell":
+		s.tell()
+	case "lose":
+		s.lost = true
+		s.tell()
+		s.lost = false
+	case "cut":
+		s.cut[f[1]] = true
+	case "heal":
+		delete(s.cut, f[1])
+	case "start":
+		delete(s.boxes, f[1])
+		s.box(f[1])
+	case "lift":
+		s.box(f[1]).Lift(named(f[2]))
+	case "after":
+		s.after(f[1])
+	case "held":
+		return fmt.Sprintf("%s holds %d\n", f[1], s.box(f[1]).Held())
+	default:
+		s.t.Fatalf("unknown line %q", f)
+	}
+	return ""
+}
+
+func (s *story) send(box, request string) string {
+	try, err := s.box(box).Begin(named(request), "account")
+	var refused *quarantine.Refused
+	if errors.As(err, &refused) {
+		return fmt.Sprintf("%s refuses %s: ended %v, come back after %v\n", box, request, refused.Servers, refused.RetryAfter)
+	}
+	s.tries[box+request] = try
+	return fmt.Sprintf("%s gives %s to a server\n", box, request)
+}
+
+func (s *story) after(text string) {
+	d, err := time.ParseDuration(text)
+	require.NoError(s.t, err)
+	s.clock.Advance(d)
+	for _, name := range slices.Sorted(maps.Keys(s.boxes)) {
+		s.boxes[name].Look()
+	}
+	s.tell()
+}
+
+// TestStories plays the stories of testdata: boxes give a request to servers, and tell each other
+// how that ended.
+func TestStories(t *testing.T) {
+	datadriven.RunTest(t, "testdata/stories.txt", func(t *testing.T, td *datadriven.TestData) string {
+		s := newStory(t)
+		var shown strings.Builder
+		for line := range strings.Lines(td.Input) {
+			shown.WriteString(s.play(strings.Fields(line)))
+		}
+		return shown.String()
+	})
+}
--- a/internal/single/flight.go
+++ b/internal/single/flight.go
@@ -11,6 +11,7 @@
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/runerr"
 )
@@ -41,8 +42,8 @@
 	// ran is set when the server ran the request or may have.
 	ran bool
 	err error
-	// noRoom is set when there was no room to keep the answer. Another server's would find none, too.
-	noRoom bool
+	// stop is why no further server is tried, nil if one may be.
+	stop error
 	// result names the end in the metrics.
 	result string
 }
@@ -68,8 +69,8 @@
 			// A server's own failure tells the caller more than one of ours.
 			v.answer = last.answer
 		}
-		if v.noRoom {
-			return f.ended(v, errNoRoom)
+		if v.stop != nil {
+			return f.ended(v, v.stop)
 		}
 		last = v
 		why = resend{from: c.ID, cause: v.err, result: v.result}
@@ -135,7 +136,16 @@
 	if f.ran > 0 {
 		return nil, &runerr.PerhapsRun{Cause: cause}
 	}
-	return nil, &runerr.NotRun{RetryAfter: comeBack, Cause: cause}
+	return nil, &runerr.NotRun{RetryAfter: retryAfter(last.stop), Cause: cause}
+}
+
+// retryAfter returns when the caller of a request that no server ran is to come back; 0 is never.
+func retryAfter(stop error) time.Duration {
+	var refused *quarantine.Refused
+	if errors.As(stop, &refused) {
+		return refused.RetryAfter
+	}
+	return comeBack
 }
 
 // send offers the request to one server and waits for the whole answer.
@@ -187,7 +197,7 @@
 	x := &exchange.Request{
 		Method: r.Method, URI: r.URI, Host: r.Host,
 		Header: f.sender.Codec.Header(r, send),
-		Body:   r.Body, HasBody: r.HasBody, Owns: f.sender.Codec.Owns(r),
+		Body:   r.Body, HasBody: r.HasBody, Owns: f.sender.Codec.Owns(r), Account: f.job.Account,
 	}
 	if f.job.Route.Repeat == routetable.Once {
 		x.Fresh = restLimit
@@ -210,6 +220,11 @@
 
 // failed is a send without a whole answer.
 func (f *flight) failed(ctx context.Context, c *choose.Candidate, start time.Time, err error) verdict {
+	var refused *quarantine.Refused
+	if errors.As(err, &refused) {
+		f.logFailed(c, resultHeld, false, err.Error())
+		return verdict{err: err, stop: err, result: resultHeld}
+	}
 	stage := exchange.Unanswered
 	var failure *exchange.Failure
 	if errors.As(err, &failure) {
@@ -226,7 +241,7 @@
 	var full *backlog.GaveWay
 	if errors.As(err, &full) {
 		// The server has answered; what lacks is this box's own.
-		return verdict{arrived: true, ran: true, err: err, noRoom: true, result: resultNoRoom}
+		return verdict{arrived: true, ran: true, err: err, stop: errNoRoom, result: resultNoRoom}
 	}
 	took := f.sender.Clock.Since(start)
 	if goal := f.job.Route.Objective; ctx.Err() == nil || goal > 0 && took > goal {
--- a/internal/single/log.go
+++ b/internal/single/log.go
@@ -17,6 +17,7 @@
 	resultStatus    = "failed"
 	resultSlow      = "slow"
 	resultNoRoom    = "no-room"
+	resultHeld      = "quarantined"
 	stageTurnedAway = "turned-away"
 	stageAnswered   = "answered"
 )
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -31,6 +31,15 @@
 // errInactive ends the watches of a watcher that is told to stop watching.
 var errInactive = errors.New("watcher is inactive")
 
+// Companion is what else is followed while a watcher follows the store.
+type Companion interface {
+	// Load reads it, before the state is read: what a box must know before it serves. An error
+	// means that the store was not reached.
+	Load(ctx context.Context) error
+	// Follow follows it until the context ends.
+	Follow(ctx context.Context)
+}
+
 // Watcher follows the store. Set the exported fields before Run.
 type Watcher struct {
 	// Source reads the store.
@@ -70,6 +79,9 @@
 	// are read anew or change. Nil means that this store has none: they are not asked for.
 	OnCordons func(registry.Cordons)
 
+	// Companion, if set, follows what else the store keeps, while this watcher follows it.
+	Companion Companion
+
 	once    sync.Once
 	wake    chan struct{}
 	contact contact
@@ -145,6 +157,12 @@
 	if w.OnCordons != nil {
 		feeds = append(feeds, &w.cordons)
 	}
+	if w.Companion != nil {
+		if err := w.Companion.Load(ctx); err != nil {
+			return err
+		}
+		w.contact.answered()
+	}
 	for _, f := range feeds {
 		if err := f.read(ctx); err != nil {
 			return err
@@ -157,6 +175,9 @@
 	if w.OnCordons != nil {
 		g.Go(func() error { return w.follow(ctx, &w.cordons, noRest) })
 	}
+	if w.Companion != nil {
+		g.Go(func() error { w.Companion.Follow(ctx); return nil })
+	}
 	g.Go(func() error { return w.awaitInactive(ctx) })
 	return g.Wait()
 }
--- a/internal/streaming/class.go
+++ b/internal/streaming/class.go
@@ -6,6 +6,7 @@
 
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/quarantine"
 )
 
 // How offers end in the log and the metrics, besides the stages of package exchange.
@@ -15,6 +16,7 @@
 	resultFreed     = "freed"
 	stageTurnedAway = "turned-away"
 	stageForeign    = "foreign"
+	stageHeld       = "quarantined"
 )
 
 // failedStatus is the least status by which an engine says that it failed.
@@ -49,6 +51,10 @@
 			return c.name
 		}
 	}
+	var refused *quarantine.Refused
+	if errors.As(cause, &refused) {
+		return stageHeld
+	}
 	var failure *exchange.Failure
 	if errors.As(cause, &failure) {
 		return failure.Stage().String()
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -13,6 +13,7 @@
 	"github.com/dalebend/dalebend/internal/comeback"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/runerr"
 )
@@ -58,6 +59,10 @@
 			x.logLost(o.err)
 			return nil, &runerr.PerhapsRun{Cause: o.err}
 		}
+		var refused *quarantine.Refused
+		if errors.As(o.err, &refused) {
+			return nil, &runerr.NotRun{RetryAfter: refused.RetryAfter, Cause: refused}
+		}
 		if ctx.Err() != nil {
 			return nil, &runerr.NotRun{RetryAfter: comeBack, Cause: ctx.Err()}
 		}
@@ -229,6 +234,11 @@
 )
 
 func (x *run) notAnswered(ctx context.Context, engine *registry.Server, err error) offered {
+	var refused *quarantine.Refused
+	if errors.As(err, &refused) {
+		x.logFailed(engine, stageHeld, false, err)
+		return offered{err: err}
+	}
 	stage := exchange.Unanswered
 	var failure *exchange.Failure
 	if errors.As(err, &failure) {
@@ -254,6 +264,6 @@
 	return &exchange.Request{
 		Method: r.Method, URI: r.URI, Host: r.Host,
 		Header: x.relay.Codec.Header(r, send),
-		Body:   r.Body, HasBody: r.HasBody, Owns: x.relay.Codec.Owns(r), Fresh: restLimit,
+		Body:   r.Body, HasBody: r.HasBody, Owns: x.relay.Codec.Owns(r), Fresh: restLimit, Account: x.job.Account,
 	}
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -43,6 +43,8 @@
 	CallersLeft *counters
 	// GaveWay counts callers that were too slow for what was kept for them, by bound.
 	GaveWay *counters
+	// Quarantined counts changes of what is known of requests under which servers ended, by change.
+	Quarantined *counters
 	// Ejections counts ejections of backend servers, by cause.
 	Ejections *counters
 
@@ -70,6 +72,8 @@
 	Servers *gauge
 	// CordonedDomains counts the failure domains that get no more work.
 	CordonedDomains *gauge
+	// RequestsHeld counts the requests that no server is given any more, as servers ended under them.
+	RequestsHeld *gauge
 	// PromptToken is the time that engines are believed to take to read a token of a prompt.
 	PromptToken *gauge
 	// EngineToken is the time that the middle of the engines takes to make a token, EnginesPaced
@@ -143,6 +147,7 @@
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
 	m.GaveWay = m.counters("gave_way_total", "callers that were too slow for what was kept for them", "bound")
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
+	m.Quarantined = m.counters("quarantined_total", "changes of what is known of requests under which servers ended", "change")
 }
 
 func (m *Metrics) declareHistograms() {
@@ -160,6 +165,7 @@
 	m.LiveBoxes = m.gauge("live_boxes", "boxes believed to live, this one among them")
 	m.Servers = m.gauge("servers", "backend servers known")
 	m.CordonedDomains = m.gauge("cordoned_domains", "failure domains that get no more work")
+	m.RequestsHeld = m.gauge("requests_held", "requests that are not given to servers any more, as servers ended under them")
 	m.PromptToken = m.gauge("prompt_token_seconds", "time that engines are believed to take to read a token of a prompt")
 	m.EngineToken = m.gauge("engine_token_seconds", "time that the middle of the engines is believed to take to make a token")
 	m.EnginesPaced = m.gauge("engines_paced", "engines whose pace is known")
