boottime, clockctx, box: a suspended machine's time counts

Cause: the steady clock of the operating system stands still while the machine is suspended, and all ages, deadlines and timers of a box were measured by it. A box that was suspended for four minutes gave an engine 600,000 ms for a generation whose caller had 360,000 left; its view, its contact with the store and its retry window seemed as fresh as before.

Change: package boottime is a clock over the steady one that adds the time away. Box, router and controller run on it; deadlines of connections are turned back into the steady clock's time. A suspension is one line of the log.

--- a/internal/box/rig_test.go
+++ b/internal/box/rig_test.go
@@ -96,8 +96,10 @@
 // rig is a box with a store and backend servers. Its clock stands still unless
 // the test moves it.
 type rig struct {
-	t       *testing.T
-	clock   *tickers
+	t     *testing.T
+	clock *tickers
+	// time is the box's clock, if not the same.
+	time    clockwork.Clock
 	log     *journal
 	store   *standin.Server
 	engines *standin.Engines
@@ -139,13 +141,16 @@
 // run starts the box.
 func (r *rig) run() {
 	logger := slog.New(r.log)
+	if r.time == nil {
+		r.time = r.clock
+	}
 	client := &exchange.Client{
-		Clock: r.clock, Logger: logger, Metrics: r.metrics.Registry(), DialTimeout: time.Second, MaxIdlePerServer: 4,
+		Clock: r.time, Logger: logger, Metrics: r.metrics.Registry(), DialTimeout: time.Second, MaxIdlePerServer: 4,
 	}
-	store := &platform.Store{Addr: r.settings.Store, Clock: r.clock, Logger: logger, Metrics: r.metrics.Registry()}
+	store := &platform.Store{Addr: r.settings.Store, Clock: r.time, Logger: logger, Metrics: r.metrics.Registry()}
 	moves := &platform.Moves{Exchanger: client}
 	b := &box.Box{
-		Clock: r.clock, Logger: logger, Metrics: r.metrics, Settings: r.settings, Exchange: client, Seed: 1,
+		Clock: r.time, Logger: logger, Metrics: r.metrics, Settings: r.settings, Exchange: client, Seed: 1,
 		Platform: box.Platform{
 			Source: store, Boxes: store, Decode: platform.DecodeTable, Wire: platform.Requests{},
 			Codec: platform.Requests{}, Mover: moves, Reporter: moves, Holds: store,
--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -6,9 +6,9 @@
 	"log/slog"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 )
 
@@ -69,7 +69,7 @@
 // keepHolds writes to the store, once more, what it lacks of the requests that are held: this box
 // may be the only one that knows of one.
 func (b *Box) keepHolds(ctx context.Context) {
-	last, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), b.Clock, flushTime)
+	last, cancel := clockctx.WithTimeout(context.WithoutCancel(ctx), b.Clock, flushTime)
 	defer cancel()
 	b.holds.Flush(last)
 }
--- /dev/null
+++ b/internal/clockctx/clockctx.go
@@ -0,0 +1,116 @@
+// Package clockctx has contexts that end at a time of a clock that is passed in.
+//
+// Those of the context package end by the steady clock of the operating system, which stands still
+// while the machine is suspended; those of clockwork do too, but for fake clocks.
+package clockctx
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// WithTimeout is WithDeadline with the time from now.
+func WithTimeout(parent context.Context, clock clockwork.Clock, d time.Duration) (context.Context, context.CancelFunc) {
+	if fake, ok := clock.(*clockwork.FakeClock); ok {
+		return clockwork.WithTimeout(parent, fake, d)
+	}
+	return with(parent, clock, clock.Now().Add(d), d)
+}
+
+// WithDeadline returns a context that ends with context.DeadlineExceeded at a time of the clock.
+func WithDeadline(parent context.Context, clock clockwork.Clock, t time.Time) (context.Context, context.CancelFunc) {
+	if fake, ok := clock.(*clockwork.FakeClock); ok {
+		return clockwork.WithDeadline(parent, fake, t)
+	}
+	return with(parent, clock, t, clock.Until(t))
+}
+
+func with(parent context.Context, clock clockwork.Clock, t time.Time, d time.Duration) (context.Context, context.CancelFunc) {
+	c := &deadline{parent: parent, at: Runtime(clock, t), done: make(chan struct{})}
+	timer := clock.AfterFunc(d, func() { c.end(context.DeadlineExceeded) })
+	stop := context.AfterFunc(parent, func() { c.end(parent.Err()) })
+	return c, func() {
+		c.end(context.Canceled)
+		timer.Stop()
+		stop()
+	}
+}
+
+// Runtime returns a time of a clock as the time package has it, for calls that compare it with
+// their own clock.
+func Runtime(clock clockwork.Clock, t time.Time) time.Time {
+	if own, ok := clock.(interface{ Runtime(t time.Time) time.Time }); ok {
+		return own.Runtime(t)
+	}
+	return t
+}
+
+// deadline is a context that ends by a clock.
+type deadline struct {
+	parent context.Context //nolint:containedctx // it is a context itself
+	at     time.Time
+	done   chan struct{}
+
+	mu    sync.Mutex
+	err   error
+	after map[*func()]struct{}
+}
+
+// end ends the context, once.
+func (c *deadline) end(err error) {
+	c.mu.Lock()
+	if c.err != nil {
+		c.mu.Unlock()
+		return
+	}
+	c.err = err
+	after := c.after
+	c.after = nil
+	close(c.done)
+	c.mu.Unlock()
+	for f := range after {
+		go (*f)()
+	}
+}
+
+// Deadline returns when it ends, by the time package.
+func (c *deadline) Deadline() (time.Time, bool) { return c.at, true }
+
+// Done is closed when it has ended.
+func (c *deadline) Done() <-chan struct{} { return c.done }
+
+// Err says why it has ended.
+func (c *deadline) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// Value returns what the parent has.
+func (c *deadline) Value(key any) any { return c.parent.Value(key) }
+
+// AfterFunc calls f once the context has ended. Package context uses it for children, which would
+// take a goroutine each without.
+func (c *deadline) AfterFunc(f func()) (stop func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		go f()
+		return func() bool { return false }
+	}
+	if c.after == nil {
+		c.after = make(map[*func()]struct{})
+	}
+	key := &f
+	c.after[key] = struct{}{}
+	return func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		_, waiting := c.after[key]
+		delete(c.after, key)
+		return waiting
+	}
+}
--- a/internal/deadlineconn/conn.go
+++ b/internal/deadlineconn/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/clockctx"
 )
 
 // Conn is a connection on which each read and write must progress in time.
@@ -28,7 +30,7 @@
 // Read reads within ReadIdle.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.ReadIdle > 0 {
-		if err := c.Conn.SetReadDeadline(c.Clock.Now().Add(c.ReadIdle)); err != nil {
+		if err := c.Conn.SetReadDeadline(c.at(c.ReadIdle)); err != nil {
 			return 0, err
 		}
 	}
@@ -38,13 +40,16 @@
 // Write writes within WriteIdle.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.WriteIdle > 0 {
-		if err := c.Conn.SetWriteDeadline(c.Clock.Now().Add(c.WriteIdle)); err != nil {
+		if err := c.Conn.SetWriteDeadline(c.at(c.WriteIdle)); err != nil {
 			return 0, err
 		}
 	}
 	return c.Conn.Write(p)
 }
 
+// at returns the time of the network that is so far away.
+func (c *Conn) at(d time.Duration) time.Time { return clockctx.Runtime(c.Clock, c.Clock.Now().Add(d)) }
+
 // SetDeadline sets both deadlines, for the directions that have no bound here.
 func (c *Conn) SetDeadline(t time.Time) error {
 	if err := c.SetReadDeadline(t); err != nil {
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -34,6 +34,8 @@
 			KeyReason),
 		warn(SettingsRefused, "the changed settings file cannot be used; the settings in force stay",
 			KeyCause),
+		warn(Suspended, "the machine was suspended, as its boot clock shows: what the box knew before is older by that",
+			KeyAway),
 		warn(LinesDropped, "lines are missing since the last such line: the reader was slow, or an event came more often than its budget",
 			KeyQueueFull, KeyOverBudget, KeyByEvent),
 	}
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -19,6 +19,7 @@
 	SettingsReloaded Name = "settings-reloaded"
 	SettingsRefused  Name = "settings-refused"
 	LinesDropped     Name = "log-lines-dropped"
+	Suspended        Name = "suspended"
 )
 
 // What a box depends on and what it believes.
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dalebend/dalebend/internal/backlog"
+	"github.com/dalebend/dalebend/internal/clockctx"
 )
 
 // roomAgain is the time to come back that a caller is told whose body found no room: about the
@@ -23,7 +24,7 @@
 		limit = defaultBody
 	}
 	control := http.NewResponseController(x.w)
-	if err := control.SetReadDeadline(x.deadline()); err != nil {
+	if err := control.SetReadDeadline(clockctx.Runtime(x.server.Clock, x.deadline())); err != nil {
 		x.server.Logger.Debug("no bound on reading a body", "error", err)
 	}
 	body, err := x.arrivingBody(http.MaxBytesReader(x.w, x.http.Body, int64(limit)))
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -6,10 +6,9 @@
 	"net/http"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/dalebend/dalebend/internal/backlog"
 	"github.com/dalebend/dalebend/internal/callerconn"
+	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/runerr"
@@ -47,7 +46,7 @@
 		return
 	}
 	deadline := x.deadline()
-	ctx, cancel := clockwork.WithDeadline(x.http.Context(), x.server.Clock, deadline)
+	ctx, cancel := clockctx.WithDeadline(x.http.Context(), x.server.Clock, deadline)
 	defer cancel()
 	service := x.table.Service(x.route.Target(draw()))
 	if x.route.Stream && service.Engine != nil {
--- a/internal/program/box.go
+++ b/internal/program/box.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"os/signal"
@@ -14,9 +15,11 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/boottime"
 	"github.com/dalebend/dalebend/internal/box"
 	"github.com/dalebend/dalebend/internal/boxsettings"
 	"github.com/dalebend/dalebend/internal/decisionlog"
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/settings"
 	"github.com/dalebend/dalebend/internal/telemetry"
@@ -94,7 +97,7 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
-	clock := clockwork.NewRealClock()
+	clock := boottime.New()
 	logCtx, logStop := context.WithCancel(context.Background())
 	logged := make(chan struct{})
 	go func() {
@@ -108,6 +111,9 @@
 	ctx, stop := signalContext()
 	defer stop()
 	b := newBox(s, clock, log)
+	clock.Suspended = func(away time.Duration) {
+		b.Logger.LogAttrs(ctx, event.Suspended.Level(), string(event.Suspended), slog.Int64(event.KeyAway, away.Milliseconds()))
+	}
 	file.logger = b.Logger
 	go file.follow(ctx, hangup, clock, b)
 	return b.Run(ctx)
--- a/internal/program/controller.go
+++ b/internal/program/controller.go
@@ -11,11 +11,11 @@
 	"strconv"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
 	"github.com/dalebend/dalebend/internal/admin"
+	"github.com/dalebend/dalebend/internal/boottime"
 	"github.com/dalebend/dalebend/internal/boxlist"
 	"github.com/dalebend/dalebend/internal/controller"
 	"github.com/dalebend/dalebend/internal/engineclient"
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	clock := clockwork.NewRealClock()
+	clock := boottime.New()
 	registry := metrics.NewRegistry()
 	api := &objectapi.Client{Addr: s.ObjectAPI, Clock: clock, Metrics: registry}
 	api.Prepare()
--- a/internal/program/router.go
+++ b/internal/program/router.go
@@ -5,8 +5,7 @@
 	"io"
 	"net"
 
-	"github.com/jonboulle/clockwork"
-
+	"github.com/dalebend/dalebend/internal/boottime"
 	"github.com/dalebend/dalebend/internal/gateway"
 	"github.com/dalebend/dalebend/internal/peerrpc"
 	"github.com/dalebend/dalebend/internal/policy"
@@ -33,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	clock := clockwork.NewRealClock()
+	clock := boottime.New()
 	r := &router.Router{
 		Box: s.Box, Domain: s.Domain, Policy: chosen, Yield: s.Yield,
 		Controller: &peerrpc.Client{Addr: s.Controller, TLS: tls, Clock: clock},
--- a/internal/quarantine/gate/gate.go
+++ b/internal/quarantine/gate/gate.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/fingerprint"
 	"github.com/dalebend/dalebend/internal/hop"
@@ -131,7 +132,7 @@
 // ended reports whether a server accepts no connection. Cuts of one server ask once.
 func (g *Gate) ended(t exchange.Target) bool {
 	ended, _, _ := g.asked.Do(t.Key, func() (any, error) {
-		ctx, cancel := clockwork.WithTimeout(context.Background(), g.Clock, askFor)
+		ctx, cancel := clockctx.WithTimeout(context.Background(), g.Clock, askFor)
 		defer cancel()
 		return g.Exchanger.Listens(ctx, t.Addr) != nil, nil
 	})
--- a/internal/soak/callers/slow.go
+++ b/internal/soak/callers/slow.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/soak/operator"
 	"github.com/dalebend/dalebend/internal/soak/pause"
 	"github.com/dalebend/dalebend/platform/standin"
@@ -42,7 +43,7 @@
 
 // slowly sends one such request, and leaves.
 func (s *Callers) slowly(ctx context.Context, box *Box, id string) {
-	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, slowWait)
+	ctx, cancel := clockctx.WithTimeout(ctx, s.Clock, slowWait)
 	defer cancel()
 	conn, err := standin.Dial(ctx, box.Front)
 	if err != nil {
--- a/internal/streaming/ask.go
+++ b/internal/streaming/ask.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/periodic"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -45,7 +45,7 @@
 
 // askAll asks the engines that this box is to ask, some at a time.
 func (r *Relay) askAll(ctx context.Context) {
-	ctx, cancel := clockwork.WithTimeout(ctx, r.Clock, askTime)
+	ctx, cancel := clockctx.WithTimeout(ctx, r.Clock, askTime)
 	defer cancel()
 	var g errgroup.Group
 	g.SetLimit(askAtOnce)
--- a/internal/streaming/copyahead.go
+++ b/internal/streaming/copyahead.go
@@ -5,9 +5,8 @@
 	"errors"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/drainplan"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -41,7 +40,7 @@
 // the generation runs.
 func (x *run) copyAhead(source *registry.Server) ahead {
 	// A copy call goes on when the request has ended, so that its copy can be named and freed.
-	ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(x.ctx), x.relay.Clock, moveTime)
+	ctx, cancel := clockctx.WithTimeout(context.WithoutCancel(x.ctx), x.relay.Clock, moveTime)
 	defer cancel()
 	held := x.size()
 	need := &choose.Need{
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -5,8 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
+	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/drainplan"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -134,7 +133,7 @@
 // copies the rest, so that the pause is short. It returns false if the engine has no
 // memory of the generation yet, or if a move would now push out more than it saves.
 func (x *run) evacuate(m *move, source *registry.Server) bool {
-	ctx, cancel := clockwork.WithTimeout(x.ctx, x.relay.Clock, moveTime)
+	ctx, cancel := clockctx.WithTimeout(x.ctx, x.relay.Clock, moveTime)
 	defer cancel()
 	a := x.copyAhead(source)
 	if errors.Is(a.err, errNotWorth) {
--- a/internal/streaming/free.go
+++ b/internal/streaming/free.go
@@ -4,8 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
+	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/registry"
 )
 
@@ -27,7 +26,7 @@
 	if name == "" {
 		return nil
 	}
-	ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(x.ctx), x.relay.Clock, freeTime)
+	ctx, cancel := clockctx.WithTimeout(context.WithoutCancel(x.ctx), x.relay.Clock, freeTime)
 	defer cancel()
 	err := x.relay.Mover.Free(ctx, source, name)
 	x.logFreed(source, err)
