--- a/internal/accountshare/book.go
+++ b/internal/accountshare/book.go
@@ -24,6 +24,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/gather"
 )
 
 const (
@@ -40,9 +42,9 @@
 	most = 1024
 	// shortFor is how long room counts as short after a refusal: as long as a crest lasts.
 	shortFor = 4 * time.Second
-	// gather is how long tokens are gathered for one note: short beside a crest, which lasts for
+	// gatherTime is how long tokens are gathered for one note: short beside a crest, which lasts for
 	// seconds.
-	gather = 500 * time.Millisecond
+	gatherTime = 500 * time.Millisecond
 )
 
 // Book is what accounts took, as this box knows it. It is safe for concurrent use. Set the exported
@@ -58,9 +60,9 @@
 	at    time.Time
 	// short is until when room is short.
 	short time.Time
-	// untold is what the next note says; it is on its way when telling is set.
-	untold  map[uint32]int
-	telling bool
+	// untold is what the next note says, and soon sends it.
+	untold map[uint32]int
+	soon   gather.Gatherer
 }
 
 // Took counts tokens that an engine takes for an account by way of this box.
@@ -176,11 +178,7 @@
 		return
 	}
 	b.untold[key] += tokens
-	if b.telling {
-		return
-	}
-	b.telling = true
-	b.Clock.AfterFunc(gather, b.send)
+	b.soon.Soon(b.Clock, gatherTime, b.send)
 }
 
 // send hands over the note that was gathered.
@@ -188,7 +186,6 @@
 	b.mu.Lock()
 	note := encode(b.untold)
 	clear(b.untold)
-	b.telling = false
 	b.mu.Unlock()
 	b.Tell(note)
 }
--- a/internal/comeback/book.go
+++ b/internal/comeback/book.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/gather"
 )
 
 const (
@@ -30,9 +32,9 @@
 	// mostOfAccount bounds those of one account, so that an account that sends without measure
 	// takes no more than a quarter of what a box may tell of.
 	mostOfAccount = mostOwn / 4
-	// gather is how long refusals are gathered for one note. Callers return after a second
+	// gatherTime is how long refusals are gathered for one note. Callers return after a second
 	// at the soonest.
-	gather = 100 * time.Millisecond
+	gatherTime = 100 * time.Millisecond
 )
 
 // Book is the callers that may come back first, as this box knows them. It is safe for concurrent
@@ -50,9 +52,9 @@
 	own map[uint64]ownRefusal
 	// ofAccount counts own by account.
 	ofAccount map[string]int
-	// untold is what the next note says; it is on its way when telling is set.
-	untold  []entry
-	telling bool
+	// untold is what the next note says, and soon sends it.
+	untold []entry
+	soon   gather.Gatherer
 }
 
 // ownRefusal is a refusal of this box.
@@ -181,18 +183,14 @@
 		return
 	}
 	b.untold = append(b.untold, e)
-	if b.telling {
-		return
-	}
-	b.telling = true
-	b.Clock.AfterFunc(gather, b.send)
+	b.soon.Soon(b.Clock, gatherTime, b.send)
 }
 
 // send hands over the note that was gathered.
 func (b *Book) send() {
 	b.mu.Lock()
 	note := encode(b.untold)
-	b.untold, b.telling = b.untold[:0], false
+	b.untold = b.untold[:0]
 	b.mu.Unlock()
 	b.Tell(note)
 }
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dalebend/dalebend/internal/fingerprint"
+	"github.com/dalebend/dalebend/internal/gather"
 	"github.com/dalebend/dalebend/internal/telemetry"
 )
 
@@ -53,9 +54,9 @@
 	trails    map[fingerprint.Fingerprint]*trail
 	ofAccount map[string]int
 	proven    proven
-	// untold are the trails that the next note tells of; it is on its way when telling is set.
-	untold  map[fingerprint.Fingerprint]*trail
-	telling bool
+	// untold are the trails that the next note tells of, and soon sends it.
+	untold map[fingerprint.Fingerprint]*trail
+	soon   gather.Gatherer
 }
 
 // Empty reports whether no server is known to have ended under any request.
--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// gather is how long trails are gathered for one note: a server that ends leaves one for each
+	// gatherTime is how long trails are gathered for one note: a server that ends leaves one for each
 	// request that it ran, and callers come again after 0.1 s at the soonest.
-	gather = 5 * time.Millisecond
+	gatherTime = 5 * time.Millisecond
 	// lookEvery is how often the book looks for trails to tell again or to forget.
 	lookEvery = 250 * time.Millisecond
 	// tellAgain is how long after it was last told of a trail of two ends or more is told again, for
@@ -92,11 +92,7 @@
 		b.untold = make(map[fingerprint.Fingerprint]*trail)
 	}
 	b.untold[t.fingerprint] = t
-	if b.telling {
-		return
-	}
-	b.telling = true
-	b.Clock.AfterFunc(gather, b.send)
+	b.soon.Soon(b.Clock, gatherTime, b.send)
 }
 
 // send hands over the notes that were gathered.
@@ -110,7 +106,6 @@
 func (b *Book) notes() [][]byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.telling = false
 	now := b.Clock.Now()
 	var notes [][]byte
 	var part []*trail
