quarantine: one box clears what many know to be innocent

A request that many callers share is known as answered well at all boxes; each of them told so at once, at the first trail of it that it heard of: 300 notes for each server that ends, at 300 boxes.

--- a/internal/quarantine/spread.go
+++ b/internal/quarantine/spread.go
@@ -194,10 +194,18 @@
 	}
 }
 
-// disprove tells the other boxes that a request with a trail was answered well here a moment ago.
-// The lock must be held.
+// disprove clears a request with a trail, as it was answered well here a moment ago. One of the boxes
+// that know that tells the others soon; all at once would be hundreds. The lock must be held.
 func (b *Book) disprove(heard *trail, now time.Time) {
-	if t := b.open(heard.fingerprint, heard.account); t != nil {
-		b.clear(t, now, reasonAnswered)
+	t := b.open(heard.fingerprint, heard.account)
+	if t == nil {
+		return
+	}
+	before := len(t.ends)
+	if t.clear(now) {
+		b.missed(t)
+	}
+	if before > 0 {
+		b.forgotten(t, before, reasonAnswered)
 	}
 }
