--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -63,8 +63,9 @@
 	return nil
 }
 
-// flushTime bounds the last write of the requests that are held. The process has a little longer.
-const flushTime = 200 * time.Millisecond
+// flushTime bounds the last write of the requests that are held: some answers of the store, and a
+// third of stopMargin, in which connections are closed as well.
+const flushTime = 100 * time.Millisecond
 
 // keepHolds writes to the store, once more, what it lacks of the requests that are held: this box
 // may be the only one that knows of one.
