boottime: a timer set right after a suspension runs its whole time

Cause: a suspension is noticed as the clock is read, and then brings all timers forward. One that was set between the end of the suspension and that reading was brought forward too, and fired at once: a wait of 8 s after ten seconds away ended after none.

Change: setting a timer reads the clock first. TestSetAfterwards fails without.

--- a/internal/boottime/clock_test.go
+++ b/internal/boottime/clock_test.go
@@ -163,10 +163,25 @@
 	}
 }
 
-// BenchmarkTimer is a timer that is made and stopped: 544 ns, 6 allocations.
+// BenchmarkTimer is a timer that is made and stopped: 0.5 to 0.8 us beside load, 6 allocations.
 func BenchmarkTimer(b *testing.B) {
 	c := boottime.New()
 	for b.Loop() {
 		c.NewTimer(time.Second).Stop()
 	}
 }
+
+// TestSetAfterwards: a timer that is set after a suspension, before anybody has read the clock, runs its
+// whole time.
+func TestSetAfterwards(t *testing.T) {
+	m := newMachine()
+	reset := m.clock.AfterFunc(time.Hour, func() {})
+	m.suspend(5 * time.Second)
+	set := m.clock.AfterFunc(3*time.Second, func() {})
+	m.suspend(5 * time.Second)
+	reset.Reset(8 * time.Second)
+	m.clock.Now()
+	require.False(t, set.Stop(), "it was due while the machine was suspended again")
+	m.Advance(7999 * time.Millisecond)
+	require.True(t, reset.Stop())
+}
--- a/internal/boottime/timer.go
+++ b/internal/boottime/timer.go
@@ -53,6 +53,8 @@
 }
 
 func (t *timer) start(d time.Duration) {
+	// A suspension that nobody has noticed yet must not count for this timer.
+	t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.clock.mu.Lock()
