keeper: a hold that was taken out while no watch was heard stays out

Cause: a box that reads the holds anew, as the store dropped its history or was away, wrote those again that an operator had taken out meanwhile. Change: what it knew to be stored and is not any more is lifted. TestLiftedMeanwhile fails without.

--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -87,10 +87,17 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.at = at
+	before := k.stored
 	k.stored = make(map[fingerprint.Fingerprint]bool, len(holds))
 	for _, h := range holds {
 		k.take(h)
 	}
+	for f := range before {
+		if !k.stored[f] {
+			// Somebody took it out while this box did not follow.
+			k.Book.Lift(f)
+		}
+	}
 	return nil
 }
 
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -174,6 +174,21 @@
 	require.NoError(t, first.Book.Check(1))
 }
 
+// TestLiftedMeanwhile: a hold that was taken out while no watch was heard stays out.
+func TestLiftedMeanwhile(t *testing.T) {
+	s := newStore()
+	b := newBox(s)
+	require.NoError(t, b.Load(t.Context()))
+	b.hold(t)
+	require.True(t, b.Flush(t.Context()))
+	require.NoError(t, s.DropHold(t.Context(), 1))
+	b.clock.Advance(time.Millisecond)
+	require.NoError(t, b.Load(t.Context()))
+	require.Zero(t, b.Book.Held())
+	require.True(t, b.Flush(t.Context()))
+	require.False(t, s.has())
+}
+
 // TestClearedIsTakenOut: a hold that a good answer proves wrong goes from the store.
 func TestClearedIsTakenOut(t *testing.T) {
 	s := newStore()
