keeper: a hold that is written while the list is on its way is not lifted

Change: only what was known to be stored before the list was asked for. TestWrittenMeanwhile fails with the order of before; 40 runs of the package under the race detector pass.

--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +82,8 @@
 
 // Load reads the holds of the store.
 func (k *Keeper) Load(ctx context.Context) error {
+	// What is written while the call is under way may be in the answer or not.
+	before := k.known()
 	holds, at, err := k.Source.Holds(ctx)
 	if err != nil {
 		return err
@@ -87,12 +91,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.at = at
-	before := k.stored
 	k.stored = make(map[fingerprint.Fingerprint]bool, len(holds))
 	for _, h := range holds {
 		k.take(h)
 	}
-	for f := range before {
+	for _, f := range before {
 		if !k.stored[f] {
 			// Somebody took it out while this box did not follow.
 			k.Book.Lift(f)
@@ -101,6 +104,13 @@
 	return nil
 }
 
+// known returns the holds that the store is known to have.
+func (k *Keeper) known() []fingerprint.Fingerprint {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Collect(maps.Keys(k.stored))
+}
+
 // take notes a hold of the store. The lock must be held.
 func (k *Keeper) take(h quarantine.Hold) {
 	k.stored[h.Fingerprint] = true
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -232,3 +232,36 @@
 	require.True(t, b.Flush(t.Context()))
 	require.True(t, s.has())
 }
+
+// slowStore answers a list as it was when it was asked for.
+type slowStore struct {
+	*store
+	listed, answer chan struct{}
+}
+
+func (s *slowStore) Holds(ctx context.Context) ([]quarantine.Hold, int64, error) {
+	holds, at, err := s.store.Holds(ctx)
+	close(s.listed)
+	<-s.answer
+	return holds, at, err
+}
+
+// TestWrittenMeanwhile: a hold that is written while the list is on its way is not taken for lifted.
+func TestWrittenMeanwhile(t *testing.T) {
+	s := newStore()
+	b := newBox(s)
+	require.NoError(t, b.Load(t.Context()))
+	b.hold(t)
+	slow := &slowStore{store: s, listed: make(chan struct{}), answer: make(chan struct{})}
+	b.Source = slow
+	loaded := make(chan error, 1)
+	go func() { loaded <- b.Load(t.Context()) }()
+	<-slow.listed
+	require.True(t, b.Flush(t.Context()))
+	b.clock.Advance(time.Millisecond)
+	close(slow.answer)
+	require.NoError(t, <-loaded)
+	require.Equal(t, 1, b.Book.Held())
+	require.True(t, b.Flush(t.Context()))
+	require.True(t, s.has())
+}
