condition, platform: what servers say of themselves is read at one place

Change: hop.Condition is all that an answer says of its server, decoded in platform/ and read at the head of every answer next to the connections (condition/reader, before serverlimit/reader); packages departure and holdoff keep the two words by start of a server, with a line when one begins and ends and gauges. What cannot be read is told once for each word and start, limits as well (condition-refused in the place of limit-refused). No decision changes.

--- a/internal/box/beliefs.go
+++ b/internal/box/beliefs.go
@@ -92,7 +92,7 @@
 	b.evidence.Retain(b.directory.Known)
 	b.tempo.Retain(b.directory.Known)
 	b.prefill.Retain(b.directory.Known)
-	b.limits.Retain(b.directory.Known)
+	b.conditions.Retain(b.directory.Known)
 	b.gate.ServersChanged()
 	b.logView(&v)
 }
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -21,10 +21,13 @@
 	"github.com/dalebend/dalebend/internal/boxsettings"
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/comeback"
+	"github.com/dalebend/dalebend/internal/condition"
+	"github.com/dalebend/dalebend/internal/departure"
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/front"
+	"github.com/dalebend/dalebend/internal/holdoff"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/member"
 	"github.com/dalebend/dalebend/internal/moment"
@@ -113,9 +116,14 @@
 	holds      *keeper.Keeper
 	gate       *gate.Gate
 	// limits knows the servers that name how many requests a second they take.
-	limits  *serverlimit.Book
-	streams *streaming.Relay
-	front   *front.Server
+	limits *serverlimit.Book
+	// departures knows the servers that say that they leave, holdOffs those that this box holds off
+	// from, and conditions keeps these and the limits together.
+	departures *departure.Book
+	holdOffs   *holdoff.Book
+	conditions *condition.Book
+	streams    *streaming.Relay
+	front      *front.Server
 
 	started     time.Time
 	running     atomic.Bool
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -12,10 +12,14 @@
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/coldstart"
 	"github.com/dalebend/dalebend/internal/comeback"
+	"github.com/dalebend/dalebend/internal/condition"
+	"github.com/dalebend/dalebend/internal/condition/reader"
+	"github.com/dalebend/dalebend/internal/departure"
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/forecast"
 	"github.com/dalebend/dalebend/internal/front"
+	"github.com/dalebend/dalebend/internal/holdoff"
 	"github.com/dalebend/dalebend/internal/member"
 	"github.com/dalebend/dalebend/internal/notice"
 	"github.com/dalebend/dalebend/internal/pace"
@@ -26,7 +30,6 @@
 	"github.com/dalebend/dalebend/internal/quarantine/keeper"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/serverlimit"
-	"github.com/dalebend/dalebend/internal/serverlimit/reader"
 	"github.com/dalebend/dalebend/internal/single"
 	"github.com/dalebend/dalebend/internal/spend"
 	"github.com/dalebend/dalebend/internal/storewatch"
@@ -41,7 +44,7 @@
 	b.started = b.Clock.Now()
 	b.contact = make(chan struct{})
 	b.stopGrace.Store(int64(b.Settings.StopGrace))
-	b.buildLimits()
+	b.buildConditions()
 	b.buildBeliefs()
 	b.buildPeers()
 	b.buildQuarantine()
@@ -50,13 +53,18 @@
 	b.buildMetrics()
 }
 
-// buildLimits makes what the box believes of the limits that servers name.
-func (b *Box) buildLimits() {
+// buildConditions makes what the box believes of servers by their own words.
+func (b *Box) buildConditions() {
 	b.budget = &spend.Budget{Clock: b.Clock, Boxes: b.boxes, Terms: budgetTerms(b.Settings)}
 	b.limits = &serverlimit.Book{
 		Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics, Box: b.Settings.Box, Live: b.liveNames,
 		Demand: b.budget.Demand, Tell: b.spread, Draw: b.random(drawsOfLimits).Float64,
 	}
+	b.departures = &departure.Book{Clock: b.Clock, Logger: b.Logger}
+	b.holdOffs = &holdoff.Book{Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics}
+	b.conditions = &condition.Book{
+		Logger: b.Logger, Metrics: b.Metrics, Limits: b.limits, Departures: b.departures, HoldOffs: b.holdOffs,
+	}
 }
 
 // buildBeliefs makes what the box believes of backend servers.
@@ -125,13 +133,14 @@
 	}
 	b.holds = &keeper.Keeper{Clock: b.Clock, Logger: b.Logger, Source: b.Platform.Holds, Book: b.quarantine}
 	b.gate = &gate.Gate{
-		Clock: b.Clock, Exchanger: b.limitReader(), Servers: b.directory, Codec: b.Platform.Codec, Book: b.quarantine,
+		Clock: b.Clock, Exchanger: b.conditionReader(), Servers: b.directory, Codec: b.Platform.Codec, Book: b.quarantine,
 	}
 }
 
-// limitReader returns the exchanger that reads limits off the answers of servers.
-func (b *Box) limitReader() *reader.Reader {
-	return &reader.Reader{Exchanger: b.Exchange, Clock: b.Clock, Codec: b.Platform.Codec, Book: b.limits}
+// conditionReader returns the exchanger that reads off the answers of servers what these say of
+// themselves.
+func (b *Box) conditionReader() *reader.Reader {
+	return &reader.Reader{Exchanger: b.Exchange, Clock: b.Clock, Codec: b.Platform.Codec, Book: b.conditions}
 }
 
 func (b *Box) buildStore() {
--- a/internal/box/metrics.go
+++ b/internal/box/metrics.go
@@ -27,6 +27,8 @@
 	m.EngineEnds.Compute(func() float64 { return float64(b.notice.Seen()) })
 	m.ServersEjected.Compute(func() float64 { return float64(b.evidence.Ejected()) })
 	m.ServersLimited.Compute(func() float64 { return float64(b.limits.Limited()) })
+	m.ServersLeaving.Compute(func() float64 { return float64(b.departures.Leaving()) })
+	m.ServersHeldOff.Compute(func() float64 { return float64(b.holdOffs.HeldOff()) })
 	m.RetryBudgetLeft.Compute(func() float64 { return float64(b.budget.LeftInAll()) })
 	m.ComeBacks.Compute(func() float64 { return float64(b.comeBack.Known()) })
 	m.OpenConnections.Compute(func() float64 { return float64(b.front.Connections()) })
--- /dev/null
+++ b/internal/condition/book.go
@@ -0,0 +1,109 @@
+package condition
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/departure"
+	"github.com/dalebend/dalebend/internal/holdoff"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/serverlimit"
+	"github.com/dalebend/dalebend/internal/telemetry"
+)
+
+// Book is safe for concurrent use. Set the exported fields before use. A nil Book knows nothing, as
+// does one without a part for a word.
+type Book struct {
+	Logger *slog.Logger
+	// Metrics may be nil.
+	Metrics *telemetry.Metrics
+
+	Limits     *serverlimit.Book
+	Departures *departure.Book
+	HoldOffs   *holdoff.Book
+
+	mu sync.Mutex
+	// unreadable holds the words that were told of as such, by start of a server.
+	unreadable map[string][]hop.Word
+}
+
+// Answer is what one answer of a start of a server says of it.
+type Answer struct {
+	hop.Condition
+
+	// Sent is when the request was sent.
+	Sent time.Time
+	// Own is set if the answer is proven to be the server's own.
+	Own bool
+}
+
+// Answered takes an answer of a start of a server. A word that cannot be read changes nothing.
+func (b *Book) Answered(server string, a Answer) {
+	if b == nil {
+		return
+	}
+	for _, u := range a.Unreadable {
+		b.refuse(server, u)
+	}
+	if !a.Unread(hop.WordLimit) {
+		b.Limits.Answered(server, serverlimit.Answer{Limit: a.Limit, Sent: a.Sent, Own: a.Own})
+	}
+	if a.Leaving {
+		b.Departures.Answered(server)
+	}
+	if !a.Unread(hop.WordHoldOff) {
+		b.HoldOffs.Answered(server, a.HoldOff, a.Sent)
+	}
+}
+
+// Sent counts a request that is given to a server.
+func (b *Book) Sent(server string) {
+	if b != nil {
+		b.Limits.Sent(server)
+	}
+}
+
+// Retain forgets the servers that are gone.
+func (b *Book) Retain(known func(server string) bool) {
+	b.Limits.Retain(known)
+	b.Departures.Retain(known)
+	b.HoldOffs.Retain(known)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for server := range b.unreadable {
+		if !known(server) {
+			delete(b.unreadable, server)
+		}
+	}
+}
+
+// refuse tells of a word that cannot be read, once for each start of a server.
+func (b *Book) refuse(server string, u hop.Unreadable) {
+	b.Metrics.OrUnseen().WordsUnreadable.Inc(string(u.Word))
+	if !b.firstUnreadable(server, u.Word) {
+		return
+	}
+	name := event.ConditionRefused
+	b.Logger.LogAttrs(context.Background(), name.Level(), string(name),
+		slog.String(event.KeyServer, server), slog.String(event.KeyWord, string(u.Word)),
+		slog.String(event.KeyCause, u.Err.Error()))
+}
+
+// firstUnreadable reports whether a word of a server is the first of its kind that cannot be read.
+func (b *Book) firstUnreadable(server string, w hop.Word) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, told := range b.unreadable[server] {
+		if told == w {
+			return false
+		}
+	}
+	if b.unreadable == nil {
+		b.unreadable = make(map[string][]hop.Word)
+	}
+	b.unreadable[server] = append(b.unreadable[server], w)
+	return true
+}
--- /dev/null
+++ b/internal/condition/book_test.go
@@ -0,0 +1,75 @@
+package condition_test
+
+import (
+	"errors"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/condition"
+	"github.com/dalebend/dalebend/internal/departure"
+	"github.com/dalebend/dalebend/internal/holdoff"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/serverlimit"
+)
+
+// newBook returns a book that knows nothing and writes its lines to out.
+func newBook(clock clockwork.Clock, out *strings.Builder) *condition.Book {
+	logger := slog.New(slog.NewTextHandler(out, nil))
+	draw := func() float64 { return 0 }
+	live := func() []string { return nil }
+	return &condition.Book{
+		Logger:     logger,
+		Limits:     &serverlimit.Book{Clock: clock, Logger: logger, Live: live, Draw: draw},
+		Departures: &departure.Book{Clock: clock, Logger: logger},
+		HoldOffs:   &holdoff.Book{Clock: clock, Logger: logger},
+	}
+}
+
+// unreadable is an answer whose words of some kinds cannot be read.
+func unreadable(words ...hop.Word) condition.Answer {
+	a := condition.Answer{Own: true}
+	for _, w := range words {
+		a.Unreadable = append(a.Unreadable, hop.Unreadable{Word: w, Err: errors.New("nonsense")})
+	}
+	return a
+}
+
+// TestUnreadable: a word that cannot be read is told of once for each start of a server, and changes
+// nothing: a limit in force and a time to hold off stay.
+func TestUnreadable(t *testing.T) {
+	var out strings.Builder
+	clock := clockwork.NewFakeClock()
+	b := newBook(clock, &out)
+	for range 3 {
+		b.Answered("s1", unreadable(hop.WordLimit, hop.WordLeaving, hop.WordHoldOff))
+	}
+	require.Equal(t, 3, strings.Count(out.String(), "msg=condition-refused"))
+	require.Zero(t, b.Limits.Limited()+b.Departures.Leaving()+b.HoldOffs.HeldOff())
+
+	b.Answered("s2", condition.Answer{Condition: hop.Condition{Limit: hop.Limit{Named: true, PerSecond: 4}, HoldOff: time.Second}})
+	clock.Advance(2 * time.Second)
+	for range 3 {
+		a := unreadable(hop.WordLimit, hop.WordHoldOff)
+		a.Sent = clock.Now()
+		b.Answered("s2", a)
+	}
+	require.Equal(t, 1, b.Limits.Limited())
+	require.Equal(t, 1, b.HoldOffs.HeldOff())
+	require.Equal(t, 5, strings.Count(out.String(), "msg=condition-refused"))
+
+	b.Retain(func(server string) bool { return server == "s2" })
+	b.Answered("s1", unreadable(hop.WordLimit))
+	require.Equal(t, 6, strings.Count(out.String(), "msg=condition-refused"), "a later start is told of anew")
+}
+
+// TestNothingKnown: a book without parts takes any answer.
+func TestNothingKnown(*testing.T) {
+	a := condition.Answer{Condition: hop.Condition{Leaving: true, HoldOff: time.Second, Limit: hop.Limit{Named: true}}}
+	(*condition.Book)(nil).Answered("s", a)
+	(&condition.Book{}).Answered("s", a)
+}
--- a/internal/serverlimit/reader/reader.go
+++ b/internal/condition/reader/reader.go
@@ -1,4 +1,4 @@
-// Package reader reads off the answers of backend servers which limits these name.
+// Package reader reads off the answers of backend servers what these say of themselves.
 //
 // It stands next to the connections, below package quarantine/gate, so that it sees each send and
 // the head of each answer as that arrives: first sends, resends, hedges and continuations alike.
@@ -9,9 +9,9 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/condition"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
-	"github.com/dalebend/dalebend/internal/serverlimit"
 )
 
 // Exchanger sends requests, and finds out whether a server accepts connections.
@@ -26,10 +26,11 @@
 
 	Clock clockwork.Clock
 	Codec hop.Codec
-	Book  *serverlimit.Book
+	Book  *condition.Book
 }
 
-// Do sends a request, as the embedded Exchanger does.
+// Do sends a request, as the embedded Exchanger does. What another server at the address says is not
+// the server's word.
 func (r *Reader) Do(ctx context.Context, t exchange.Target, request *exchange.Request) (*exchange.Response, error) {
 	sent := r.Clock.Now()
 	r.Book.Sent(t.Key)
@@ -37,9 +38,8 @@
 	if err != nil || r.Codec.Moved(resp.Status) {
 		return resp, err
 	}
-	limit, unreadable := r.Codec.Limit(resp.Header)
-	r.Book.Answered(t.Key, serverlimit.Answer{
-		Limit: limit, Err: unreadable, Sent: sent, Own: r.Codec.Proven(resp.Header),
+	r.Book.Answered(t.Key, condition.Answer{
+		Condition: r.Codec.Condition(resp.Status, resp.Header), Sent: sent, Own: r.Codec.Proven(resp.Header),
 	})
 	return resp, nil
 }
--- /dev/null
+++ b/internal/condition/reader/reader_test.go
@@ -0,0 +1,94 @@
+package reader_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/condition"
+	"github.com/dalebend/dalebend/internal/condition/reader"
+	"github.com/dalebend/dalebend/internal/departure"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/holdoff"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/serverlimit"
+)
+
+// codec takes 421 for "another server has the address", and the headers Limit, Leaving and Wait for a
+// limit of 3, the server's leaving, and a second to hold off.
+type codec struct{ hop.Codec }
+
+func (codec) Moved(status int) bool     { return status == http.StatusMisdirectedRequest }
+func (codec) Proven(h http.Header) bool { return h.Get("Proof") != "" }
+func (codec) Condition(_ int, h http.Header) hop.Condition {
+	c := hop.Condition{Limit: hop.Limit{Named: h.Get("Limit") != "", PerSecond: 3}, Leaving: h.Get("Leaving") != ""}
+	if h.Get("Wait") != "" {
+		c.HoldOff = time.Second
+	}
+	return c
+}
+
+// answers is an exchanger that always gives the same answer, or none.
+type answers struct{ resp *exchange.Response }
+
+func (a answers) Do(context.Context, exchange.Target, *exchange.Request) (*exchange.Response, error) {
+	if a.resp == nil {
+		return nil, errors.New("no answer")
+	}
+	return a.resp, nil
+}
+func (answers) Listens(context.Context, string) error { return nil }
+
+// newBook returns a book that knows nothing.
+func newBook() *condition.Book {
+	clock := clockwork.NewFakeClock()
+	logger := slog.New(slog.DiscardHandler)
+	draw := func() float64 { return 0 }
+	live := func() []string { return nil }
+	return &condition.Book{
+		Logger:     logger,
+		Limits:     &serverlimit.Book{Clock: clock, Logger: logger, Live: live, Draw: draw},
+		Departures: &departure.Book{Clock: clock, Logger: logger},
+		HoldOffs:   &holdoff.Book{Clock: clock, Logger: logger},
+	}
+}
+
+// TestReads: what a server says of itself is taken from answers of any status, but not from those of another
+// server.
+func TestReads(t *testing.T) {
+	said := http.Header{"Limit": {"3"}, "Leaving": {"1"}, "Wait": {"1"}}
+	for name, c := range map[string]struct {
+		status int
+		header http.Header
+		known  int
+	}{
+		"a good answer":      {http.StatusOK, said, 1},
+		"a failure":          {http.StatusInternalServerError, said, 1},
+		"turned away":        {http.StatusServiceUnavailable, said, 1},
+		"of another server":  {http.StatusMisdirectedRequest, said, 0},
+		"without a word":     {http.StatusOK, http.Header{"Proof": {"p"}}, 0},
+		"no answer whatever": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			book := newBook()
+			r := &reader.Reader{Clock: book.Limits.Clock, Codec: codec{}, Book: book}
+			a := answers{}
+			if c.status > 0 {
+				a.resp = &exchange.Response{Status: c.status, Header: c.header}
+			}
+			r.Exchanger = a
+			resp, err := r.Do(t.Context(), exchange.Target{Key: "s"}, &exchange.Request{})
+			require.Equal(t, a.resp, resp)
+			require.Equal(t, a.resp == nil, err != nil)
+			require.Equal(t, c.known, book.Limits.Limited())
+			require.Equal(t, c.known, book.Departures.Leaving())
+			require.Equal(t, c.known, book.HoldOffs.HeldOff())
+		})
+	}
+}
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -89,6 +89,9 @@
 	KeyLost     = "lost"
 	KeyFailures = "failures"
 	KeyAway     = "away_ms"
+	// KeyWord is what kind of word a server said of itself, KeyAge how long ago.
+	KeyWord = "word"
+	KeyAge  = "age_ms"
 	// KeyPerSecond is a rate, in requests a second.
 	KeyPerSecond = "per_second"
 	// KeyLeavesIn is the time until a server ends, by its own word.
--- a/internal/hop/codec.go
+++ b/internal/hop/codec.go
@@ -45,14 +45,6 @@
 	LastEvent string
 }
 
-// Limit is what an answer says of the rate that its server takes.
-type Limit struct {
-	// Named is set if the answer names a limit; PerSecond is the most requests a second that the
-	// server takes from all boxes together.
-	Named     bool
-	PerSecond float64
-}
-
 // Report is what an engine says of itself when it is asked.
 type Report struct {
 	// Born is when the start that answered began, as in registry.Server; 0 if it does not say.
@@ -75,9 +67,8 @@
 	Moved(status int) bool
 	// Proven reports whether a success carries the server's proof that it is its own.
 	Proven(h http.Header) bool
-	// Limit returns what the answer says of the rate that its server takes. The error says that it
-	// names one that cannot be read.
-	Limit(h http.Header) (Limit, error)
+	// Condition returns what the answer says of its server itself.
+	Condition(status int, h http.Header) Condition
 	// Answer returns the headers that the caller gets.
 	Answer(h http.Header) http.Header
 }
--- a/internal/quarantine/gate/gate_test.go
+++ b/internal/quarantine/gate/gate_test.go
@@ -31,7 +31,7 @@
 func (codec) Moved(int) bool                                 { return false }
 func (codec) Proven(h http.Header) bool                      { return h.Get("Proof") != "" }
 func (codec) Answer(h http.Header) http.Header               { return h }
-func (codec) Limit(http.Header) (hop.Limit, error)           { return hop.Limit{}, nil }
+func (codec) Condition(int, http.Header) hop.Condition       { return hop.Condition{} }
 
 // servers says what is known of the one server.
 type servers struct {
--- a/internal/serverlimit/book.go
+++ b/internal/serverlimit/book.go
@@ -45,10 +45,8 @@
 
 // Answer is what one answer of a server tells of its limit.
 type Answer struct {
-	// Limit is what it says, unless Err says that this cannot be read.
 	hop.Limit
 
-	Err error
 	// Sent is when the request was sent.
 	Sent time.Time
 	// Own is set if the answer is proven to be the server's own.
@@ -57,14 +55,12 @@
 
 // Answered takes an answer of a start of a server.
 func (b *Book) Answered(server string, a Answer) {
-	if b == nil || !a.Named && a.Err == nil && b.known.Load() == 0 {
+	if b == nil || !a.Named && b.known.Load() == 0 {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
-	case a.Err != nil:
-		b.unreadable(server, a.Err)
 	case a.Named:
 		b.named(server, a.PerSecond)
 	case a.Own:
@@ -153,13 +149,3 @@
 	b.ended(l, reasonAnswers)
 	b.tellSoon(l)
 }
-
-// unreadable notes a limit that cannot be read: it neither names one nor ends one. The lock must be
-// held.
-func (b *Book) unreadable(server string, err error) {
-	b.Metrics.OrUnseen().LimitsUnreadable.Inc()
-	if l := b.of(server); !l.unreadable {
-		l.unreadable = true
-		b.refused(l, err)
-	}
-}
--- a/internal/serverlimit/book_test.go
+++ b/internal/serverlimit/book_test.go
@@ -1,7 +1,6 @@
 package serverlimit_test
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -26,15 +25,13 @@
 	}})
 }
 
-// readAnswer reads what an answer says: a limit, "none", "unreadable" or "unproven".
+// readAnswer reads what an answer says: a limit, "none" or "unproven".
 func readAnswer(t *testing.T, word string) serverlimit.Answer {
 	switch word {
 	case "none":
 		return serverlimit.Answer{Own: true}
 	case "unproven":
 		return serverlimit.Answer{}
-	case "unreadable":
-		return serverlimit.Answer{Own: true, Err: errors.New("no rate")}
 	}
 	a := serverlimit.Answer{Limit: hop.Limit{Named: true}, Own: true}
 	_, err := fmt.Sscan(word, &a.PerSecond)
--- a/internal/serverlimit/limit.go
+++ b/internal/serverlimit/limit.go
@@ -39,8 +39,6 @@
 	shown  float64
 	// missed counts the answers in a row that lacked the limit.
 	missed int
-	// unreadable is set once an answer has named a limit that cannot be read.
-	unreadable bool
 
 	// service is that of the server, share this box's part of the limit as of the time shared, and
 	// permits what is left of it. There are none before the box was first asked for a request.
--- a/internal/serverlimit/log.go
+++ b/internal/serverlimit/log.go
@@ -33,11 +33,6 @@
 		slog.Int64(event.KeyAway, b.Clock.Since(l.since).Milliseconds()), slog.String(event.KeyReason, reason))
 }
 
-// refused tells of a limit that cannot be read. The lock must be held.
-func (b *Book) refused(l *limit, err error) {
-	b.log(event.LimitRefused, slog.String(event.KeyServer, l.server), slog.String(event.KeyCause, err.Error()))
-}
-
 func (b *Book) log(name event.Name, attrs ...slog.Attr) {
 	b.Logger.LogAttrs(context.Background(), name.Level(), string(name), attrs...)
 }
--- a/internal/single/servers_test.go
+++ b/internal/single/servers_test.go
@@ -39,7 +39,7 @@
 func (codec) Moved(status int) bool                        { return status == http.StatusMisdirectedRequest }
 func (codec) Proven(h http.Header) bool                    { return h.Get(headerProof) != "" }
 func (codec) Answer(h http.Header) http.Header             { return h }
-func (codec) Limit(http.Header) (hop.Limit, error)         { return hop.Limit{}, nil }
+func (codec) Condition(int, http.Header) hop.Condition     { return hop.Condition{} }
 
 // servers are a few plain servers, as the sender's exchanger sees them. Tests
 // tell them how to answer.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -47,8 +47,12 @@
 	Quarantined *counters
 	// LimitedSends counts requests that were given to servers which named a limit, by server.
 	LimitedSends *counters
-	// LimitsUnreadable counts answers that named a limit which cannot be read.
-	LimitsUnreadable *counters
+	// WordsUnreadable counts words of servers on themselves, in their answers, that cannot be read, by
+	// word.
+	WordsUnreadable *counters
+	// HoldOffs counts answers by which servers asked this box to hold off for longer than it knew, by
+	// server.
+	HoldOffs *counters
 	// Ejections counts ejections of backend servers, by cause.
 	Ejections *counters
 
@@ -94,6 +98,10 @@
 	ServersEjected *gauge
 	// ServersLimited counts those that name a limit on the requests that they take.
 	ServersLimited *gauge
+	// ServersLeaving counts those that say in their answers that they leave, ServersHeldOff those that
+	// want nothing from this box.
+	ServersLeaving *gauge
+	ServersHeldOff *gauge
 	// EngineNotice is the notice that engines are expected to give, EngineEnds the number
 	// of ended engines that it was learned from.
 	EngineNotice *gauge
@@ -161,7 +169,8 @@
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
 	m.Quarantined = m.counters("quarantined_total", "changes of what is known of requests under which servers ended", "change")
 	m.LimitedSends = m.counters("limited_sends_total", "requests given to servers that name a limit", "server")
-	m.LimitsUnreadable = m.counters("limits_unreadable_total", "answers of servers that named a limit which cannot be read")
+	m.WordsUnreadable = m.counters("words_unreadable_total", "words of servers on themselves, in their answers, that cannot be read", "word")
+	m.HoldOffs = m.counters("hold_offs_total", "answers by which servers asked this box to hold off for longer than it knew", "server")
 }
 
 func (m *Metrics) declareHistograms() {
@@ -175,6 +184,8 @@
 	m.ServerLimit = m.gauges("server_limit_per_second", "requests a second that a server takes from all boxes together, by its own word", "server")
 	m.ServerLimitShare = m.gauges("server_limit_share", "the part of that which this box may use", "server")
 	m.ServersLimited = m.gauge("servers_limited", "backend servers that name such a limit")
+	m.ServersLeaving = m.gauge("servers_leaving", "backend servers that say in their answers that they leave")
+	m.ServersHeldOff = m.gauge("servers_held_off", "backend servers that want nothing from this box for a time, or have not answered since")
 	m.ConfigVersion = m.gauge("config_version", "configuration version in force")
 	m.ConfigAge = m.gauge("config_age_seconds", "time since the configuration was last known to be the newest")
 	m.ViewRevision = m.gauge("view_revision", "revision of what the box knows of the backend servers")
