departure, registry, choose, exchange: a server that says that it leaves gets no new work

Callers saw nothing, but a server that was about to end got new requests for as long as the store was away (12 s): the two boxes that it had told first sent some 2.0 and 2.9 s later. Cause: "leaving" came from the list of servers alone, which cannot tell while the store is away; what the server said in its answers was passed on and read by nobody. Change: package departure takes the word, keeps new work from the server (registry.Decline) and tells the other boxes; condition.Book is asked in choose, and once more by the exchange when a connection is there, so that what waited for one is not sent. Why it holds: the word is heard at the head of the answer, before the caller has it, and ends only with the start.

What runs at the server goes on: streams are not moved for the word, and may go on at a copy there. Engines that said so are still asked for their report while the list is old. Words are not forgotten while the start stands in the list; reports' were after ten minutes.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -44,6 +44,7 @@
 	b.started = b.Clock.Now()
 	b.contact = make(chan struct{})
 	b.stopGrace.Store(int64(b.Settings.StopGrace))
+	b.buildServers()
 	b.buildConditions()
 	b.buildBeliefs()
 	b.buildPeers()
@@ -53,6 +54,11 @@
 	b.buildMetrics()
 }
 
+// buildServers makes the list of backend servers.
+func (b *Box) buildServers() {
+	b.directory = &registry.Directory{Clock: b.Clock, StoreReturned: b.storeReturned, Left: b.serversLeft, ColdTime: b.coldTime}
+}
+
 // buildConditions makes what the box believes of servers by their own words.
 func (b *Box) buildConditions() {
 	b.budget = &spend.Budget{Clock: b.Clock, Boxes: b.boxes, Terms: budgetTerms(b.Settings)}
@@ -60,7 +66,10 @@
 		Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics, Box: b.Settings.Box, Live: b.liveNames,
 		Demand: b.budget.Demand, Tell: b.spread, Draw: b.random(drawsOfLimits).Float64,
 	}
-	b.departures = &departure.Book{Clock: b.Clock, Logger: b.Logger}
+	b.departures = &departure.Book{
+		Clock: b.Clock, Logger: b.Logger, Servers: b.directory, Box: b.Settings.Box, Live: b.liveNames,
+		Tell: b.spread, Draw: b.random(drawsOfDepartures).Float64,
+	}
 	b.holdOffs = &holdoff.Book{Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics}
 	b.conditions = &condition.Book{
 		Logger: b.Logger, Metrics: b.Metrics, Limits: b.limits, Departures: b.departures, HoldOffs: b.holdOffs,
@@ -73,7 +82,6 @@
 	b.starts = &arrival.Rate{Clock: b.Clock}
 	b.evidence = &evidence.Book{Clock: b.Clock, Changed: b.serverChanged}
 	b.notice = &notice.Book{Clock: b.Clock}
-	b.directory = &registry.Directory{Clock: b.Clock, StoreReturned: b.storeReturned, Left: b.serversLeft, ColdTime: b.coldTime}
 	cold := &coldstart.Gate{
 		Clock: b.Clock, Box: b.Settings.Box, Live: b.liveNames,
 		Bound: coldstart.Bound{Over: b.Settings.ColdOver, Slack: b.Settings.ColdSlack},
@@ -87,7 +95,7 @@
 		Directory: b.directory, Evidence: b.evidence, Ledger: b.ledger,
 		Domain: b.Settings.Domain, Rand: b.random(drawsOfChooser), Unseen: b.unseenStarts,
 		Region: b.region, Prompts: prompts, Tempo: b.tempo, Prefill: b.prefill, Cold: cold, ColdRate: b.coldRate,
-		Limits: b.limits,
+		Conditions: b.conditions,
 	}
 }
 
@@ -219,6 +227,7 @@
 	drawsOfWatcher
 	drawsOfQuarantine
 	drawsOfLimits
+	drawsOfDepartures
 )
 
 // random returns a source of random numbers for one part of the box.
--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -44,6 +44,7 @@
 	g.Go(func() error { return b.front.Run(inner, b.listeners.front) })
 	g.Go(func() error { b.quarantine.Run(inner); return nil })
 	g.Go(func() error { b.limits.Run(inner); return nil })
+	g.Go(func() error { b.departures.Run(inner); return nil })
 	g.Go(func() error { b.streams.Guard(inner); return nil })
 	g.Go(func() error { b.streams.Ask(inner); return nil })
 	g.Go(func() error { b.serveMetrics(inner); return nil })
--- a/internal/box/tell.go
+++ b/internal/box/tell.go
@@ -5,6 +5,7 @@
 
 	"github.com/dalebend/dalebend/internal/accountshare"
 	"github.com/dalebend/dalebend/internal/comeback"
+	"github.com/dalebend/dalebend/internal/departure"
 	"github.com/dalebend/dalebend/internal/digest"
 	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -32,8 +33,8 @@
 }
 
 // spread tells all peers which callers may come back first, what accounts took, under which
-// requests servers ended, or which limits they name. It need not reach them: they decide by what they know, and what must be
-// known is told again.
+// requests servers ended, which limits they name, or that they leave. It need not reach them: they decide by what
+// they know, and what must be known is told again.
 func (b *Box) spread(note []byte) { b.node.Spread(note) }
 
 // noted takes a note of a peer.
@@ -47,6 +48,8 @@
 		b.quarantine.Noted(note)
 	case serverlimit.IsNote(note):
 		b.limits.Noted(note)
+	case departure.IsNote(note):
+		b.departures.Noted(note)
 	default:
 		b.share.TakeChange(note)
 	}
--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -13,13 +13,13 @@
 
 	"github.com/dalebend/dalebend/internal/admission"
 	"github.com/dalebend/dalebend/internal/coldstart"
+	"github.com/dalebend/dalebend/internal/condition"
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/pace"
 	"github.com/dalebend/dalebend/internal/prefill"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
-	"github.com/dalebend/dalebend/internal/serverlimit"
 	"github.com/dalebend/dalebend/internal/tempo"
 )
 
@@ -70,8 +70,8 @@
 	// a cold server of a service bears, 0 if that is not bounded. Nil is no bound.
 	Cold     *coldstart.Gate
 	ColdRate func(service string) float64
-	// Limits are those that servers name. Nil is none.
-	Limits *serverlimit.Book
+	// Conditions is what servers say of themselves. Nil is nothing.
+	Conditions *condition.Book
 
 	mu       sync.Mutex
 	inFlight map[string]int
@@ -134,22 +134,22 @@
 // where a server names a limit: what it takes and gets from no box falls on its neighbours.
 func (c *Chooser) plainRank(m *registry.Member) float64 {
 	rank := float64(c.inFlight[m.ID])/float64(max(1, m.Slots)) + c.conduct(m)
-	if m.Domain != c.Domain && !c.Limits.Holds(m.ID) {
+	if m.Domain != c.Domain && !c.Conditions.Limited(m.ID) {
 		rank += otherDomain
 	}
 	return rank
 }
 
-// Limited returns *serverlimit.Refused if servers of a service that a request may go to take no more
-// now for the limits that they name, else nil. The arguments are those of Plain.
-func (c *Chooser) Limited(service string, rank int, homes routetable.Homes, avoid []string) error {
-	var servers []string
+// Refusal returns *condition.Refused if it is for words of servers on themselves that no server of a
+// service takes a request, else nil. The arguments are those of Plain.
+func (c *Chooser) Refusal(service string, rank int, homes routetable.Homes, avoid []string) error {
+	choice := condition.Choice{Service: service, Rank: rank, Leaving: c.Directory.Declining(service)}
 	for _, m := range c.Directory.Service(service) {
 		if !slices.Contains(avoid, m.ID) && homes.Allow(c.region(m.Domain)) {
-			servers = append(servers, m.ID)
+			choice.Servers = append(choice.Servers, m.ID)
 		}
 	}
-	if refused := c.Limits.Refuse(service, servers, rank); refused != nil {
+	if refused := c.Conditions.Refuse(&choice); refused != nil {
 		return refused
 	}
 	return nil
@@ -220,7 +220,7 @@
 // bears reports whether a server may get a request of a rank from this box now. The lock must be
 // held.
 func (c *Chooser) bears(m *registry.Member, rank int) bool {
-	if !c.Limits.Takes(m.ID, m.Service, rank) {
+	if !c.Conditions.Takes(m.ID, m.Service, rank) {
 		return false
 	}
 	if c.Cold == nil || !m.Cold(c.Directory.Clock.Now()) {
@@ -235,7 +235,7 @@
 	if to == nil {
 		return nil
 	}
-	c.Limits.Take(to.ID, rank)
+	c.Conditions.Take(to.ID, rank)
 	if to.cold && c.Cold != nil {
 		c.Cold.Sent(to.ID)
 	}
@@ -244,7 +244,7 @@
 
 // GoesOn counts a stream that goes on at a server, which is not held back.
 func (c *Chooser) GoesOn(server *registry.Server) {
-	c.Limits.Take(server.ID, mostUrgent)
+	c.Conditions.Take(server.ID, mostUrgent)
 	if c.Cold != nil {
 		c.Cold.Sent(server.ID)
 	}
@@ -255,10 +255,10 @@
 func (c *Chooser) Asks(server *registry.Server) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.Limits.Takes(server.ID, server.Service, mostUrgent) {
+	if !c.Conditions.Takes(server.ID, server.Service, mostUrgent) {
 		return false
 	}
-	c.Limits.Take(server.ID, mostUrgent)
+	c.Conditions.Take(server.ID, mostUrgent)
 	return true
 }
 
--- a/internal/choose/limits_test.go
+++ b/internal/choose/limits_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/condition"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -17,16 +18,16 @@
 // newLimitRig is a chooser that knows limits, as the only box.
 func newLimitRig(servers ...registry.Server) *rig {
 	r := newRig(servers...)
-	r.Limits = &serverlimit.Book{
+	r.Conditions = &condition.Book{Limits: &serverlimit.Book{
 		Clock: r.clock, Logger: slog.New(slog.DiscardHandler), Box: "a", Live: func() []string { return []string{"a"} },
 		Demand: func(string) (float64, map[string]float64) { return 0, nil }, Draw: func() float64 { return 0 },
-	}
+	}}
 	return r
 }
 
 // name has a server name a limit.
 func (r *rig) name(server string, perSecond float64) {
-	r.Limits.Answered(server, serverlimit.Answer{Limit: hop.Limit{Named: true, PerSecond: perSecond}})
+	r.Conditions.Limits.Answered(server, serverlimit.Answer{Limit: hop.Limit{Named: true, PerSecond: perSecond}})
 }
 
 // TestLimitedServers: a server that names 2 a second gets four requests at once, two more a second
@@ -50,14 +51,14 @@
 // there is none.
 func TestAllLimited(t *testing.T) {
 	r := newLimitRig(plain("a"), plain("b"))
-	require.NoError(t, r.Limited("plain", 0, routetable.Homes{}, nil))
+	require.NoError(t, r.Refusal("plain", 0, routetable.Homes{}, nil))
 	r.name("a", 2)
 	r.name("b", 2)
 	require.Equal(t, map[string]int{"a": 4, "b": 4}, r.picks(100))
 	var refused *serverlimit.Refused
-	require.ErrorAs(t, r.Limited("plain", 0, routetable.Homes{}, nil), &refused)
+	require.ErrorAs(t, r.Refusal("plain", 0, routetable.Homes{}, nil), &refused)
 	require.Positive(t, refused.RetryAfter)
-	require.NoError(t, r.Limited("plain", 0, routetable.Homes{}, []string{"a", "b"}))
+	require.NoError(t, r.Refusal("plain", 0, routetable.Homes{}, []string{"a", "b"}))
 }
 
 // TestLimitedEngines: generations, moves and questions of the box's own take permits, streams that go on
--- a/internal/condition/book_test.go
+++ b/internal/condition/book_test.go
@@ -17,6 +17,12 @@
 	"github.com/dalebend/dalebend/internal/serverlimit"
 )
 
+// servers takes the word that servers leave.
+type servers struct{}
+
+func (servers) Decline(...string) {}
+func (servers) Stays(string) bool { return true }
+
 // newBook returns a book that knows nothing and writes its lines to out.
 func newBook(clock clockwork.Clock, out *strings.Builder) *condition.Book {
 	logger := slog.New(slog.NewTextHandler(out, nil))
@@ -25,7 +31,7 @@
 	return &condition.Book{
 		Logger:     logger,
 		Limits:     &serverlimit.Book{Clock: clock, Logger: logger, Live: live, Draw: draw},
-		Departures: &departure.Book{Clock: clock, Logger: logger},
+		Departures: &departure.Book{Clock: clock, Logger: logger, Servers: servers{}, Live: live, Draw: draw},
 		HoldOffs:   &holdoff.Book{Clock: clock, Logger: logger},
 	}
 }
--- a/internal/condition/doc.go
+++ b/internal/condition/doc.go
@@ -1,5 +1,5 @@
 // Package condition is the one place that takes what backend servers say of themselves in their
-// answers.
+// answers, and that is asked whether this box may send to a server now.
 //
 // A server says at the head of any answer how many requests a second it takes (package serverlimit),
 // that it is about to end (package departure), or that it wants nothing from this box for a time
--- a/internal/condition/reader/reader.go
+++ b/internal/condition/reader/reader.go
@@ -29,9 +29,12 @@
 	Book  *condition.Book
 }
 
-// Do sends a request, as the embedded Exchanger does. What another server at the address says is not
-// the server's word.
+// Do sends a request, as the embedded Exchanger does, unless the server says that it wants none before there is a
+// connection. What another server at the address says is not the server's word.
 func (r *Reader) Do(ctx context.Context, t exchange.Target, request *exchange.Request) (*exchange.Response, error) {
+	if !request.GoesOn {
+		request.Withhold = func() error { return r.Book.Withhold(t.Key) }
+	}
 	sent := r.Clock.Now()
 	r.Book.Sent(t.Key)
 	resp, err := r.Exchanger.Do(ctx, t, request)
--- a/internal/condition/reader/reader_test.go
+++ b/internal/condition/reader/reader_test.go
@@ -45,6 +45,12 @@
 }
 func (answers) Listens(context.Context, string) error { return nil }
 
+// servers takes the word that servers leave.
+type servers struct{}
+
+func (servers) Decline(...string) {}
+func (servers) Stays(string) bool { return true }
+
 // newBook returns a book that knows nothing.
 func newBook() *condition.Book {
 	clock := clockwork.NewFakeClock()
@@ -54,7 +60,7 @@
 	return &condition.Book{
 		Logger:     logger,
 		Limits:     &serverlimit.Book{Clock: clock, Logger: logger, Live: live, Draw: draw},
-		Departures: &departure.Book{Clock: clock, Logger: logger},
+		Departures: &departure.Book{Clock: clock, Logger: logger, Servers: servers{}, Live: live, Draw: draw},
 		HoldOffs:   &holdoff.Book{Clock: clock, Logger: logger},
 	}
 }
@@ -92,3 +98,19 @@
 		})
 	}
 }
+
+// TestWithheld: what is chosen before a server says that it leaves, and has no connection yet, is not sent; what
+// goes on with a run there is.
+func TestWithheld(t *testing.T) {
+	book := newBook()
+	r := &reader.Reader{Clock: book.Limits.Clock, Codec: codec{}, Book: book, Exchanger: answers{}}
+	fresh, goesOn := &exchange.Request{}, &exchange.Request{GoesOn: true}
+	for _, request := range []*exchange.Request{fresh, goesOn} {
+		_, err := r.Do(t.Context(), exchange.Target{Key: "s"}, request)
+		require.Error(t, err)
+	}
+	require.NoError(t, fresh.Withhold())
+	book.Departures.Answered("s")
+	require.ErrorContains(t, fresh.Withhold(), "s leaves, as its answer said")
+	require.Nil(t, goesOn.Withhold)
+}
--- a/internal/departure/log.go
+++ b/internal/departure/log.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"time"
 
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 )
@@ -17,3 +19,18 @@
 		slog.String(event.KeyServer, d.server), slog.String(event.KeySource, d.source),
 		slog.Int64(event.KeyAge, b.Clock.Since(d.heard).Milliseconds()))
 }
+
+// Text tells of a server that leaves: which, how old its word is and whose it is. It is empty for one that
+// does not say so.
+func (b *Book) Text(server string) string {
+	if b == nil {
+		return ""
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := b.servers[server]
+	if d == nil {
+		return ""
+	}
+	return fmt.Sprintf("%s leaves, as %s said %v ago", server, d.source, b.Clock.Since(d.heard).Round(time.Millisecond))
+}
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -54,6 +54,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := r.withhold(); err != nil {
+		conn.close()
+		c.release(conn.own)
+		return nil, newFailure(Withheld, t.Addr, err)
+	}
 	x := start(ctx, c, conn, t.Addr)
 	return x.run(r)
 }
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -25,8 +25,13 @@
 	Foreign
 	// Torn means that the head of the answer arrived and its body broke off.
 	Torn
+	// Withheld means that a connection was there and the request was not to be sent any more.
+	Withheld
 )
 
+// Unsent reports whether nothing of the request was sent.
+func (s Stage) Unsent() bool { return s == NotSent || s == Full || s == Withheld }
+
 // String names the stage for logs.
 func (s Stage) String() string {
 	switch s {
@@ -40,6 +45,8 @@
 		return "foreign answer"
 	case Torn:
 		return "torn answer"
+	case Withheld:
+		return "withheld"
 	default:
 		return fmt.Sprintf("stage %d", uint8(s))
 	}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -36,6 +36,12 @@
 	Owns func(http.Header) bool
 	// Account is the client account that the request is made for. It is not sent.
 	Account string
+	// GoesOn is set for a request that goes on with what runs at a server already, which is no new work. It
+	// is not sent.
+	GoesOn bool
+	// Withhold is asked once a connection is there, before anything is sent: if it returns an error, nothing
+	// is. Nil sends all.
+	Withhold func() error
 	// Fresh limits reuse to connections that were idle for less than this.
 	// 0 means any connection that may be reused.
 	Fresh time.Duration
@@ -46,6 +52,14 @@
 	return r.Owns == nil || r.Owns(h)
 }
 
+// withhold returns why the request is not to be sent after all, or nil.
+func (r *Request) withhold() error {
+	if r.Withhold == nil {
+		return nil
+	}
+	return r.Withhold()
+}
+
 // validate refuses what would let one request smuggle in another.
 func (r *Request) validate() error {
 	switch {
--- a/internal/gather/gather.go
+++ b/internal/gather/gather.go
@@ -2,6 +2,7 @@
 package gather
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -39,3 +40,11 @@
 func Delay(draw float64, boxes int) time.Duration {
 	return time.Duration(draw * float64(min(mostSpread, time.Duration(boxes)*spreadByBox)))
 }
+
+// Alone is Delay for what is to be told by as few boxes as can be, later: the times of the boxes grow denser
+// towards the longest one, so that the first of hundreds tells after about a quarter of it and hardly another
+// one tells before it has heard that (Nonnenmacher and Biersack, Scalable Feedback for Large Groups, 1999).
+func Alone(draw float64, boxes int) time.Duration {
+	steep := math.Log(float64(max(1, boxes))) + 1
+	return Delay(math.Log1p(draw*math.Expm1(steep))/steep, boxes)
+}
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -1,6 +1,8 @@
 package gather_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,3 +36,30 @@
 	require.Equal(t, 60*time.Millisecond, gather.Delay(0.5, 6))
 	require.Equal(t, 4*time.Second, gather.Delay(1, 300))
 }
+
+// TestAlone: of hundreds of boxes that know the same, on average less than two tell it before the others have
+// heard the first, 50 ms later; a lone box does not wait long.
+func TestAlone(t *testing.T) {
+	const boxes, plays, onTheWay = 300, 200, 50 * time.Millisecond
+	draw := rand.New(rand.NewPCG(1, 2))
+	tellers, waited := 0, time.Duration(0)
+	for range plays {
+		times := make([]time.Duration, boxes)
+		for i := range times {
+			times[i] = gather.Alone(draw.Float64(), boxes)
+		}
+		first := slices.Min(times)
+		waited += first
+		for _, at := range times {
+			if at <= first+onTheWay {
+				tellers++
+			}
+		}
+	}
+	t.Logf("%.2f tell, after %v", float64(tellers)/plays, waited/plays)
+	require.Less(t, tellers, 2*plays)
+	require.Less(t, waited/plays, 2*time.Second)
+	require.Zero(t, gather.Alone(0, boxes))
+	require.Equal(t, 4*time.Second, gather.Alone(1, boxes))
+	require.LessOrEqual(t, gather.Alone(1, 1), 20*time.Millisecond)
+}
--- a/internal/note/note.go
+++ b/internal/note/note.go
@@ -22,6 +22,7 @@
 	AccountShare Tag = 0xc2
 	Quarantine   Tag = 0xc3
 	ServerLimit  Tag = 0xc4
+	Departure    Tag = 0xc5
 )
 
 // Marks reports whether a note has the tag.
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -29,9 +29,9 @@
 	ColdTime func(service string) time.Duration
 
 	mu sync.Mutex
-	// departing holds servers that said themselves that they leave, and when that was
-	// noted. The view may be older.
-	departing map[string]time.Time
+	// departing holds servers that said themselves when they end, and declining those that said that they
+	// leave and want no new work, with the time when that was noted. The view may be older.
+	departing, declining map[string]time.Time
 	// cold holds servers that are cold, and until when. The lock guards it.
 	cold map[string]time.Time
 	// starts holds the newest start of each server, by the server's own id.
@@ -48,66 +48,26 @@
 	// ids names them.
 	entries map[string]Server
 	ids     map[string]bool
-	// services holds those that may take new work, members those of cordoned domains too.
+	// services holds those that may take new work, members those of cordoned domains and those that
+	// decline it too.
 	services map[string][]Member
 	members  map[string]Member
 }
 
-// Member is a server that may take new work unless its failure domain is cordoned.
+// Member is a server that may take new work unless its failure domain is cordoned or it declines that.
 type Member struct {
 	*Server
 	// Until is when an entry that has vanished is given up; zero for one that stands.
 	Until time.Time
 	// ColdUntil is until when the server is cold; zero for one that was not when the view came.
 	ColdUntil time.Time
+	// Declines is set for one that wants no new work, by its own word. What runs there goes on.
+	Declines bool
 }
 
 // Cold reports whether the server is cold.
 func (m *Member) Cold(now time.Time) bool { return now.Before(m.ColdUntil) }
 
-// departingMemory is how long a server's own word is remembered: longer than the store is
-// away. It does not bind a later start of the server, which has another id.
-const departingMemory = 10 * time.Minute
-
-// Depart notes servers that said themselves that they leave, and returns those that were
-// not known to.
-func (d *Directory) Depart(ids ...string) (fresh []string) {
-	d.mu.Lock()
-	now := d.Clock.Now()
-	for id, at := range d.departing {
-		if now.Sub(at) > departingMemory {
-			delete(d.departing, id)
-		}
-	}
-	for _, id := range ids {
-		if _, known := d.departing[id]; !known && d.Stays(id) {
-			if d.departing == nil {
-				d.departing = make(map[string]time.Time)
-			}
-			d.departing[id] = now
-			fresh = append(fresh, id)
-		}
-	}
-	var left []string
-	if len(fresh) > 0 {
-		left = d.replace(d.View())
-	}
-	d.mu.Unlock()
-	d.tell(left)
-	return fresh
-}
-
-// Departing visits the servers that said themselves that they leave, with the time since
-// that was noted.
-func (d *Directory) Departing(visit func(id string, age time.Duration)) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	for id, at := range d.departing {
-		visit(id, now.Sub(at))
-	}
-}
-
 // Set takes a newer view.
 func (d *Directory) Set(v *View) {
 	d.mu.Lock()
@@ -157,6 +117,7 @@
 // an older one.
 func (d *Directory) replace(v *View) (left []string) {
 	old := d.current.Load()
+	d.forgetWords()
 	entries := d.settled(v)
 	d.noteCold(old, entries)
 	next := &listing{
@@ -167,7 +128,7 @@
 		s := entries[name]
 		next.ids[s.ID] = true
 		if _, departs := d.departing[s.ID]; s.State == Ready && !departs {
-			next.add(Member{Server: &s, ColdUntil: d.cold[s.ID]})
+			next.add(d.member(&s, time.Time{}))
 		}
 	}
 	left = d.carryOver(old, next)
@@ -191,7 +152,7 @@
 		_, stands := next.entries[m.Name()]
 		_, departs := d.departing[id]
 		if !stands && !departs && !m.over(now) && now.Before(until) {
-			next.add(Member{Server: m.Server, Until: until, ColdUntil: d.cold[id]})
+			next.add(d.member(m.Server, until))
 			continue
 		}
 		left = append(left, id)
@@ -199,9 +160,15 @@
 	return left
 }
 
+// member returns a server with what is known of it; until is as in Member. The lock must be held.
+func (d *Directory) member(s *Server, until time.Time) Member {
+	_, declines := d.declining[s.ID]
+	return Member{Server: s, Until: until, ColdUntil: d.cold[s.ID], Declines: declines}
+}
+
 func (l *listing) add(m Member) {
 	l.members[m.ID] = m
-	if !l.cordons.Has(m.Domain) {
+	if !l.cordons.Has(m.Domain) && !m.Declines {
 		l.services[m.Service] = append(l.services[m.Service], m)
 	}
 }
@@ -239,6 +206,17 @@
 
 // Takes reports whether a server may take new work now.
 func (d *Directory) Takes(id string) bool {
+	l := d.current.Load()
+	if l == nil {
+		return false
+	}
+	m, ok := l.members[id]
+	return ok && !l.cordons.Has(m.Domain) && !m.Declines && !m.over(d.Clock.Now())
+}
+
+// GoesOn reports whether what runs already may go on at a server: one that takes new work, or that only
+// declines that.
+func (d *Directory) GoesOn(id string) bool {
 	l := d.current.Load()
 	if l == nil {
 		return false
@@ -248,7 +226,7 @@
 }
 
 // Stays reports whether a server neither leaves nor is gone. One whose failure domain is
-// cordoned stays, although it takes no new work.
+// cordoned stays, and one that declines new work does until its end is known, although they take none.
 func (d *Directory) Stays(id string) bool {
 	l := d.current.Load()
 	if l == nil {
--- a/internal/registry/directory_test.go
+++ b/internal/registry/directory_test.go
@@ -186,12 +186,16 @@
 			case "depart":
 				fresh := s.dir.Depart(strings.Fields(td.Input)...)
 				return fmt.Sprintf("fresh: %s\n%s", strings.Join(fresh, " "), s.show())
+			case "decline":
+				s.dir.Decline(strings.Fields(td.Input)...)
+			case "declining":
+				return fmt.Sprintf("chat: %s\n", strings.Join(s.dir.Declining("chat"), " "))
 			case "departing":
 				return s.departing()
 			case "takes":
 				return fmt.Sprintf("takes=%t known=%t\n", s.dir.Takes(td.Input), s.dir.Known(td.Input))
 			case "stays":
-				return fmt.Sprintf("takes=%t stays=%t\n", s.dir.Takes(td.Input), s.dir.Stays(td.Input))
+				return fmt.Sprintf("takes=%t stays=%t goes-on=%t\n", s.dir.Takes(td.Input), s.dir.Stays(td.Input), s.dir.GoesOn(td.Input))
 			case "cold":
 				return s.cold()
 			case "started":
--- a/internal/single/flight.go
+++ b/internal/single/flight.go
@@ -9,12 +9,12 @@
 
 	"github.com/dalebend/dalebend/internal/backlog"
 	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/condition"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/runerr"
-	"github.com/dalebend/dalebend/internal/serverlimit"
 )
 
 // flight is one request on its way.
@@ -105,7 +105,7 @@
 
 // noServer returns why there is no server for the request.
 func (f *flight) noServer() error {
-	if err := f.sender.Chooser.Limited(f.job.Service.Name, f.job.Priority, f.job.Homes, f.tried); err != nil {
+	if err := f.sender.Chooser.Refusal(f.job.Service.Name, f.job.Priority, f.job.Homes, f.tried); err != nil {
 		return err
 	}
 	return errNoServer
@@ -155,9 +155,9 @@
 	if errors.As(cause, &held) {
 		return held.RetryAfter
 	}
-	var limited *serverlimit.Refused
-	if errors.As(cause, &limited) {
-		return limited.RetryAfter
+	var refused *condition.Refused
+	if errors.As(cause, &refused) && refused.RetryAfter > 0 {
+		return refused.RetryAfter
 	}
 	return comeBack
 }
@@ -244,7 +244,7 @@
 	if errors.As(err, &failure) {
 		stage = failure.Stage()
 	}
-	notSent := stage == exchange.NotSent || stage == exchange.Full
+	notSent := stage.Unsent()
 	f.logFailed(c, stage.String(), !notSent, err.Error())
 	if notSent {
 		if ctx.Err() == nil && stage == exchange.NotSent {
--- a/internal/streaming/ask.go
+++ b/internal/streaming/ask.go
@@ -65,7 +65,7 @@
 	engines := make(map[string]*registry.Server)
 	for _, x := range r.all() {
 		engine := x.at()
-		if engine == nil || engines[engine.ID] != nil || !r.Directory.Takes(engine.ID) {
+		if engine == nil || engines[engine.ID] != nil || !r.Directory.GoesOn(engine.ID) {
 			continue
 		}
 		if r.asks(engine.ID) && r.Chooser.Asks(engine) {
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -53,12 +53,12 @@
 	return m.at
 }
 
-// backupCopy returns the copy at the backup engine, or nil if there is none or
-// the engine is leaving.
+// backupCopy returns the copy at the backup engine, or nil if there is none or the engine is about to end. At
+// one that only declines new work the stream goes on: that is not new, and nobody else has its memory.
 func (x *run) backupCopy() *copyAt {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.backup == nil || !x.relay.Directory.Takes(x.backup.ID) {
+	if x.backup == nil || !x.relay.Directory.GoesOn(x.backup.ID) {
 		return nil
 	}
 	return &copyAt{server: x.backup, holder: x.backup.Addr, name: x.job.Request.ID}
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -1,6 +1,7 @@
 package streaming
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -11,12 +12,12 @@
 	"github.com/dalebend/dalebend/internal/admission"
 	"github.com/dalebend/dalebend/internal/choose"
 	"github.com/dalebend/dalebend/internal/comeback"
+	"github.com/dalebend/dalebend/internal/condition"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/hop"
 	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/runerr"
-	"github.com/dalebend/dalebend/internal/serverlimit"
 )
 
 const (
@@ -143,12 +144,12 @@
 
 // noEngine returns why no engine is offered the generation.
 func (x *run) noEngine(t *tries) error {
-	err := x.relay.Chooser.Limited(x.job.Service.Name, t.need.Rank, t.need.Homes, t.need.Avoid)
-	var limited *serverlimit.Refused
-	if errors.As(err, &limited) {
-		return &runerr.NotRun{RetryAfter: limited.RetryAfter, Cause: limited}
+	err := x.relay.Chooser.Refusal(x.job.Service.Name, t.need.Rank, t.need.Homes, t.need.Avoid)
+	var refused *condition.Refused
+	if !errors.As(err, &refused) {
+		return &runerr.NotRun{RetryAfter: comeBack, Cause: t.cause}
 	}
-	return &runerr.NotRun{RetryAfter: comeBack, Cause: t.cause}
+	return &runerr.NotRun{RetryAfter: cmp.Or(refused.RetryAfter, comeBack), Cause: refused}
 }
 
 // noteReturn looks whether the caller was refused before and may go first.
@@ -258,9 +259,9 @@
 	if errors.As(err, &failure) {
 		stage = failure.Stage()
 	}
-	notSent := stage == exchange.NotSent || stage == exchange.Full
+	notSent := stage.Unsent()
 	x.logFailed(engine, stage.String(), !notSent, err)
-	if ctx.Err() == nil && stage != exchange.Full {
+	if ctx.Err() == nil && stage != exchange.Full && stage != exchange.Withheld {
 		x.relay.Evidence.Unreachable(engine.ID, err.Error())
 	}
 	return offered{arrived: !notSent, perhapsRun: !notSent, err: err}
@@ -279,5 +280,6 @@
 		Method: r.Method, URI: r.URI, Host: r.Host,
 		Header: x.relay.Codec.Header(r, send),
 		Body:   r.Body, HasBody: r.HasBody, Owns: x.relay.Codec.Owns(r), Fresh: restLimit, Account: x.job.Account,
+		GoesOn: from != nil,
 	}
 }
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -44,6 +44,7 @@
 //	learn ENGINE                 the list of servers has its present start
 //	loads                        prints the generations and copies of this box by engine
 //	drain ENGINE / ready ENGINE / gone ENGINE   it is about to leave / is not any more / its entry is removed
+//	declines ENGINE              it says in an answer that it leaves
 //	cordon [DOMAIN]...           these failure domains get no more work; engines named far... stand in
 //	                             the domain "far", the others in "hall"
 //	age DURATION                 the list of servers is that old
@@ -157,6 +158,8 @@
 		s.noteLoads()
 	case "gone":
 		r.gone(args[0])
+	case "declines":
+		r.relay.Directory.Decline(args[0])
 	case "cordon":
 		r.cordon(args)
 	case "age":
