holdoff, condition, choose, streaming: a server that asks a box to hold off gets nothing meanwhile

Callers of alarm acknowledgements and setpoint confirmations were refused (67 of them) while two servers could have served them: the third turned each request away and asked for 3 s, and got 28 from one box in such a time, every one of which drew on the retry budget until that was spent. Cause: a 503 was a word on one request; what its server asked for was read by nobody, and as it had nothing in flight it stayed the best choice. Change: package holdoff keeps the time by start of a server, condition.Book asks it wherever a server is chosen, and once more when a connection is there. After the time boxes come back a little apart, with one request until that is answered. When no server wants a request its caller is refused at once, with the time at which the first of them may be given one. Why it holds: the word is heard at the head of the 503, and what may go there all the same, streams whose memory lies there, is two at most.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -70,7 +70,9 @@
 		Clock: b.Clock, Logger: b.Logger, Servers: b.directory, Box: b.Settings.Box, Live: b.liveNames,
 		Tell: b.spread, Draw: b.random(drawsOfDepartures).Float64,
 	}
-	b.holdOffs = &holdoff.Book{Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics}
+	b.holdOffs = &holdoff.Book{
+		Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics, Draw: b.random(drawsOfHoldOffs).Float64,
+	}
 	b.conditions = &condition.Book{
 		Logger: b.Logger, Metrics: b.Metrics, Limits: b.limits, Departures: b.departures, HoldOffs: b.holdOffs,
 	}
@@ -228,6 +230,7 @@
 	drawsOfQuarantine
 	drawsOfLimits
 	drawsOfDepartures
+	drawsOfHoldOffs
 )
 
 // random returns a source of random numbers for one part of the box.
--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -145,7 +145,11 @@
 func (c *Chooser) Refusal(service string, rank int, homes routetable.Homes, avoid []string) error {
 	choice := condition.Choice{Service: service, Rank: rank, Leaving: c.Directory.Declining(service)}
 	for _, m := range c.Directory.Service(service) {
-		if !slices.Contains(avoid, m.ID) && homes.Allow(c.region(m.Domain)) {
+		switch {
+		case !homes.Allow(c.region(m.Domain)):
+		case slices.Contains(avoid, m.ID):
+			choice.Tried = append(choice.Tried, m.ID)
+		default:
 			choice.Servers = append(choice.Servers, m.ID)
 		}
 	}
@@ -242,12 +246,16 @@
 	return to
 }
 
-// GoesOn counts a stream that goes on at a server, which is not held back.
-func (c *Chooser) GoesOn(server *registry.Server) {
-	c.Conditions.Take(server.ID, mostUrgent)
-	if c.Cold != nil {
+// GoesOn reports whether a stream may go on at a server that has its memory, and counts it unless that was done
+// when the server was chosen for it.
+func (c *Chooser) GoesOn(server *registry.Server, counted bool) bool {
+	if !c.Conditions.GoesOn(server.ID, counted) {
+		return false
+	}
+	if c.Cold != nil && !counted {
 		c.Cold.Sent(server.ID)
 	}
+	return true
 }
 
 // Asks reports whether a server may be asked how it is, and counts the question if it names a limit:
--- /dev/null
+++ b/internal/choose/words_test.go
@@ -0,0 +1,190 @@
+package choose_test
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/coldstart"
+	"github.com/dalebend/dalebend/internal/condition"
+	"github.com/dalebend/dalebend/internal/departure"
+	"github.com/dalebend/dalebend/internal/holdoff"
+	"github.com/dalebend/dalebend/internal/hop"
+	"github.com/dalebend/dalebend/internal/registry"
+	"github.com/dalebend/dalebend/internal/routetable"
+)
+
+// newWordsRig is a chooser that heeds all that servers say of themselves, as the only box.
+func newWordsRig(servers ...registry.Server) *rig {
+	r := newLimitRig(servers...)
+	live := func() []string { return []string{"a"} }
+	draw := r.Rand.Float64
+	logger := slog.New(slog.DiscardHandler)
+	r.Conditions.Logger = logger
+	r.Conditions.Departures = &departure.Book{
+		Clock: r.clock, Logger: logger, Servers: r.Directory, Box: "a", Live: live, Draw: draw,
+	}
+	r.Conditions.HoldOffs = &holdoff.Book{Clock: r.clock, Logger: logger, Draw: draw}
+	r.Cold = &coldstart.Gate{Clock: r.clock, Box: "a", Live: live, Bound: coldstart.Bound{Over: 1.5, Slack: 5}}
+	r.ColdRate = func(string) float64 { return 2 }
+	return r
+}
+
+// says has a server say something of itself in an answer to a request that was just sent.
+func (r *rig) says(server string, c hop.Condition) {
+	r.Conditions.Answered(server, condition.Answer{Condition: c, Sent: r.clock.Now(), Own: true})
+}
+
+const (
+	// backWithin is how much later than asked for a server that asked to hold off gets a request again, and
+	// triedEach the longest time between two of them until it has answered.
+	backWithin = 500 * time.Millisecond
+	triedEach  = 250 * time.Millisecond
+	// comeWithin is the time over which callers that are refused come back.
+	comeWithin = 500 * time.Millisecond
+)
+
+// plainServer is what a server may be given, by the rules alone.
+type plainServer struct {
+	// leaves, limited and cold are as they sound; until is the end of the last time to hold off, and tried when it
+	// was last given a request that it has not answered since.
+	leaves, limited, cold bool
+	until, tried          time.Time
+	asked                 bool
+}
+
+// forbidden reports whether the server must not get a request.
+func (p *plainServer) forbidden(now time.Time) bool { return p.leaves || now.Before(p.until) }
+
+// free reports whether nothing at all keeps a request from the server.
+func (p *plainServer) free(now time.Time) bool {
+	waits := p.asked && (now.Before(p.until.Add(backWithin)) || now.Before(p.tried.Add(triedEach)))
+	return !p.leaves && !p.limited && !p.cold && !waits
+}
+
+// TestWordsTogether: whatever servers say of themselves, in whichever order, and however they are ejected and cold
+// beside that: none that leaves or asked to hold off is picked; as long as nothing keeps a request from some server
+// one is picked; and where all ask to hold off callers are told to come back when the first of them may be given
+// a request, not before.
+func TestWordsTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newWordsRig()
+		rules := make(map[string]*plainServer)
+		var list []registry.Server
+		add := func(cold bool) {
+			s := plain(fmt.Sprintf("s%d", len(list)))
+			list = append(list, s)
+			rules[s.ID] = &plainServer{cold: cold}
+			r.set(list...)
+		}
+		for range rapid.IntRange(1, 4).Draw(t, "servers") {
+			list = append(list, plain(fmt.Sprintf("s%d", len(list))))
+			rules[list[len(list)-1].ID] = &plainServer{}
+		}
+		r.set(list...)
+		// Those that come later are cold.
+		r.Directory.ColdTime = func(string) time.Duration { return time.Second }
+		for range rapid.IntRange(1, 80).Draw(t, "acts") {
+			r.clock.Advance(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			id := list[rapid.IntRange(0, len(list)-1).Draw(t, "server")].ID
+			rule := rules[id]
+			switch rapid.IntRange(0, 9).Draw(t, "act") {
+			case 0:
+				rule.leaves = true
+				r.says(id, hop.Condition{Leaving: true})
+			case 1:
+				rule.limited = true
+				r.says(id, hop.Condition{Limit: hop.Limit{Named: true, PerSecond: 1}})
+			case 2:
+				holdOff := time.Duration(rapid.IntRange(1, 3000).Draw(t, "hold off")) * time.Millisecond
+				rule.asked = true
+				if until := r.clock.Now().Add(holdOff); until.After(rule.until) {
+					rule.until = until
+				}
+				r.says(id, hop.Condition{HoldOff: holdOff})
+			case 3:
+				r.Evidence.Unreachable(id, "drawn")
+			case 4:
+				if len(list) < 6 {
+					add(true)
+				}
+			default:
+				pick(t, r, rules)
+			}
+		}
+	})
+}
+
+// pick has a request placed, and requires what the rules say of that.
+func pick(t *rapid.T, r *rig, rules map[string]*plainServer) {
+	now := r.clock.Now()
+	c := r.Plain("plain", 0, routetable.Homes{}, nil)
+	if c != nil {
+		require.False(t, rules[c.ID].forbidden(now), c.ID)
+		rules[c.ID].tried = now
+		return
+	}
+	var soonest time.Duration = -1
+	allHeldOff := true
+	for id, rule := range rules {
+		require.False(t, rule.free(now), "%s is free", id)
+		if rule.leaves {
+			continue
+		}
+		left := rule.until.Sub(now)
+		allHeldOff = allHeldOff && left > 0 && !rule.limited
+		if soonest < 0 || left < soonest {
+			soonest = left
+		}
+	}
+	if !allHeldOff || soonest < 0 {
+		return
+	}
+	var refused *condition.Refused
+	require.ErrorAs(t, r.Refusal("plain", 0, routetable.Homes{}, nil), &refused)
+	require.GreaterOrEqual(t, refused.RetryAfter, soonest)
+	require.LessOrEqual(t, refused.RetryAfter, soonest+backWithin+comeWithin)
+}
+
+// TestEnginesHeldOff: generations, moves, copies and questions of the box's own do not go to an engine that asked
+// to hold off; two streams may go on there, and all once the time is over.
+func TestEnginesHeldOff(t *testing.T) {
+	r := newWordsRig(engineServer("asked"))
+	service := &routetable.Service{Name: "chat", Engine: &routetable.Engine{Slots: 20, MemoryTokens: 100000, Moves: true}}
+	asked := &registry.Server{ID: "asked", Service: "chat"}
+	need := &choose.Need{Prompt: 100, Expected: 100}
+	r.says("asked", hop.Condition{HoldOff: time.Second})
+	require.Nil(t, r.Engine(service, need))
+	require.Nil(t, r.Refuge(service, &registry.Server{ID: "leaving"}, need))
+	require.Nil(t, r.Backup(service, &registry.Server{ID: "other"}, need))
+	require.False(t, r.Asks(asked))
+	require.True(t, r.GoesOn(asked, false))
+	require.True(t, r.GoesOn(asked, true))
+	require.False(t, r.GoesOn(asked, false))
+	r.clock.Advance(time.Second + backWithin)
+	require.True(t, r.GoesOn(asked, false))
+	require.Equal(t, "asked", r.Engine(service, need).ID)
+	require.Nil(t, r.Engine(service, need), "the first request has not been answered")
+}
+
+// TestTriedServers: a server that turned this request away and asked to hold off tells its caller when to come back;
+// one that did so without a word may be tried again at any time.
+func TestTriedServers(t *testing.T) {
+	r := newWordsRig(plain("a"), plain("b"))
+	r.says("a", hop.Condition{HoldOff: 3 * time.Second})
+	r.says("b", hop.Condition{HoldOff: 2 * time.Second})
+	var refused *condition.Refused
+	require.ErrorAs(t, r.Refusal("plain", 0, routetable.Homes{}, []string{"a", "b"}), &refused)
+	require.GreaterOrEqual(t, refused.RetryAfter, 2*time.Second)
+	require.LessOrEqual(t, refused.RetryAfter, 2*time.Second+backWithin+comeWithin)
+	require.ErrorContains(t, refused, "a asked this box 0s ago to hold off for 3s; b asked this box 0s ago")
+
+	r.set(plain("a"), plain("b"), plain("c"))
+	require.ErrorAs(t, r.Refusal("plain", 0, routetable.Homes{}, []string{"a", "b", "c"}), &refused)
+	require.Zero(t, refused.RetryAfter)
+}
--- a/internal/condition/book_test.go
+++ b/internal/condition/book_test.go
@@ -32,7 +32,7 @@
 		Logger:     logger,
 		Limits:     &serverlimit.Book{Clock: clock, Logger: logger, Live: live, Draw: draw},
 		Departures: &departure.Book{Clock: clock, Logger: logger, Servers: servers{}, Live: live, Draw: draw},
-		HoldOffs:   &holdoff.Book{Clock: clock, Logger: logger},
+		HoldOffs:   &holdoff.Book{Clock: clock, Logger: logger, Draw: draw},
 	}
 }
 
--- a/internal/condition/may.go
+++ b/internal/condition/may.go
@@ -11,20 +11,45 @@
 	if b == nil {
 		return true
 	}
-	return !b.Departures.Leaves(server) && b.Limits.Takes(server, service, rank)
+	return !b.Departures.Leaves(server) && b.HoldOffs.Takes(server) && b.Limits.Takes(server, service, rank)
 }
 
-// Take counts a request of a rank that is given to a server. One that cannot be held back, such as a
-// stream that goes on there, is counted as well.
+// Take counts a request of a rank that is given to a server.
 func (b *Book) Take(server string, rank int) {
-	if b != nil {
-		b.Limits.Take(server, rank)
+	if b == nil {
+		return
+	}
+	b.HoldOffs.Take(server)
+	b.Limits.Take(server, rank)
+}
+
+// mostUrgent is the rank of what goes before all other requests: streams that run already.
+const mostUrgent = 0
+
+// GoesOn reports whether a stream may go on at a server that has its memory, and counts it unless that was
+// done when the server was chosen for it. It is not new work for one that leaves, and cannot be held back for a limit.
+func (b *Book) GoesOn(server string, counted bool) bool {
+	if b == nil {
+		return true
+	}
+	if !b.HoldOffs.GoesOn(server) {
+		return false
+	}
+	if !counted {
+		b.Limits.Take(server, mostUrgent)
 	}
+	return true
 }
 
 // Limited reports whether a server names a limit.
 func (b *Book) Limited(server string) bool { return b != nil && b.Limits.Holds(server) }
 
+// Wants reports whether a server wants what is no request of a caller's, such as a copy of a stream: one that
+// bears less than it is asked for does not.
+func (b *Book) Wants(server string) bool {
+	return b == nil || !b.Limits.Holds(server) && b.HoldOffs.Wants(server)
+}
+
 // errWithheld says that a request is not sent, as its server has said meanwhile that it wants none.
 var errWithheld = errors.New("withheld")
 
@@ -34,8 +59,11 @@
 	if b == nil {
 		return nil
 	}
-	if text := b.Departures.Text(server); text != "" {
-		return fmt.Errorf("%w: %s", errWithheld, text)
+	if b.Departures.Leaves(server) {
+		return fmt.Errorf("%w: %s", errWithheld, b.Departures.Text(server))
+	}
+	if !b.HoldOffs.Wants(server) {
+		return fmt.Errorf("%w: %s", errWithheld, b.HoldOffs.Text(server))
 	}
 	return nil
 }
--- a/internal/condition/refused.go
+++ b/internal/condition/refused.go
@@ -8,7 +8,7 @@
 	"github.com/dalebend/dalebend/internal/serverlimit"
 )
 
-// mostNamed bounds the servers that leave which a refusal names.
+// mostNamed bounds the servers that a refusal names for each word.
 const mostNamed = 3
 
 // Refused says that the servers of a service which a request may go to take none now, by their own
@@ -43,8 +43,9 @@
 	Service string
 	// Rank is that of the request, 0 the most urgent.
 	Rank int
-	// Servers are those that it could go to, and Leaving those that it could go to if they did not leave.
-	Servers, Leaving []string
+	// Servers are those that it could go to, Tried those that did not take it, and Leaving those that it
+	// could go to if they did not leave.
+	Servers, Tried, Leaving []string
 }
 
 // Refuse returns the refusal of a request that no server takes, nil if their words do not say why.
@@ -52,9 +53,13 @@
 	if b == nil {
 		return nil
 	}
-	r := &Refused{words: b.departures(c.Leaving)}
+	r := &Refused{words: b.named(c.Leaving, b.Departures.Text)}
+	b.refuseHeldOff(c, r)
 	if limited := b.Limits.Refuse(c.Service, c.Servers, c.Rank); limited != nil {
-		r.limited, r.RetryAfter = limited, limited.RetryAfter
+		r.limited = limited
+		if r.RetryAfter == 0 || limited.RetryAfter < r.RetryAfter {
+			r.RetryAfter = limited.RetryAfter
+		}
 	}
 	if r.limited == nil && len(r.words) == 0 {
 		return nil
@@ -62,15 +67,38 @@
 	return r
 }
 
-// departures returns what servers that leave say, mostNamed at most.
-func (b *Book) departures(servers []string) []string {
+// refuseHeldOff adds to a refusal the servers that this box holds off from, and when the first of them may be
+// given a request. A server that names neither that nor a limit may take one at any time.
+func (b *Book) refuseHeldOff(c *Choice, r *Refused) {
+	var held []string
+	soonest, free := time.Duration(0), false
+	for _, servers := range [][]string{c.Servers, c.Tried} {
+		for _, server := range servers {
+			left, ok := b.HoldOffs.Left(server)
+			if !ok {
+				free = free || !b.Limits.Holds(server)
+				continue
+			}
+			if held = append(held, server); len(held) == 1 || left < soonest {
+				soonest = left
+			}
+		}
+	}
+	r.words = append(r.words, b.named(held, b.HoldOffs.Text)...)
+	if len(held) > 0 && !free {
+		r.RetryAfter = b.HoldOffs.ComeBack(soonest)
+	}
+}
+
+// named returns what some servers say, mostNamed at most.
+func (b *Book) named(servers []string, text func(server string) string) []string {
 	var words []string
 	for i, server := range servers {
 		if i == mostNamed {
 			return append(words, fmt.Sprintf("and %d more", len(servers)-mostNamed))
 		}
-		if text := b.Departures.Text(server); text != "" {
-			words = append(words, text)
+		if word := text(server); word != "" {
+			words = append(words, word)
 		}
 	}
 	return words
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/dalebend/dalebend/internal/backlog"
 	"github.com/dalebend/dalebend/internal/callerconn"
 	"github.com/dalebend/dalebend/internal/clockctx"
+	"github.com/dalebend/dalebend/internal/condition"
 	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -144,6 +145,10 @@
 	if errors.As(err, &refused) {
 		r.class, r.fingerprint = quarantined, refused.Fingerprint.String()
 	}
+	var declined *condition.Refused
+	if errors.As(err, &declined) {
+		r.class = unwanted
+	}
 	var full *serverlimit.Refused
 	if errors.As(err, &full) {
 		r.class = limited
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -33,6 +33,7 @@
 	notTaken     class = "not-taken"
 	quarantined  class = "quarantined"
 	limited      class = "limited"
+	unwanted     class = "unwanted"
 )
 
 // problem is the body of an answer of our own.
--- a/internal/holdoff/book.go
+++ b/internal/holdoff/book.go
@@ -19,6 +19,8 @@
 	Logger *slog.Logger
 	// Metrics may be nil.
 	Metrics *telemetry.Metrics
+	// Draw returns a number from 0 to 1, by which boxes, and callers that are refused, come back apart.
+	Draw func() float64
 
 	// current holds the servers by their starts. The map is never changed once it is here.
 	current atomic.Pointer[map[string]*period]
@@ -76,7 +78,7 @@
 		b.replace(server, p)
 	}
 	again := now.Before(p.until)
-	if !p.extend(holdOff, now) {
+	if !p.extend(holdOff, now, b.Draw()) {
 		return
 	}
 	b.Metrics.OrUnseen().HoldOffs.Inc(server)
--- /dev/null
+++ b/internal/holdoff/book_test.go
@@ -0,0 +1,181 @@
+package holdoff_test
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dalebend/dalebend/internal/holdoff"
+)
+
+// told is a handler that writes the lines of the decision log, without times and levels.
+func told(b *strings.Builder) slog.Handler {
+	return slog.NewTextHandler(b, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+		if a.Key == slog.TimeKey || a.Key == slog.LevelKey {
+			return slog.Attr{}
+		}
+		return a
+	}})
+}
+
+// TestPeriods plays the stories of testdata/periods.txt: at TIME since the story began,
+//
+//	SERVER asks DURATION     an answer asks to hold off, 0 for one that does not
+//	SERVER answers TIME      an answer does not ask; its request was sent then
+//	SERVER request           a request is placed there if the book lets it
+//	SERVER goes-on           a stream goes on there if the book lets it
+//	SERVER gone              the server is gone
+//
+// It shows what the book said, and the lines that it wrote. Boxes come back at once.
+func TestPeriods(t *testing.T) {
+	datadriven.RunTest(t, "testdata/periods.txt", func(t *testing.T, td *datadriven.TestData) string {
+		var out strings.Builder
+		clock := clockwork.NewFakeClock()
+		began := clock.Now()
+		b := &holdoff.Book{Clock: clock, Logger: slog.New(told(&out)), Draw: func() float64 { return 0 }}
+		for line := range strings.Lines(td.Input) {
+			f := strings.Fields(line)
+			clock.Advance(began.Add(duration(t, f[0])).Sub(clock.Now()))
+			out.WriteString(act(t, b, began, f[1], f[2:]))
+		}
+		return out.String()
+	})
+}
+
+// act does one thing of a story, and returns what the book said.
+func act(t *testing.T, b *holdoff.Book, began time.Time, server string, what []string) string {
+	switch what[0] {
+	case "asks":
+		b.Answered(server, duration(t, what[1]), b.Clock.Now())
+	case "answers":
+		b.Answered(server, 0, began.Add(duration(t, what[1])))
+	case "request":
+		if b.Takes(server) {
+			b.Take(server)
+			return fmt.Sprintf("%s gets a request\n", server)
+		}
+		left, _ := b.Left(server)
+		return fmt.Sprintf("%s gets none for %v (%s)\n", server, left, b.Text(server))
+	case "goes-on":
+		return fmt.Sprintf("%s goes on: %t\n", server, b.GoesOn(server))
+	case "gone":
+		b.Retain(func(s string) bool { return s != server })
+	default:
+		t.Fatalf("unknown %q", what[0])
+	}
+	return ""
+}
+
+func duration(t *testing.T, text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	require.NoError(t, err)
+	return d
+}
+
+// TestWhateverComes: whatever a server answers and whenever requests come, no request is placed there within a
+// time for which it asked, however such times overlap, and no more than two streams go on there meanwhile; soon after the
+// last of them a request is placed again.
+func TestWhateverComes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		b := &holdoff.Book{
+			Clock: clock, Logger: slog.New(slog.DiscardHandler),
+			Draw: func() float64 { return rapid.Float64Range(0, 1).Draw(t, "draw") },
+		}
+		var until time.Time
+		goneOn := 0
+		for range rapid.IntRange(1, 60).Draw(t, "acts") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+			now := clock.Now()
+			if !now.Before(until) {
+				goneOn = 0
+			}
+			switch rapid.IntRange(0, 3).Draw(t, "act") {
+			case 0:
+				d := time.Duration(rapid.IntRange(1, 5000).Draw(t, "asked")) * time.Millisecond
+				b.Answered("s", d, now)
+				if end := now.Add(d); end.After(until) {
+					until = end
+				}
+			case 1:
+				b.Answered("s", 0, now.Add(-time.Duration(rapid.IntRange(0, 1000).Draw(t, "ago"))*time.Millisecond))
+			case 2:
+				if b.Takes("s") {
+					require.False(t, now.Before(until), "a request within the time that was asked for")
+					b.Take("s")
+				}
+			default:
+				if b.GoesOn("s") && now.Before(until) {
+					goneOn++
+					require.LessOrEqual(t, goneOn, 2)
+				}
+			}
+		}
+		if wait := until.Sub(clock.Now()); wait > 0 {
+			clock.Advance(wait)
+		}
+		clock.Advance(500 * time.Millisecond)
+		require.True(t, b.Takes("s"))
+	})
+}
+
+// TestComeBack: 300 boxes that were turned away in the same moment and have callers all the time come back apart,
+// each with one request: of 300 that would come at once less than a third does within 50 ms. Without the server's
+// answer they go on with one each quarter of a second.
+func TestComeBack(t *testing.T) {
+	const boxes, step, asked = 300, 10 * time.Millisecond, 3 * time.Second
+	clock := clockwork.NewFakeClock()
+	draw := rand.New(rand.NewPCG(1, 2))
+	books := make([]*holdoff.Book, boxes)
+	for i := range books {
+		books[i] = &holdoff.Book{Clock: clock, Logger: slog.New(slog.DiscardHandler), Draw: draw.Float64}
+		books[i].Answered("s", asked, clock.Now())
+	}
+	came := make([]int, 0, 500)
+	for range cap(came) {
+		clock.Advance(step)
+		n := 0
+		for _, b := range books {
+			if b.Takes("s") {
+				b.Take("s")
+				n++
+			}
+		}
+		came = append(came, n)
+	}
+	most, all := 0, 0
+	for i, n := range came {
+		at := time.Duration(i+1) * step
+		require.True(t, n == 0 || at >= asked)
+		all += n
+		within := 0
+		for _, m := range came[max(0, i-4) : i+1] {
+			within += m
+		}
+		most = max(most, within)
+	}
+	t.Logf("%d within 50 ms at most, %d in 2 s", most, all)
+	require.Less(t, most, boxes/3)
+	require.LessOrEqual(t, all, 8*boxes)
+}
+
+// BenchmarkTakes is the look at one server on a request's path, while this box holds off from another one.
+func BenchmarkTakes(b *testing.B) {
+	book := &holdoff.Book{
+		Clock: clockwork.NewRealClock(), Logger: slog.New(slog.DiscardHandler), Draw: func() float64 { return 0 },
+	}
+	book.Answered("other", time.Hour, time.Now())
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			book.Takes("s")
+		}
+	})
+}
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -215,11 +215,11 @@
 			// Nothing more may be sent there, so the generation is lost.
 			return
 		}
-		x.relay.Chooser.GoesOn(source)
 		target = source
 	}
 	x.mu.Lock()
-	m.at = &copyAt{server: target, holder: source.Addr, name: name, paid: true}
+	// The target was counted when it was chosen.
+	m.at = &copyAt{server: target, holder: source.Addr, name: name, paid: true, counted: target != source}
 	x.mu.Unlock()
 }
 
--- a/internal/streaming/goon.go
+++ b/internal/streaming/goon.go
@@ -84,14 +84,13 @@
 	if !at.paid && !x.relay.Budget.Spend(x.job.Service.Name) {
 		return nil, errBudgetSpent
 	}
+	if !x.relay.Chooser.GoesOn(at.server, at.counted) {
+		return nil, errHeldOff
+	}
 	start := x.relay.Clock.Now()
 	need := &choose.Need{Prompt: x.job.Request.PromptTokens, Expected: x.expected, Homes: x.job.Homes, Avoid: []string{from.ID}}
 	choice := x.chooseBackup(at.server, need)
 	cont := &hop.Continue{Holder: at.holder, Copy: at.name, LastEvent: last}
-	if !at.paid {
-		// The target of a move was counted when it was chosen.
-		x.relay.Chooser.GoesOn(at.server)
-	}
 	o := x.offer(ctx, at.server, choice.server, cont)
 	if o.err == nil && o.answer.Status != okStatus {
 		o.answer.close()
@@ -120,4 +119,7 @@
 // okStatus is the status of a stream that goes on.
 const okStatus = 200
 
+// errHeldOff says that the engine that holds the copy wants nothing from this box.
+var errHeldOff = errors.New("the engine with the copy asked this box to hold off")
+
 var errNotContinued = errors.New("the engine with the copy answered with a failure")
--- a/internal/streaming/move.go
+++ b/internal/streaming/move.go
@@ -24,4 +24,6 @@
 	name   string
 	// paid is set when the retry that goes on there is taken already.
 	paid bool
+	// counted is set when the engine's own words on what it takes were heeded already.
+	counted bool
 }
