soak, box: servers that leave unheard and that ask boxes to hold off

Planned drains say so in their answers, too.

Box test: what a server said of itself ends with its start.

--- a/internal/box/leaving_server_test.go
+++ b/internal/box/leaving_server_test.go
@@ -1,12 +1,15 @@
 package box_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/platform/standin"
 )
 
@@ -96,3 +99,39 @@
 		})
 	}
 }
+
+// TestLeavingStart: what a server said of itself ends with its start: one that starts again under its id gets
+// requests at once, whether the start before was leaving or had asked to hold off.
+func TestLeavingStart(t *testing.T) {
+	for name, say := range map[string]func(e *standin.Engine){
+		"leaves":    func(e *standin.Engine) { e.SayLeaving() },
+		"holds off": func(e *standin.Engine) { e.TurnAway(1, "3600") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.standard()
+			servers := clockwork.NewFakeClock()
+			r.engines.Clock = servers
+			a := r.server("a", "plain")
+			r.run()
+			r.awaitConfig(1)
+			r.awaitServers(1, 0)
+			say(a)
+			for n := range 3 {
+				r.ask(standin.Call{ID: fmt.Sprintf("q%d", n), Host: "once.test", URI: "/"})
+			}
+			require.Len(t, a.Arrivals(), 1)
+
+			r.awaitWatches()
+			a.Crash()
+			servers.Advance(time.Second)
+			r.log.forget()
+			again, err := r.engines.Restart(a)
+			require.NoError(t, err)
+			r.log.await(event.ServersView, nil)
+			got, _ := r.ask(standin.Call{ID: "q9", Host: "once.test", URI: "/"})
+			require.Equal(t, http.StatusOK, got.Status)
+			require.Len(t, again.Arrivals(), 1)
+		})
+	}
+}
--- a/internal/soak/backends/serve.go
+++ b/internal/soak/backends/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"strconv"
 	"time"
 
 	"github.com/dalebend/dalebend/internal/soak/history"
@@ -38,7 +39,8 @@
 	a := history.Arrival{
 		At: f.Record.Now(), ID: s.ID, Server: s.Server, Service: s.Service, Method: s.Method, URI: s.URI, Host: s.Host,
 		Body: s.Body, Account: s.Account, Key: s.Key, Ran: s.Ran, Continued: s.Continued, Lost: s.Lost,
-		Status: s.Status, Proof: s.Proof, Text: s.Text, Limited: s.Limit != "",
+		Status: s.Status, Proof: s.Proof, Text: s.Text,
+		Limited: s.Limit != "", Leaving: s.Leaving != "", HoldOff: seconds(s.RetryAfter),
 	}
 	f.Record.Add(func(h *history.History) { h.Arrivals = append(h.Arrivals, a) })
 	if s.Ran {
@@ -46,6 +48,12 @@
 	}
 }
 
+// seconds returns the time that a server asks for, 0 for none.
+func seconds(text string) time.Duration {
+	n, _ := strconv.ParseFloat(text, 64) // the soak's own, or empty
+	return time.Duration(n * float64(time.Second))
+}
+
 // drive makes the events of the generations at a server.
 func (f *Fleet) drive(e *standin.Engine) {
 	for {
--- a/internal/soak/history/events.go
+++ b/internal/soak/history/events.go
@@ -72,8 +72,11 @@
 	Status int    `json:"status"`
 	Proof  string `json:"proof,omitempty"`
 	Text   string `json:"text,omitempty"`
-	// Limited is set if the answer names a limit.
+	// Limited is set if the answer names a limit, and Leaving if it says that the server leaves.
 	Limited bool `json:"limited,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
+	// HoldOff is how long the answer asks the box to send nothing.
+	HoldOff time.Duration `json:"holdOff,omitempty"`
 }
 
 // Limit is a time in which a server names the same limit in its answers.
--- a/internal/soak/inject/server.go
+++ b/internal/soak/inject/server.go
@@ -58,6 +58,9 @@
 	case schedule.ServerLimits:
 		i.limit(ctx, a)
 		return nil
+	case schedule.ServerHoldsOff:
+		i.holdOff(ctx, a)
+		return nil
 	default:
 		return i.replace(ctx, a)
 	}
@@ -105,6 +108,10 @@
 		i.crash(ctx, e)
 		return nil
 	}
+	if a.Kind == schedule.ServerLeavesUnheard {
+		e.SayLeaving()
+		pause.For(ctx, i.Clock, a.Lasts)
+	}
 	i.leave(ctx, a, e)
 	return nil
 }
@@ -120,10 +127,11 @@
 // leave takes a server away, having announced it or not: it serves for as long as it
 // must, and a little longer.
 func (i *Injector) leave(ctx context.Context, a schedule.Act, e *standin.Engine) {
-	if a.Kind == schedule.ServerDrains {
-		e.Drain()
-	} else {
+	if a.Kind == schedule.ServerVanishes {
 		e.Leave()
+	} else {
+		e.SayLeaving()
+		e.Drain()
 	}
 	left := history.Leaving{Server: e.ID, Acked: i.Record.Now()}
 	i.Record.Add(func(h *history.History) { h.Leavings = append(h.Leavings, left) })
--- a/internal/soak/schedule/kind.go
+++ b/internal/soak/schedule/kind.go
@@ -44,6 +44,10 @@
 	ServerRestarts history.Kind = "server-restarts"
 	// ServerLimits lets a server, or all of its service, name a limit for a time.
 	ServerLimits history.Kind = "server-limits"
+	// ServerLeavesUnheard lets a server say in its answers that it leaves while its entry does not, and
+	// ServerHoldsOff lets one, or all of its service, turn requests away and ask boxes to hold off.
+	ServerLeavesUnheard history.Kind = "server-leaves-unheard"
+	ServerHoldsOff      history.Kind = "server-holds-off"
 	// ServersFull lets all servers turn requests away.
 	ServersFull history.Kind = "servers-full"
 
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -49,6 +49,14 @@
 	// limitLasts the least time for which they do: boxes are held to a limit from 3 s on.
 	limitStream = 16
 	limitLasts  = 5 * time.Second
+	// limitsIn is of how many seeds all but one have limits, wordsIn the same of the other words.
+	limitsIn = 2
+	wordsIn  = 4
+	// leaveStream and holdOffStream are those of servers that leave unheard or ask boxes to hold off,
+	// and wordLasts the least time for which they do.
+	leaveStream   = 17
+	holdOffStream = 18
+	wordLasts     = 4 * time.Second
 	// restartRest is left after a restart for what follows from it.
 	restartRest = time.Second
 )
@@ -77,6 +85,7 @@
 	}
 	acts = append(acts, restarts(seed, duration)...)
 	acts = append(acts, limits(seed, duration)...)
+	acts = append(acts, words(seed, duration)...)
 	slices.SortStableFunc(acts, func(a, b Act) int { return int(a.At - b.At) })
 	return acts
 }
@@ -132,15 +141,27 @@
 	return acts
 }
 
-// limits draws when servers name a limit: once in every other seed, if the run is long enough.
+// limits draws when servers name a limit.
 func limits(seed uint64, duration time.Duration) []Act {
-	rng := rand.New(rand.NewPCG(seed, limitStream))
-	if rng.IntN(2) == 0 || duration < lead+limitLasts {
+	return word(seed, limitStream, limitsIn, ServerLimits, limitLasts, duration)
+}
+
+// words draws when servers say otherwise of themselves what they want.
+func words(seed uint64, duration time.Duration) []Act {
+	return append(word(seed, leaveStream, wordsIn, ServerLeavesUnheard, wordLasts, duration),
+		word(seed, holdOffStream, wordsIn, ServerHoldsOff, wordLasts, duration)...)
+}
+
+// word draws when servers say something of themselves for a least time: once in all seeds but one of some, if the
+// run is long enough.
+func word(seed, stream uint64, of int, kind history.Kind, least, duration time.Duration) []Act {
+	rng := rand.New(rand.NewPCG(seed, stream))
+	if rng.IntN(of) == 0 || duration < lead+least {
 		return nil
 	}
-	at := between(rng, lead, duration-limitLasts)
+	at := between(rng, lead, duration-least)
 	return []Act{{
-		At: at, Lasts: between(rng, limitLasts, duration-at), Kind: ServerLimits,
+		At: at, Lasts: between(rng, least, duration-at), Kind: kind,
 		Target: rng.Int() & mostNumber, Pick: rng.Int() & mostNumber,
 	}}
 }
