front, box: nothing begins once a planned stop has found that nothing runs

Cause: the box looked whether requests are open, and closed connections in a later step; what was read between the two was passed on and cut. Change: Finish looks and closes the door under one lock; a request that comes after it is answered 503 at once, which has not run. Why it holds: a request counts itself in under the same lock.

--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -98,7 +98,7 @@
 			b.cutAtEnd.Store(int64(b.front.Open()))
 			return
 		}
-		if b.Clock.Since(began) >= stopLeast && b.front.Open() == 0 {
+		if b.Clock.Since(began) >= stopLeast && b.front.Finish() {
 			return
 		}
 	}
--- a/internal/front/deadline.go
+++ b/internal/front/deadline.go
@@ -17,15 +17,20 @@
 // endsInTime refuses a request that a stopping box cannot be expected to answer
 // before it ends; another box can.
 func (x *exchange) endsInTime() bool {
-	left, stopping := x.server.left()
-	if !stopping || x.expected(x.server.settled()) <= left {
+	left, stops := x.server.left()
+	if !stops || x.expected(x.server.settled()) <= left {
 		return true
 	}
-	x.refuse(refusal{
+	x.refuse(stopping())
+	return false
+}
+
+// stopping is the refusal of a request by a box that ends.
+func stopping() refusal {
+	return refusal{
 		status: http.StatusServiceUnavailable, class: boxStopping,
 		reason: "this box is stopping", retryAfter: elsewhere,
-	})
-	return false
+	}
 }
 
 // expected returns how long the answer is expected to take. The caller's guess
--- a/internal/front/running.go
+++ b/internal/front/running.go
@@ -8,12 +8,26 @@
 	open int
 	// ended, if somebody waits, is closed when none is left.
 	ended chan struct{}
+	// finished is set when no more may begin.
+	finished bool
 }
 
-func (r *running) begin() {
+// begin counts a request in, and reports whether it may begin.
+func (r *running) begin() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.open++
+	return !r.finished
+}
+
+// finish has no more begin if none runs, and reports whether that is so.
+func (r *running) finish() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open == 0 {
+		r.finished = true
+	}
+	return r.finished
 }
 
 func (r *running) end() {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -116,7 +116,7 @@
 }
 
 // Run serves the listener until the context ends, then closes every connection.
-// Stop first and wait for Open to fall to 0 to cut no request.
+// Stop first and wait until Finish succeeds to cut no request.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
 	if s.Backlog == nil {
 		s.Backlog = &backlog.Book{Clock: s.Clock}
@@ -165,6 +165,10 @@
 	s.stopAt.Store(by)
 }
 
+// Finish reports whether no request is being answered, and has none begun from then on: one that is read
+// between that and the end of its connection would be passed on to a server and cut.
+func (s *Server) Finish() bool { return s.requests.finish() }
+
 // settled reports whether the server has been stopping for so long that the
 // balancer and callers have had the time to notice.
 func (s *Server) settled() bool {
@@ -198,9 +202,9 @@
 
 // serve answers one request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	s.requests.begin()
+	begun := s.requests.begin()
 	defer s.requests.end()
-	if _, stopping := s.left(); stopping {
+	if _, stops := s.left(); stops {
 		w.Header().Set("Connection", "close")
 	}
 	uri := uriOf(r)
@@ -212,6 +216,10 @@
 			Header: r.Header, HasBody: r.ContentLength != 0, Arrived: s.Clock.Now(),
 		},
 	}
+	if !begun {
+		x.refuse(stopping())
+		return
+	}
 	x.answer()
 }
 
