holdoff: a time to hold off is no shorter when the time of day is set

Found in reading the diff: the end of the time was kept in Unix nanoseconds, without the reading of the steady clock, so that a box whose time of day is set forward by 2 s would come back 2 s early. Kept as moment.Moment now, as other times that are read without a lock; one field in the place of two for the end. TestSteadyClock.

--- a/internal/holdoff/book.go
+++ b/internal/holdoff/book.go
@@ -41,7 +41,7 @@
 	switch {
 	case holdOff > 0:
 		b.asked(server, p, holdOff)
-	case p != nil && !sent.Before(p.until):
+	case p != nil && p.wants(sent):
 		b.replace(server, nil)
 		b.over(p, reasonAnswered)
 	}
@@ -77,7 +77,7 @@
 		p = &period{server: server, since: now}
 		b.replace(server, p)
 	}
-	again := now.Before(p.until)
+	again := !p.wants(now)
 	if !p.extend(holdOff, now, b.Draw()) {
 		return
 	}
--- a/internal/holdoff/book_test.go
+++ b/internal/holdoff/book_test.go
@@ -127,6 +127,16 @@
 	})
 }
 
+// TestSteadyClock: the time that was asked for is kept with the reading of the steady clock, so that it is no shorter
+// when the time of day is set forward. Only this form of a time shows that reading.
+func TestSteadyClock(t *testing.T) {
+	b := &holdoff.Book{
+		Clock: clockwork.NewRealClock(), Logger: slog.New(slog.DiscardHandler), Draw: func() float64 { return 0 },
+	}
+	b.Answered("s", time.Hour, time.Now())
+	require.Contains(t, b.Next("s").String(), "m=+")
+}
+
 // TestComeBack: 300 boxes that were turned away in the same moment and have callers all the time come back apart,
 // each with one request: of 300 that would come at once less than a third does within 50 ms. Without the server's
 // answer they go on with one each quarter of a second.
--- a/internal/holdoff/period.go
+++ b/internal/holdoff/period.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/dalebend/dalebend/internal/moment"
 )
 
 const (
@@ -19,50 +21,49 @@
 )
 
 // period is the time for which one start of a server wants nothing, and after that the time until it has
-// answered. Its fields but the atomic ones belong to the book's lock.
+// answered. Its fields belong to the book's lock, but for those that are read without it. Times keep the reading of the
+// steady clock: one that ended sooner as the time of day is set forward would be no time to hold off.
 type period struct {
 	server string
 	// since is when the server first asked, heard when it last did, and asked what it asked for then.
 	since, heard time.Time
 	asked        time.Duration
-	// until is the end of the time that was asked for, and ends the same in Unix nanoseconds.
-	until time.Time
-	ends  atomic.Int64
-	// next is when the next request may go there, in Unix nanoseconds.
-	next atomic.Int64
-	// goneOn counts the streams that went on there.
-	goneOn atomic.Int32
+
+	// until is the end of the time that was asked for, next when the next request may go there, and goneOn
+	// counts the streams that went on there meanwhile. They are read without the lock.
+	until, next moment.Moment
+	goneOn      atomic.Int32
 }
 
 // extend takes a word of now, and reports whether its time ends later than that of those before. The draw is
 // a number from 0 to 1.
 func (p *period) extend(holdOff time.Duration, now time.Time, draw float64) bool {
 	until := now.Add(holdOff)
-	if !until.After(p.until) {
+	if !until.After(p.until.Load()) {
 		return false
 	}
-	if !now.Before(p.until) {
+	if p.wants(now) {
 		p.goneOn.Store(0)
 	}
-	p.heard, p.asked, p.until = now, holdOff, until
-	p.ends.Store(until.UnixNano())
+	p.heard, p.asked = now, holdOff
+	p.until.Store(until)
 	spread := min(mostSpread, time.Duration(spreadPart*float64(holdOff)))
 	p.wait(until.Add(time.Duration(draw * float64(spread))))
 	return true
 }
 
 // wait has no request go there before a time.
-func (p *period) wait(until time.Time) { p.next.Store(until.UnixNano()) }
+func (p *period) wait(until time.Time) { p.next.Store(until) }
 
 // takes reports whether a request may go there.
-func (p *period) takes(now time.Time) bool { return now.UnixNano() >= p.next.Load() }
+func (p *period) takes(now time.Time) bool { return !now.Before(p.next.Load()) }
 
 // wants reports whether the time that was asked for is over.
-func (p *period) wants(now time.Time) bool { return now.UnixNano() >= p.ends.Load() }
+func (p *period) wants(now time.Time) bool { return !now.Before(p.until.Load()) }
 
 // left returns the time until a request may go there.
 func (p *period) left(now time.Time) time.Duration {
-	return max(0, time.Duration(p.next.Load()-now.UnixNano()))
+	return max(0, p.next.Load().Sub(now))
 }
 
 // goOn reports whether one more stream may go on there.
