choose, condition, serverlimit: what a request is called for its urgency is its priority

The rank of a request stood beside the rank of a server in the same functions; the former is the priority of its account or route everywhere else. No behaviour changes.

--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -115,19 +115,19 @@
 	homes routetable.Homes
 }
 
-// Plain returns the server for a plain request of a rank, 0 the most urgent, or nil when none may
+// Plain returns the server for a plain request of a priority, 0 the most urgent, or nil when none may
 // take new work. Avoid names servers that the request was sent to already.
-func (c *Chooser) Plain(service string, rank int, homes routetable.Homes, avoid []string) *Candidate {
+func (c *Chooser) Plain(service string, priority int, homes routetable.Homes, avoid []string) *Candidate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	members := c.Directory.Service(service)
 	best := c.lowest(members, 1, nil, limits{avoid, homes}, func(m *registry.Member, _ engineload.Load) float64 {
-		if !c.bears(m, rank) {
+		if !c.bears(m, priority) {
 			return noCandidate
 		}
 		return c.plainRank(m)
 	})
-	return c.sent(best, rank)
+	return c.sent(best, priority)
 }
 
 // plainRank returns the rank of a plain server. Crossing to another failure domain costs nothing
@@ -140,28 +140,6 @@
 	return rank
 }
 
-// Refusal returns *condition.Refused if it is for words of servers on themselves that no server of a
-// service takes a request, else nil. The arguments are those of Plain.
-func (c *Chooser) Refusal(service string, rank int, homes routetable.Homes, avoid []string) error {
-	choice := condition.Choice{Service: service, Rank: rank, Leaving: c.Directory.Declining(service)}
-	for _, m := range c.Directory.Service(service) {
-		switch {
-		case !homes.Allow(c.region(m.Domain)):
-		case slices.Contains(avoid, m.ID):
-			choice.Tried = append(choice.Tried, m.ID)
-		default:
-			choice.Servers = append(choice.Servers, m.ID)
-		}
-	}
-	if refused := c.Conditions.Refuse(&choice); refused != nil {
-		return refused
-	}
-	return nil
-}
-
-// mostUrgent is the rank of requests that go before all others: streams that run already.
-const mostUrgent = 0
-
 // noCandidate is the rank of a server that must not be picked.
 const noCandidate = math.MaxFloat64
 
@@ -221,55 +199,6 @@
 	}
 }
 
-// bears reports whether a server may get a request of a rank from this box now. The lock must be
-// held.
-func (c *Chooser) bears(m *registry.Member, rank int) bool {
-	if !c.Conditions.Takes(m.ID, m.Service, rank) {
-		return false
-	}
-	if c.Cold == nil || !m.Cold(c.Directory.Clock.Now()) {
-		return true
-	}
-	return c.Cold.Takes(m.ID, c.ColdRate(m.Service))
-}
-
-// sent counts a request of a rank that goes to a candidate, which may be nil, if that is cold or names a
-// limit. The lock must be held from the choice on, so that no two requests take the same share.
-func (c *Chooser) sent(to *Candidate, rank int) *Candidate {
-	if to == nil {
-		return nil
-	}
-	c.Conditions.Take(to.ID, rank)
-	if to.cold && c.Cold != nil {
-		c.Cold.Sent(to.ID)
-	}
-	return to
-}
-
-// GoesOn reports whether a stream may go on at a server that has its memory, and counts it unless that was done
-// when the server was chosen for it.
-func (c *Chooser) GoesOn(server *registry.Server, counted bool) bool {
-	if !c.Conditions.GoesOn(server.ID, counted) {
-		return false
-	}
-	if c.Cold != nil && !counted {
-		c.Cold.Sent(server.ID)
-	}
-	return true
-}
-
-// Asks reports whether a server may be asked how it is, and counts the question if it names a limit:
-// of a server that takes 3 requests a second the questions of one box alone would be 4.
-func (c *Chooser) Asks(server *registry.Server) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.Conditions.Takes(server.ID, server.Service, mostUrgent) {
-		return false
-	}
-	c.Conditions.Take(server.ID, mostUrgent)
-	return true
-}
-
 // region returns the region of a failure domain, empty if it is not known.
 func (c *Chooser) region(domain string) string {
 	if c.Region == nil {
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -38,8 +38,8 @@
 	// Prompt is the number of prompt tokens, Expected that of tokens to generate.
 	Prompt   int
 	Expected int
-	// Rank is that of the generation, 0 the most urgent.
-	Rank int
+	// Priority is that of the generation, 0 the most urgent.
+	Priority int
 	// Avoid names engines that it must not go to.
 	Avoid []string
 	// Homes are the regions that it may go to.
@@ -62,7 +62,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rankOf := func(m *registry.Member, load engineload.Load) float64 {
-		if !c.bears(m, need.Rank) {
+		if !c.bears(m, need.Priority) {
 			return noCandidate
 		}
 		return c.engineRank(m, load, need, service.Engine) + c.readingCost(m, load, need, service.Engine)
@@ -73,7 +73,7 @@
 	if best != nil && need.Within > 0 && best.Wait.First > need.Within {
 		best = c.awaited(c.lowest(members, 1, loads, need.limits(), rankOf), need, service.Engine)
 	}
-	return c.sent(best, need.Rank)
+	return c.sent(best, need.Priority)
 }
 
 // lowestEngine returns the engine of the lowest rank, or nil when there is none. The lock must
--- a/internal/condition/may.go
+++ b/internal/condition/may.go
@@ -5,25 +5,25 @@
 	"fmt"
 )
 
-// Takes reports whether this box may give a server of a service a request of a rank now, 0 the most
+// Takes reports whether this box may give a server of a service a request of a priority now, 0 the most
 // urgent, by the server's own words. One that leaves does not take any.
-func (b *Book) Takes(server, service string, rank int) bool {
+func (b *Book) Takes(server, service string, priority int) bool {
 	if b == nil {
 		return true
 	}
-	return !b.Departures.Leaves(server) && b.HoldOffs.Takes(server) && b.Limits.Takes(server, service, rank)
+	return !b.Departures.Leaves(server) && b.HoldOffs.Takes(server) && b.Limits.Takes(server, service, priority)
 }
 
-// Take counts a request of a rank that is given to a server.
-func (b *Book) Take(server string, rank int) {
+// Take counts a request of a priority that is given to a server.
+func (b *Book) Take(server string, priority int) {
 	if b == nil {
 		return
 	}
 	b.HoldOffs.Take(server)
-	b.Limits.Take(server, rank)
+	b.Limits.Take(server, priority)
 }
 
-// mostUrgent is the rank of what goes before all other requests: streams that run already.
+// mostUrgent is the priority of what goes before all other requests: streams that run already.
 const mostUrgent = 0
 
 // GoesOn reports whether a stream may go on at a server that has its memory, and counts it unless that was
--- a/internal/condition/refused.go
+++ b/internal/condition/refused.go
@@ -41,8 +41,8 @@
 // Choice is what a request of a service may choose from.
 type Choice struct {
 	Service string
-	// Rank is that of the request, 0 the most urgent.
-	Rank int
+	// Priority is that of the request, 0 the most urgent.
+	Priority int
 	// Servers are those that it could go to, Tried those that did not take it, and Leaving those that it
 	// could go to if they did not leave.
 	Servers, Tried, Leaving []string
@@ -55,7 +55,7 @@
 	}
 	r := &Refused{words: b.named(c.Leaving, b.Departures.Text)}
 	b.refuseHeldOff(c, r)
-	if limited := b.Limits.Refuse(c.Service, c.Servers, c.Rank); limited != nil {
+	if limited := b.Limits.Refuse(c.Service, c.Servers, c.Priority); limited != nil {
 		r.limited = limited
 		if r.RetryAfter == 0 || limited.RetryAfter < r.RetryAfter {
 			r.RetryAfter = limited.RetryAfter
--- a/internal/serverlimit/permit.go
+++ b/internal/serverlimit/permit.go
@@ -13,14 +13,14 @@
 
 // shortage is that of permits for a service.
 type shortage struct {
-	// rank is that of the most urgent request that was refused, and until when it counts.
-	rank  int
-	until time.Time
+	// priority is that of the most urgent request that was refused, and until when it counts.
+	priority int
+	until    time.Time
 }
 
-// Takes reports whether this box may give a server of a service a request of a rank now, 0 the most
+// Takes reports whether this box may give a server of a service a request of a priority now, 0 the most
 // urgent.
-func (b *Book) Takes(server, service string, rank int) bool {
+func (b *Book) Takes(server, service string, priority int) bool {
 	if b == nil || b.known.Load() == 0 {
 		return true
 	}
@@ -33,13 +33,13 @@
 	now := b.Clock.Now()
 	l.service = service
 	b.updateShare(l, now)
-	return l.has(now) && (l.yielded >= yieldTo || !b.yields(service, rank, now))
+	return l.has(now) && (l.yielded >= yieldTo || !b.yields(service, priority, now))
 }
 
 // yields reports whether a request is to leave permits to more urgent ones. The lock must be held.
-func (b *Book) yields(service string, rank int, now time.Time) bool {
+func (b *Book) yields(service string, priority int, now time.Time) bool {
 	s := b.shortages[service]
-	return rank > s.rank && now.Before(s.until)
+	return priority > s.priority && now.Before(s.until)
 }
 
 // Holds reports whether a server names a limit.
@@ -53,9 +53,9 @@
 	return l != nil && l.holds()
 }
 
-// Take counts a request of a rank that is given to a server. One that cannot be held back, such as a
+// Take counts a request of a priority that is given to a server. One that cannot be held back, such as a
 // stream that goes on there, is counted as well, so that fewer of the others follow.
-func (b *Book) Take(server string, rank int) {
+func (b *Book) Take(server string, priority int) {
 	if b == nil || b.known.Load() == 0 {
 		return
 	}
@@ -68,7 +68,7 @@
 	now := b.Clock.Now()
 	l.permits.ReserveN(now, 1)
 	l.yielded++
-	if b.yields(l.service, rank, now) {
+	if b.yields(l.service, priority, now) {
 		l.yielded = 0
 	}
 }
--- a/internal/serverlimit/refused.go
+++ b/internal/serverlimit/refused.go
@@ -34,9 +34,9 @@
 	return text
 }
 
-// Refuse returns the refusal of a request of a rank that none of some servers of a service takes now,
+// Refuse returns the refusal of a request of a priority that none of some servers of a service takes now,
 // for their limits; nil if none of them names one.
-func (b *Book) Refuse(service string, servers []string, rank int) *Refused {
+func (b *Book) Refuse(service string, servers []string, priority int) *Refused {
 	if b == nil || b.known.Load() == 0 {
 		return nil
 	}
@@ -52,7 +52,7 @@
 	if len(stand) == 0 {
 		return nil
 	}
-	b.lacks(service, rank, now)
+	b.lacks(service, priority, now)
 	r := &Refused{RetryAfter: b.comeBack(service, stand, now)}
 	for i, l := range stand {
 		if i == mostNamed {
@@ -65,12 +65,12 @@
 }
 
 // lacks notes that a request was refused for want of a permit. The lock must be held.
-func (b *Book) lacks(service string, rank int, now time.Time) {
+func (b *Book) lacks(service string, priority int, now time.Time) {
 	if b.shortages == nil {
 		b.shortages = make(map[string]shortage)
 	}
-	if s := b.shortages[service]; rank <= s.rank || !now.Before(s.until) {
-		b.shortages[service] = shortage{rank: rank, until: now.Add(yieldFor)}
+	if s := b.shortages[service]; priority <= s.priority || !now.Before(s.until) {
+		b.shortages[service] = shortage{priority: priority, until: now.Add(yieldFor)}
 	}
 }
 
--- a/internal/serverlimit/within_test.go
+++ b/internal/serverlimit/within_test.go
@@ -162,13 +162,13 @@
 	f.books[0].Answered("s", serverlimit.Answer{Limit: hop.Limit{Named: true, PerSecond: 4}})
 	took := make([]int, 2)
 	for range 1000 {
-		for _, rank := range []int{1, 0} {
-			if f.books[0].Takes("s", "service", rank) {
-				f.books[0].Take("s", rank)
-				took[rank]++
+		for _, priority := range []int{1, 0} {
+			if f.books[0].Takes("s", "service", priority) {
+				f.books[0].Take("s", priority)
+				took[priority]++
 				continue
 			}
-			f.books[0].Refuse("service", []string{"s"}, rank)
+			f.books[0].Refuse("service", []string{"s"}, priority)
 		}
 		f.clock.Advance(step)
 	}
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -44,7 +44,7 @@
 	x.noteReturn()
 	t := &tries{
 		need: choose.Need{
-			Prompt: x.job.Request.PromptTokens, Expected: x.expected, Rank: x.job.Priority,
+			Prompt: x.job.Request.PromptTokens, Expected: x.expected, Priority: x.job.Priority,
 			Homes: x.job.Homes, MaxPause: x.job.Route.MaxPause,
 		},
 		cause: errNoEngine,
@@ -144,7 +144,7 @@
 
 // noEngine returns why no engine is offered the generation.
 func (x *run) noEngine(t *tries) error {
-	err := x.relay.Chooser.Refusal(x.job.Service.Name, t.need.Rank, t.need.Homes, t.need.Avoid)
+	err := x.relay.Chooser.Refusal(x.job.Service.Name, t.need.Priority, t.need.Homes, t.need.Avoid)
 	var refused *condition.Refused
 	if !errors.As(err, &refused) {
 		return &runerr.NotRun{RetryAfter: comeBack, Cause: t.cause}
