choose, engineload: a choice looks at some of many engines

Those that the choice then did not consider were ranked too.

Change: the engines that are considered are drawn first and only these are ranked, 256 of them on average at most; all are if none of those may be taken or the best cannot begin in time. Loads are looked up one by one.

Figures (BenchmarkEngine, one core, beside other work) at 15, 60, 2,000, 10,000, 20,000 engines: 10, 30, 2,098, 11,082, 18,907 us before; 7, 26, 141, 496, 329 us now; 1.3 MB a choice at 10,000 before, 0.2 KB now.

TestManyEngines fails before (10,000 engines looked at for each choice) and asks that a free engine is found while four in five have 20 streams, at 40 to 20,000 engines. Below 256 engines each is considered as often as before.

--- a/internal/choose/bench_test.go
+++ b/internal/choose/bench_test.go
@@ -9,14 +9,12 @@
 	"github.com/dalebend/dalebend/internal/registry"
 )
 
-// BenchmarkEngine chooses an engine for one generation, among engines that other boxes use. With
-// a candidate made for each engine it took 19 allocations and 4.0 KB at 15 engines, 64 and 14.4 KB
-// at 60, 2,010 and 488 KB at 2,000; with one for the engine that is chosen 7 and 2.9 KB, 7 and
-// 9.7 KB, 13 and 328 KB, and 5 and 2.9 KB, 5 and 9.7 KB, 11 and 328 KB with what a generation meets
-// there reckoned for each engine and kept on the stack. The time, some 40 us at 60 engines and 1 ms at 2,000, did not differ by more
-// than other work on the machine made it.
+// BenchmarkEngine chooses an engine for one generation, among so many that other boxes use. With the loads
+// of all copied and every engine ranked it took 10 us and 2.9 KB at 15 engines, 30 us and 9.7 KB at 60, 2.1 ms
+// and 328 KB at 2,000, 11 ms and 1.3 MB at 10,000, 19 ms and 2.6 MB at 20,000; with some of many looked at 7,
+// 26, 141, 496 and 329 us, and 0.2 KB.
 func BenchmarkEngine(b *testing.B) {
-	for _, engines := range []int{15, 60, 2000} {
+	for _, engines := range []int{15, 60, 2000, 10000, 20000} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			servers := make([]registry.Server, 0, engines)
 			loads := make([]digest.Load, 0, engines)
--- a/internal/choose/chooser.go
+++ b/internal/choose/chooser.go
@@ -6,6 +6,7 @@
 package choose
 
 import (
+	"iter"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -146,28 +147,31 @@
 // lowest returns the server of the lowest rank, or nil when there is none. Each server is
 // considered with a probability of share, and any if no good one is. It calls rankOf with the
 // server's load if that is known. The lock must be held.
-func (c *Chooser) lowest(members []*registry.Member, share float64, loads map[string]engineload.Load, bound limits,
+func (c *Chooser) lowest(members []*registry.Member, share float64, loads *engineload.Loads, bound limits,
 	rankOf func(*registry.Member, engineload.Load) float64,
 ) *Candidate {
-	best, considered := none, none
-	for i := range members {
-		m := members[i]
+	rank := func(m *registry.Member) float64 {
 		if slices.Contains(bound.avoid, m.ID) || !bound.homes.Allow(c.region(m.Domain)) {
-			continue
-		}
-		rank := rankOf(m, loads[m.ID])
-		if rank >= noCandidate {
-			continue
-		}
-		best = best.orLower(i, rank)
-		if share < 1 && c.Rand.Float64() < share {
-			considered = considered.orLower(i, rank)
+			return noCandidate
 		}
+		return rankOf(m, loads.On(m.ID))
+	}
+	best := lowestOf(members, sample(len(members), share, c.Rand), rank)
+	if share < 1 && (best == none || best.rank >= ejectedRank) {
+		best = lowestOf(members, sample(len(members), 1, c.Rand), rank)
 	}
-	if considered == none || considered.rank >= ejectedRank {
-		considered = best
+	return c.candidate(members, best, loads)
+}
+
+// lowestOf returns the one of the lowest rank of some members, the first of equals.
+func lowestOf(members []*registry.Member, indices iter.Seq[int], rankOf func(*registry.Member) float64) pick {
+	best := none
+	for i := range indices {
+		if rank := rankOf(members[i]); rank < noCandidate {
+			best = best.orLower(i, rank)
+		}
 	}
-	return c.candidate(members, considered, loads)
+	return best
 }
 
 // pick is a server of a list with its rank.
@@ -188,13 +192,13 @@
 }
 
 // candidate returns what was picked from a list with what was believed of it, or nil.
-func (c *Chooser) candidate(members []*registry.Member, p pick, loads map[string]engineload.Load) *Candidate {
+func (c *Chooser) candidate(members []*registry.Member, p pick, loads *engineload.Loads) *Candidate {
 	if p == none {
 		return nil
 	}
 	m := members[p.index]
 	return &Candidate{
-		Server: m.Server, Rank: p.rank, Load: loads[m.ID], Of: len(members),
+		Server: m.Server, Rank: p.rank, Load: loads.On(m.ID), Of: len(members),
 		cold: m.Cold(c.Directory.Clock.Now()),
 	}
 }
--- a/internal/choose/copies.go
+++ b/internal/choose/copies.go
@@ -37,7 +37,7 @@
 // Emptying returns how long it takes to move what runs on an engine without a copy
 // elsewhere to others, one generation after the other, with this one.
 func (c *Chooser) Emptying(service *routetable.Service, engine string, need *Need) time.Duration {
-	load := c.Ledger.All()[engine]
+	load := c.Ledger.Loads().On(engine)
 	unread := load.Prefill / max(1, need.Prompt)
 	held := (load.Tokens + need.Prompt) / (load.Streams + 1)
 	return time.Duration(load.Bare+unread+1) * service.Engine.MoveTime(held)
--- a/internal/choose/engine.go
+++ b/internal/choose/engine.go
@@ -68,7 +68,7 @@
 		return c.engineRank(m, load, need, service.Engine) + c.readingCost(m, load, need, service.Engine)
 	}
 	members := c.Directory.Service(service.Name)
-	loads := c.Ledger.All()
+	loads := c.Ledger.Loads()
 	best := c.awaited(c.lowest(members, c.share(len(members)), loads, need.limits(), rankOf), need, service.Engine)
 	if best != nil && need.Within > 0 && best.Wait.First > need.Within {
 		best = c.awaited(c.lowest(members, 1, loads, need.limits(), rankOf), need, service.Engine)
@@ -82,24 +82,33 @@
 	rankOf func(*registry.Member, engineload.Load) float64,
 ) *Candidate {
 	members := c.Directory.Service(service.Name)
-	return c.lowest(members, c.share(len(members)), c.Ledger.All(), bound, rankOf)
+	return c.lowest(members, c.share(len(members)), c.Ledger.Loads(), bound, rankOf)
 }
 
-// leastConsidered is the least number of engines that are considered on average, so that
-// hardly ever none is: then the best of all is taken.
-const leastConsidered = 5
+const (
+	// leastConsidered is the least number of engines that are considered on average, so that
+	// hardly ever none is: then the best of all is taken.
+	leastConsidered = 5
+	// mostConsidered is the most of them on average, so that a choice costs the same before any number
+	// of engines: the best of so many is one of the best hundredth of all.
+	mostConsidered = 256
+)
 
 // share returns the probability with which each of some engines is considered. Boxes that
 // choose at the same moment, not knowing of each other, would all take the emptiest engine:
 // so each considers a part by chance, such that on average one of them considers it. It is
 // 1, all but exactly, for a few boxes that tell each other within milliseconds.
 func (c *Chooser) share(engines int) float64 {
+	least, most := partOf(leastConsidered, engines), partOf(mostConsidered, engines)
 	if c.Unseen == nil {
-		return 1
+		return most
 	}
-	return max(1/(1+c.Unseen()), leastConsidered/float64(max(leastConsidered, engines)))
+	return min(max(1/(1+c.Unseen()), least), most)
 }
 
+// partOf returns the part that so many engines are of all, 1 if there are no more.
+func partOf(some, engines int) float64 { return float64(some) / float64(max(some, engines)) }
+
 // engineRank is the time that a generation is expected to lose on an engine, in
 // milliseconds, beside that for the prompts before its own.
 func (c *Chooser) engineRank(m *registry.Member, load engineload.Load, need *Need, e *routetable.Engine) float64 {
--- /dev/null
+++ b/internal/choose/sample_test.go
@@ -0,0 +1,62 @@
+package choose_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/choose"
+	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/registry"
+)
+
+// busyFleet returns a chooser before so many engines, of which four in five have much to do, and a
+// function that returns how many engines it has looked at.
+func busyFleet(engines int) (r *rig, looked func() int) {
+	servers := make([]registry.Server, 0, engines)
+	var loads []digest.Load
+	for i := range engines {
+		s := engineServer(fmt.Sprintf("engine-%05d", i))
+		servers = append(servers, s)
+		if i%5 > 0 {
+			loads = append(loads, digest.Load{Server: s.ID, Streams: 20, Tokens: 20000})
+		}
+	}
+	r = newRig(servers...)
+	r.Ledger.Heard("others", loads)
+	count := 0
+	r.Region = func(string) string { count++; return "" }
+	return r, func() int { return count }
+}
+
+// TestManyEngines: of 10,000 engines a choice looks at some hundred, and still finds one with nothing to
+// do while four in five are busy; of a few it looks at all.
+func TestManyEngines(t *testing.T) {
+	const choices = 100
+	need := &choose.Need{Prompt: 500, Expected: 100}
+	for engines, most := range map[int]int{40: 40, 200: 200, 10000: 400, 20000: 400} {
+		r, looked := busyFleet(engines)
+		for range choices {
+			c := r.Engine(engineService, need)
+			require.NotNil(t, c)
+			require.Zero(t, c.Load.Streams, "of %d", engines)
+		}
+		require.LessOrEqual(t, looked(), most*choices, "of %d", engines)
+	}
+}
+
+// TestAllEnginesIfNoneOfSome: when none of those that were considered may be taken, all are looked at.
+func TestAllEnginesIfNoneOfSome(t *testing.T) {
+	r, _ := busyFleet(2000)
+	var avoid []string
+	for i := range 2000 {
+		if i != 1234 {
+			avoid = append(avoid, fmt.Sprintf("engine-%05d", i))
+		}
+	}
+	for range 10 {
+		c := r.Engine(engineService, &choose.Need{Prompt: 500, Avoid: avoid})
+		require.Equal(t, "engine-01234", c.ID)
+	}
+}
