viewshare: large documents from near peers, for as long as their bytes come

Cause: a call for a document ended after 400 ms whatever came of it, and a second and third peer were asked after 100 ms. The list of 10,000 servers is 500 KB, packed 102 KB for made-up entries: 40 ms of a free link of 20 Mbit/s, several times that where hundreds of boxes ask at once, and three copies of it take three times as long; what does not come in time begins again.

Change: a call ends when nothing came of it for 400 ms, after 4 s in any case, and no other peer is asked while bytes come. Peers of the own failure domain are asked first, others after 300 ms: each failure domain has a box that reads the store.

--- a/internal/viewshare/caller.go
+++ b/internal/viewshare/caller.go
@@ -7,12 +7,12 @@
 	"net"
 	"net/rpc"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/dalebend/dalebend/internal/moment"
 	"github.com/dalebend/dalebend/internal/tcpopt"
 )
 
@@ -20,9 +20,12 @@
 	// dialTimeout covers several round trips between failure domains; a peer behind a cut
 	// does not answer at all.
 	dialTimeout = 200 * time.Millisecond
-	// callTimeout adds to that the time a busy peer with a spent processor quota
-	// takes, twice, and the transfer of a large document.
+	// callTimeout is how long nothing may come of an answer: it adds to dialTimeout the time
+	// a busy peer with a spent processor quota takes, twice. A document takes as long as its bytes do.
 	callTimeout = 400 * time.Millisecond
+	// longestCall bounds a call whose answer keeps coming: one of 20,000 servers takes 1.3 s of half
+	// a link of 10 Mbit/s.
+	longestCall = 4 * time.Second
 	// userTimeout is how long sent bytes may remain unacknowledged. It lets a
 	// connection live through a lost packet, but not through the death of a box.
 	userTimeout = time.Second
@@ -47,11 +50,17 @@
 	used time.Time
 	busy int
 
+	// read is when bytes last came.
+	read moment.Moment
+
 	mu     sync.Mutex
 	rpc    *rpc.Client
 	closed bool
 }
 
+// lastRead returns when bytes last came from the peer, zero if none did.
+func (c *caller) lastRead() time.Time { return c.read.Load() }
+
 // call makes one call. Net/rpc has no deadlines: the connection of a call that
 // runs out of time is closed, which ends it.
 func (c *caller) call(method string, args, reply any) error {
@@ -59,12 +68,9 @@
 	if err != nil {
 		return fmt.Errorf("dial peer %s: %w", c.addr, err)
 	}
-	var late atomic.Bool
-	timer := c.clock.AfterFunc(callTimeout, func() {
-		late.Store(true)
-		c.drop(client)
-	})
-	defer timer.Stop()
+	watch := &callWatch{caller: c, client: client, began: c.clock.Now()}
+	watch.start()
+	defer watch.stop()
 	err = client.Call(method, args, reply)
 	if err == nil {
 		return nil
@@ -73,7 +79,7 @@
 	if !errors.As(err, &answer) {
 		c.drop(client)
 	}
-	if late.Load() {
+	if watch.late.Load() {
 		err = errCallTimeout
 	}
 	return fmt.Errorf("call %s at %s: %w", method, c.addr, err)
@@ -109,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.rpc = rpc.NewClient(conn)
+	c.rpc = rpc.NewClient(&progressConn{Conn: conn, caller: c})
 	return c.rpc, nil
 }
 
--- a/internal/viewshare/fetch.go
+++ b/internal/viewshare/fetch.go
@@ -28,7 +28,7 @@
 
 // fetchNext begins a fetch if one is needed and some peer may be asked.
 func (s *Share) fetchNext(k kind) {
-	job, wait := s.fetches.begin(k, s.held(k), s.Grace, s.Clock)
+	job, wait := s.fetches.begin(k, s.held(k), asker{domain: s.Domain, grace: s.Grace}, s.Clock)
 	if wait > 0 {
 		s.Clock.AfterFunc(wait, func() { s.fetchNext(k) })
 	}
--- a/internal/viewshare/patches_test.go
+++ b/internal/viewshare/patches_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -93,6 +94,8 @@
 	return err
 }
 
+func (falsePeer) lastRead() time.Time { return time.Time{} }
+
 // TestWholeWithoutNews: a whole document that brings nothing newer is a failure of the
 // peer, which is then not asked again at once.
 func TestWholeWithoutNews(t *testing.T) {
--- /dev/null
+++ b/internal/viewshare/progress_test.go
@@ -0,0 +1,95 @@
+package viewshare
+
+import (
+	"bytes"
+	"encoding/gob"
+	"net"
+	"net/rpc"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/internal/digest"
+)
+
+// slowLink is a peer whose answer to one question comes in parts, when the test wants it.
+type slowLink struct {
+	t      *testing.T
+	b      *box
+	conn   net.Conn
+	answer []byte
+}
+
+// askOverSlowLink has a box ask a peer for a view of many servers.
+func askOverSlowLink(t *testing.T, b *box) *slowLink {
+	from := newShare()
+	from.OfferView(wholeView(3000))
+	s := &slowLink{t: t, b: b, answer: encodedAnswer(t, from)}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, ln.Close()) })
+	b.Heard(&digest.Digest{Box: "slow", CallAddr: ln.Addr().String(), ViewRevision: 7})
+	s.conn, err = ln.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.conn.Close() })
+	_, err = s.conn.Read(make([]byte, 1))
+	require.NoError(t, err)
+	return s
+}
+
+// encodedAnswer returns what a share answers to the first call of a connection, as it travels.
+func encodedAnswer(t *testing.T, from *Share) []byte {
+	var reply FetchReply
+	require.NoError(t, service{from}.View(&FetchArgs{}, &reply))
+	var wire bytes.Buffer
+	enc := gob.NewEncoder(&wire)
+	require.NoError(t, enc.Encode(&rpc.Response{ServiceMethod: viewMethod}))
+	require.NoError(t, enc.Encode(&reply))
+	return wire.Bytes()
+}
+
+// send sends the next part of the answer, and returns when the box has read of it.
+func (s *slowLink) send(part int) {
+	_, err := s.conn.Write(s.answer[:part])
+	require.NoError(s.t, err)
+	s.answer = s.answer[part:]
+	now := s.b.Clock.Now()
+	s.b.fetches.mu.Lock()
+	c := s.b.fetches.callers[s.conn.LocalAddr().String()]
+	s.b.fetches.mu.Unlock()
+	for !c.lastRead().Equal(now) {
+		runtime.Gosched()
+	}
+}
+
+// TestSlowLink: a document that keeps coming is waited for, however long it takes, and asked for
+// nowhere else meanwhile; one that stops coming is not.
+func TestSlowLink(t *testing.T) {
+	const parts, apart = 10, callTimeout - 20*time.Millisecond
+	for _, whole := range []bool{true, false} {
+		clock := newClock()
+		b := newBox(t, "b", clock)
+		s := askOverSlowLink(t, b)
+		part := len(s.answer)/parts + 1
+		for len(s.answer) > part {
+			s.send(part)
+			clock.Advance(hedgeAfter / 2)
+			b.Heard(&digest.Digest{Box: "other", CallAddr: "127.0.0.1:1", ViewRevision: 7})
+			require.Equal(t, 1, b.fetching())
+			clock.Advance(apart - hedgeAfter/2)
+		}
+		if whole {
+			s.send(len(s.answer))
+			require.Equal(t, int64(7), (<-b.views).Revision)
+			require.Zero(t, b.log.count("ran out of time"))
+			continue
+		}
+		clock.Advance(callTimeout)
+		for b.log.count("ran out of time") == 0 {
+			runtime.Gosched()
+		}
+		require.Empty(t, b.views)
+	}
+}
--- a/internal/viewshare/rising_test.go
+++ b/internal/viewshare/rising_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -73,6 +74,8 @@
 	return gob.NewDecoder(&wire).Decode(reply)
 }
 
+func (p *slowPeer) lastRead() time.Time { return time.Time{} }
+
 // TestNeverFalls: under any interleaving of offers and fetches, versions and
 // revisions rise, a view is that of its revision on every box, and a fetch that
 // succeeds brings what the peer told of.
--- a/internal/viewshare/share.go
+++ b/internal/viewshare/share.go
@@ -41,6 +41,8 @@
 	// LinkMbps is the rate of this box's link in Mbit/s, which bounds the whole documents that
 	// it gives to peers; 0 is not stated.
 	LinkMbps float64
+	// Domain is the failure domain of this box; peers there are asked first. Empty is not known.
+	Domain string
 	// Grace is how long a peer may be ahead before it is asked. A box whose own watch
 	// of the store works gets most news by it within that time; 0 asks at once.
 	Grace time.Duration
