watchduty: strong boxes follow the store, and few of those that start

Cause: which box of a failure domain reads the store was drawn by a hash. And the box that ranks first called again at once after each change, 89 times a second while servers are replaced.

Change: boxes rank by the strength that they tell, then by a hash that is not that of the relays. In its first 2 s a box that knows of nobody in contact leaves the store to the seeds and to the first of its failure domain. The first of the fleet rests 100 ms after a change, so that ten calls a second are the most. The order of the boxes is kept for a second instead of made for each question: it is asked for ten times a second.

TestStrongBoxesFollow, TestStartOfManyLeavesTheStore and TestOneBoxRestsBriefly (which replaces that it does not rest: it had no bound on calls) fail before.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -167,7 +167,7 @@
 	}
 	b.duty = &watchduty.Duty{
 		Clock: b.Clock, Self: b.self(), Live: b.live, Store: b.watcher.Status, Peers: b.peers,
-		Started: b.started,
+		Started: b.started, Strength: relayStrength(b.Settings), Seed: isSeed(b.Settings),
 	}
 }
 
@@ -188,13 +188,16 @@
 	switch {
 	case len(s.Seeds) == 0:
 		return 0, 0
-	case slices.Contains(s.Seeds, s.Heartbeat):
+	case isSeed(s):
 		return 0, seedSpread
 	default:
 		return startDelay, startSpread
 	}
 }
 
+// isSeed reports whether others look for this box when they start.
+func isSeed(s *boxsettings.Settings) bool { return slices.Contains(s.Seeds, s.Heartbeat) }
+
 // buildRequests makes the path of a request.
 func (b *Box) buildRequests() {
 	s := b.Settings
--- a/internal/peerstate/table.go
+++ b/internal/peerstate/table.go
@@ -106,3 +106,13 @@
 	b, ok := t.boxes[box]
 	return ok && b.digest.Leaving
 }
+
+// Strength returns how strong a box told that it is, 0 if it is not known.
+func (t *Table) Strength(box string) int32 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b, ok := t.boxes[box]; ok {
+		return b.digest.Strength
+	}
+	return 0
+}
--- a/internal/watchduty/duty.go
+++ b/internal/watchduty/duty.go
@@ -2,17 +2,17 @@
 //
 // In each failure domain one box does and tells the others, so that calls to
 // the store grow with the failure domains and not with the boxes. It is the live
-// box that ranks first by a hash, without any vote: two that both believe to be
+// box that ranks first by its strength and a hash, without any vote: two that both believe to be
 // first cost a few calls. A box that the store refuses is passed over for a
 // while. When no box is known to be in contact with the store, every box tries, in
 // turns. Of those that follow the store, all but the one that ranks first of all
-// boxes rest after a change.
+// boxes rest for long after a change.
 package watchduty
 
 import (
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dalebend/dalebend/internal/member"
@@ -35,6 +35,9 @@
 	// of the time within which a configuration must be in force.
 	backupRest   = 500 * time.Millisecond
 	backupSpread = 500 * time.Millisecond
+	// firstRest is the rest of the box that ranks first of all. While servers are replaced by the
+	// dozen each second it reads their changes together, instead of by a call for each.
+	firstRest = 100 * time.Millisecond
 )
 
 // Peers tells what other boxes said of the store.
@@ -47,6 +50,8 @@
 	Leaving(box string) bool
 	// Reaches reports whether a peer told that it reaches the store.
 	Reaches(box string) bool
+	// Strength returns how strong a peer told that it is, the more the stronger, 0 if it did not.
+	Strength(box string) int32
 }
 
 // Duty decides for one box. Set the exported fields before use.
@@ -60,20 +65,27 @@
 	Peers Peers
 	// Started is when this box started.
 	Started time.Time
+	// Strength is how strong this box is, as it tells its peers.
+	Strength int32
+	// Seed means that others look for this box when they start.
+	Seed bool
+
+	// ranked is the order of the boxes that were live when it was last asked for.
+	ranked atomic.Pointer[ranking]
 }
 
 // Decide reports whether this box should follow the store now, and why. A box that reaches
 // the store hands over: it goes on until the one that ranks before it reaches the store.
 func (d *Duty) Decide() (active bool, reason string) {
-	if !d.Peers.InContact(ContactAge) {
-		return true, "no other box is known to be in contact with the store"
-	}
+	first := d.first(d.ranking().domain)
 	following := d.Store().Reachable
-	if !following && d.Clock.Since(d.Started) < settleTime {
-		return false, "this box has just started, and another one is in contact with the store"
+	fresh := !following && d.Clock.Since(d.Started) < settleTime
+	if !d.Peers.InContact(ContactAge) {
+		return d.seek(first, fresh)
 	}
-	first := d.first(d.inDomain)
 	switch {
+	case fresh:
+		return false, "this box has just started, and another one is in contact with the store"
 	case first == d.Self.Name:
 		return true, "this box ranks first in its failure domain"
 	case following && first != "" && !d.Peers.Reaches(first) && !d.Refused():
@@ -83,6 +95,15 @@
 	}
 }
 
+// seek decides while nobody is known to be in contact with the store. Of hundreds of boxes that start
+// together the seeds and the first of each failure domain are enough to find it.
+func (d *Duty) seek(first string, fresh bool) (active bool, reason string) {
+	if fresh && !d.Seed && first != "" && first != d.Self.Name {
+		return false, "this box has just started, and leaves the store to the one that ranks first: " + first
+	}
+	return true, "no other box is known to be in contact with the store"
+}
+
 // Seekers returns how many boxes seek the store, none of them in contact with it:
 // all live ones. It is 1 while another box is in contact, as the few that follow the
 // store then need not wait for each other.
@@ -95,47 +116,32 @@
 
 // Rest returns how long this box rests after a change of the servers before its next
 // watch. Each change ends the watches of all boxes that wait, and each of them would
-// call again. So one box, which ranks first of all, calls again at once and tells the
+// call again. So one box, which ranks first of all, calls again soon and tells the
 // others; they rest longer, and learn by their own watch only what it missed. A box
 // that nobody else stands by does not rest.
 func (d *Duty) Rest() time.Duration {
 	if !d.Peers.InContact(ContactAge) {
 		return 0
 	}
-	if d.first(inFleet) == d.Self.Name {
-		return 0
+	if d.first(d.ranking().fleet) == d.Self.Name {
+		return firstRest
 	}
 	// Boxes rest for different times, so that one of them is soon back whenever the
 	// first fails.
 	return backupRest + time.Duration(rank(d.Self.Name)%uint64(backupSpread))
 }
 
-// first returns the box that ranks first of those of which ok holds, empty if the
-// store refuses all of them.
-func (d *Duty) first(ok func(member.Box) bool) string {
-	first := ""
-	best := uint64(0)
-	for _, b := range d.Live() {
-		if !ok(b) || d.passedOver(b.Name) {
-			continue
-		}
-		if r := rank(b.Name); first == "" || r > best {
-			first = b.Name
-			best = r
+// first returns the box that ranks first of some, in their order, empty if the store refuses all
+// of them.
+func (d *Duty) first(ranked []string) string {
+	for _, box := range ranked {
+		if !d.passedOver(box) {
+			return box
 		}
 	}
-	return first
+	return ""
 }
 
-// inDomain reports whether a box stands in the failure domain of this one.
-func (d *Duty) inDomain(b member.Box) bool { return b.Domain == d.Self.Domain }
-
-// inFleet is true of every box.
-func inFleet(member.Box) bool { return true }
-
-// rank orders boxes; the highest is first.
-func rank(box string) uint64 { return xxhash.Sum64String(box) }
-
 // passedOver reports whether a box is not to follow the store now.
 func (d *Duty) passedOver(box string) bool {
 	if box == d.Self.Name {
