member, digest, spend: relays tell who is there, not each heartbeat of each box

Cause: in a large fleet each box heard each heartbeat of each other box, from two relays: 3,300 a second at 985 boxes, and the whole digest of each every 10 s. Bytes and processor time of a box grew with the fleet, those of a relay with its square. When many started, each greeted and answered each that it heard directly, and told its whole digest at every turn for 1.2 s.

Change: a relay tells each 600 ms, by a bit for each box of its failure domain, which of them it has just heard (digest.Roll). Places are those of the sorted starts that sender and receiver both know; a box whose list differs asks whoever passed the roll on for the names, and for the digests of those that it does not know. A box marks what relays are to pass on: news (twice), what a box that reaches the store tells, and first attempts so seldom that all boxes together tell 167 times a second. Of a newer configuration, cordons or a first view the first that relays hear of is passed on, and 64 others. The retry budget counts a box that is there as one that has nothing newer to tell. Samples of the members go out each 3 s instead of 0.6 s, digests at most five a second of the whole fleet, and a box that hears another for the first time answers only one that asks. The order of the relays is kept, not sorted anew for each box that comes.

Tried on the way: with one question for names a failure domain, not a relay, some boxes never learnt of all (two relays that differ by a box each took the turn of the other); a box that was lost by mistake and had nothing newer to tell was not taken back.

TestToldAttempts now also asks that further attempts are told twice, and first ones more seldom in larger fleets; TestForget takes the place of TestRetain, as peers are forgotten by name.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -116,7 +116,7 @@
 	b.node = &member.Node{
 		Self: b.self(), Seeds: b.Settings.Seeds, Conn: b.listeners.heartbeat,
 		Clock: b.Clock, Logger: b.Logger, Rand: b.random(drawsOfNode),
-		Local: b.tell, Heard: b.heard, Noted: b.noted, Changed: b.peersChanged,
+		Local: b.tell, Heard: b.heard, Present: b.budget.Present, Noted: b.noted, Changed: b.peersChanged,
 		Strength: relayStrength(b.Settings),
 	}
 }
--- a/internal/box/contact.go
+++ b/internal/box/contact.go
@@ -17,14 +17,11 @@
 	}
 }
 
-// peersChanged is told that a peer was lost or regained.
-func (b *Box) peersChanged() {
-	live := make(map[string]bool)
-	for _, m := range b.live() {
-		live[m.Name] = true
-	}
-	for _, gone := range b.peers.Retain(func(box string) bool { return live[box] }) {
-		b.ledger.Forget(gone)
+// peersChanged is told that peers were lost or regained.
+func (b *Box) peersChanged(lost []string) {
+	for _, box := range lost {
+		b.peers.Forget(box)
+		b.ledger.Forget(box)
 	}
 	b.watcher.Wake()
 }
--- a/internal/digest/bundle.go
+++ b/internal/digest/bundle.go
@@ -31,20 +31,28 @@
 	Reach Reach
 	// Items are the digests and updates, without those that the receiver has left out.
 	Items []Item
-	// Wanted are the starts whose digests the sender asks for.
-	Wanted []uint64
+	// Wanted are the starts whose digests the sender asks for, and WantedRolls those whose rolls it
+	// asks for with the names of who is present.
+	Wanted      []uint64
+	WantedRolls []uint64
 }
 
-// Item is a digest, an update or a note of one box.
+// Item is a digest, an update, a note or a roll of one box.
 type Item struct {
-	// One of Digest, Update and Note is set.
+	// One of Digest, Update, Note and Roll is set.
 	Digest *Digest
 	Update *Update
 	Note   *Note
+	Roll   *Roll
 	// Raw is how it travels, to be passed on as it came.
 	Raw []byte
 }
 
+// none reports whether the item is empty.
+func (i *Item) none() bool {
+	return i.Digest == nil && i.Update == nil && i.Note == nil && i.Roll == nil
+}
+
 // Note is something that one box tells all others once; what it says is not of this package.
 type Note struct {
 	// Start is the StartKey of the box, Seq rises by one with each of its notes.
@@ -55,21 +63,25 @@
 
 // Fresh says what is new to the one who decodes a bundle.
 type Fresh interface {
-	// Update reports whether an update is new, Note whether a note is.
+	// Update reports whether an update is new, Note whether a note is, and Roll whether a roll
+	// is.
 	Update(start, seq uint64) bool
 	Note(start, seq uint64) bool
+	Roll(start, seq uint64) bool
 }
 
 const (
-	// bundleFormat is the first value of a bundle, formatUpdate and formatNote those of an
-	// update and a note. They differ from that of a digest.
-	bundleFormat = 64
+	// bundleFormat is the first value of a bundle, formatUpdate, formatNote and formatRoll those
+	// of an update, a note and a roll. They differ from that of a digest.
+	bundleFormat = 67
 	formatUpdate = 65
 	formatNote   = 66
-	// bundleFields, updateFields and noteFields are lengths of arrays on the wire.
-	bundleFields = 6
+	formatRoll   = 68
+	// bundleFields, updateFields, noteFields and rollFields are lengths of arrays on the wire.
+	bundleFields = 7
 	updateFields = 12
 	noteFields   = 4
+	rollFields   = 6
 	// BundleOverhead is the most bytes of a bundle beyond its items when names and
 	// addresses are under 64 bytes.
 	BundleOverhead = 160
@@ -80,6 +92,7 @@
 	flagTried = 1 << iota
 	flagReachable
 	flagLeaving
+	flagPass
 )
 
 // EncodeUpdate returns an update as an item of a bundle.
@@ -123,6 +136,9 @@
 	if u.Leaving {
 		flags |= flagLeaving
 	}
+	if u.Pass {
+		flags |= flagPass
+	}
 	return flags
 }
 
@@ -134,10 +150,8 @@
 		w.int(bundleFormat)
 		w.strings(b.From, b.Addr)
 		w.uint(uint64(b.Reach))
-		w.array(len(b.Wanted))
-		for _, start := range b.Wanted {
-			w.uint(start)
-		}
+		w.starts(b.Wanted)
+		w.starts(b.WantedRolls)
 		w.array(len(b.Items))
 		for i := range b.Items {
 			w.raw(b.Items[i].Raw)
@@ -166,7 +180,7 @@
 			r.fail(fmt.Errorf("reach %d", reach))
 		}
 		b.Reach = Reach(reach)
-		b.Wanted = r.starts()
+		b.Wanted, b.WantedRolls = r.starts(), r.starts()
 		b.Items = r.items(data, fresh)
 		if r.err == nil && (b.From == "" || b.Addr == "") {
 			r.fail(errors.New("no sender"))
@@ -178,7 +192,14 @@
 	return b, nil
 }
 
-// starts reads the starts that a box asks for.
+func (w *writer) starts(starts []uint64) {
+	w.array(len(starts))
+	for _, start := range starts {
+		w.uint(start)
+	}
+}
+
+// starts reads names of starts.
 func (r *reader) starts() []uint64 {
 	n := r.arrayLen()
 	if r.err != nil || n <= 0 {
@@ -205,7 +226,7 @@
 		}
 		begin := len(data) - r.in.Len()
 		item := r.item(fresh)
-		if item.Digest == nil && item.Update == nil && item.Note == nil {
+		if item.none() {
 			continue
 		}
 		item.Raw = bytes.Clone(data[begin : len(data)-r.in.Len()])
@@ -223,6 +244,8 @@
 		return Item{Update: r.updateItem(fresh)}
 	case noteFields:
 		return Item{Note: r.noteItem(fresh)}
+	case rollFields:
+		return Item{Roll: r.rollItem(fresh)}
 	default:
 		r.fail(fmt.Errorf("%d fields of an item", fields))
 		return Item{}
@@ -272,6 +295,7 @@
 	u.StoreTried = flags&flagTried != 0
 	u.StoreReachable = flags&flagReachable != 0
 	u.Leaving = flags&flagLeaving != 0
+	u.Pass = flags&flagPass != 0
 	u.StoreAgeMs = r.int32()
 	u.Loads = list(r, loadFields, r.load)
 	u.Troubles = list(r, troubleFields, r.trouble)
--- a/internal/digest/update.go
+++ b/internal/digest/update.go
@@ -31,6 +31,9 @@
 	Troubles []Trouble
 	// Attempts, unless there are none, replace those of the digest.
 	Attempts []Attempts
+	// Pass means that relays are to pass the update on; else it only tells them that the box
+	// is there.
+	Pass bool
 }
 
 // StartKey returns the number that names one start of one box in updates.
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -37,10 +37,13 @@
 	Local func(d *digest.Digest)
 	// Heard gets each digest that is newer than the last one of the same box.
 	Heard func(d *digest.Digest)
+	// Present, if set, gets the names of boxes that have nothing to tell but that they are there. The
+	// list is read only.
+	Present func(boxes []string)
 	// Noted, if set, gets each note that another box spreads, once.
 	Noted func(data []byte)
-	// Changed, if set, is called after Live changed.
-	Changed func()
+	// Changed, if set, is called after Live changed, with the names of boxes that were lost.
+	Changed func(lost []string)
 
 	live  atomic.Pointer[[]Box]
 	seeds atomic.Pointer[[]string]
@@ -54,11 +57,14 @@
 	ownStart uint64
 	seq      uint64
 	peers    *table
-	// told, out and wants are what a box of a large fleet has told, is to pass on, and
-	// lacks.
+	// told, out, wants and rolls are what a box of a large fleet has told, is to pass on, lacks,
+	// and knows of who is present.
 	told  told
 	out   outbox
 	wants wants
+	rolls rolls
+	// highest are the versions that boxes told of.
+	highest versions
 	// news and noted are what was taken from a datagram and is to be given to Heard and Noted.
 	news  []*digest.Digest
 	noted [][]byte
@@ -204,10 +210,10 @@
 	n.incarnation = now.UnixNano()
 	n.ownStart = digest.StartKey(n.Self.Name, n.incarnation)
 	n.peers = newTable(n.Self, n.Strength)
-	n.peers.self.came = now
+	n.peers.self.came, n.peers.self.start = now, n.ownStart
 	n.told = told{began: now}
 	n.due = schedule{wake: now, round: now, join: now, seed: now.Add(seedInterval)}
-	n.publish()
+	n.publish(nil)
 }
 
 // loop owns the state of the node.
@@ -259,13 +265,20 @@
 	return a
 }
 
-// publish makes the live boxes known to other goroutines.
-func (n *Node) publish() {
+// publish makes the live boxes known to other goroutines. Lost are peers that are so no more.
+func (n *Node) publish(lost []*peer) {
 	n.changed = false
-	n.peers.rankDomains()
+	if n.peers.unranked {
+		n.peers.rankDomains()
+	}
 	live := n.peers.liveBoxes()
 	n.live.Store(&live)
-	if n.Changed != nil {
-		n.Changed()
+	if n.Changed == nil {
+		return
+	}
+	names := make([]string, 0, len(lost))
+	for _, p := range lost {
+		names = append(names, p.box.Name)
 	}
+	n.Changed(names)
 }
--- a/internal/member/note.go
+++ b/internal/member/note.go
@@ -36,12 +36,13 @@
 // sendNote sends a note of this box.
 func (n *Node) sendNote(data []byte, now time.Time) {
 	n.noteSeq++
-	raw, err := digest.EncodeNote(&digest.Note{Start: n.ownStart, Seq: n.noteSeq, Data: data})
+	note := &digest.Note{Start: n.ownStart, Seq: n.noteSeq, Data: data}
+	raw, err := digest.EncodeNote(note)
 	if err != nil {
 		n.Logger.Error("note not sent", "bytes", len(data), "err", err)
 		return
 	}
-	items := []digest.Item{{Raw: raw}}
+	items := []digest.Item{{Note: note, Raw: raw}}
 	if !n.peers.relayed() {
 		n.sendBundle(&digest.Bundle{Reach: digest.ReachBox, Items: items}, n.peers.order)
 		return
@@ -49,18 +50,28 @@
 	n.sendToRelays(items[0], true, now)
 }
 
-// sendToRelays has this box's relays pass on an item. The box itself may be one.
+// sendToRelays has this box's relays pass on an item, or only hear that the box is there. The box
+// itself may be one.
 func (n *Node) sendToRelays(item digest.Item, urgent bool, now time.Time) {
 	relays := n.peers.relays(now)
 	b := &digest.Bundle{Reach: digest.ReachFleet, Items: []digest.Item{item}}
-	for range sendsToRelays {
+	first := item.Note == nil && n.isFirst(&item)
+	passed := first || passes(&item)
+	times := 1
+	if passed {
+		times = sendsToRelays
+	}
+	for range times {
 		n.sendBundle(b, relays)
 	}
 	for _, p := range relays {
-		if p == n.peers.self {
-			n.out.add(item, digest.ReachFleet, urgent, now)
+		if p != n.peers.self {
+			p.relay.use(now)
 			continue
 		}
-		p.relay.use(now)
+		n.rolls.asked = now
+		if passed {
+			n.out.add(item, digest.ReachFleet, urgent || first, now)
+		}
 	}
 }
--- a/internal/member/outbox.go
+++ b/internal/member/outbox.go
@@ -102,7 +102,7 @@
 func (n *Node) ownNews(now time.Time) (item digest.Item, urgent bool) {
 	d := n.state(false)
 	old := n.told.last
-	item.Update = n.told.next(d, now)
+	item.Update = n.told.next(d, n.boxes(), now)
 	var err error
 	if item.Update == nil {
 		item.Digest = d
@@ -113,29 +113,28 @@
 	if err != nil {
 		n.Logger.Error("nothing told", "err", err)
 	}
-	return item, isNews(&item, old)
+	return item, n.isNews(&item, old)
 }
 
+// boxes returns the number of live boxes, this one among them.
+func (n *Node) boxes() int { return len(n.peers.order) + 1 }
+
 // isNews reports whether an item says more of a box than that it is there.
-func isNews(item *digest.Item, old *digest.Digest) bool {
+func (n *Node) isNews(item *digest.Item, old *digest.Digest) bool {
 	if old == nil {
 		return true
 	}
-	u := item.Update
-	if u == nil {
-		d := item.Digest
-		return d.Incarnation != old.Incarnation || len(digest.Difference(old.Loads, d.Loads)) > 0 ||
-			knowsMore(old, d.ConfigVersion, d.ViewRevision, d.CordonRevision)
-	}
-	return len(u.Loads) > 0 || len(u.Troubles) > 0 ||
-		knowsMore(old, u.ConfigVersion, u.ViewRevision, u.CordonRevision) ||
-		u.Leaving != old.Leaving || u.StoreTried != old.StoreTried || u.StoreReachable != old.StoreReachable
+	if item.Update != nil {
+		return saysMore(item.Update, old, n.boxes())
+	}
+	d := item.Digest
+	return d.Incarnation != old.Incarnation || len(digest.Difference(old.Loads, d.Loads)) > 0 ||
+		knowsMore(old, d.ConfigVersion, d.ViewRevision, d.CordonRevision)
 }
 
-// knowsMore reports whether the versions that a box tells differ from those that it told.
-func knowsMore(old *digest.Digest, config, view, cordons int64) bool {
-	return config != old.ConfigVersion || view != old.ViewRevision || cordons != old.CordonRevision
-}
+// passes reports whether relays pass on what a box tells of itself. Besides, they do so with the first
+// that they hear of a newer version.
+func passes(item *digest.Item) bool { return item.Update == nil || item.Update.Pass }
 
 // takeBundle takes what others tell of themselves and of others.
 func (n *Node) takeBundle(b *digest.Bundle) {
@@ -146,20 +145,35 @@
 			p.relay.passed = now
 		}
 	}
+	if b.Reach == digest.ReachFleet {
+		n.rolls.asked = now
+	}
 	for _, item := range b.Items {
-		if item.Note != nil {
+		switch {
+		case item.Note != nil:
 			n.noted = append(n.noted, item.Note.Data)
 			n.out.add(item, b.Reach, true, now)
-			continue
-		}
-		old := n.heldOf(&item)
-		if n.takeItem(&item, b, now) {
-			n.out.add(item, b.Reach, isNews(&item, old), now)
+		case item.Roll != nil:
+			n.takeRoll(item.Roll, b, now)
+			n.out.add(item, b.Reach, false, now)
+		default:
+			n.takeState(&item, b, now)
 		}
 	}
 	n.answerWanted(b)
 }
 
+// takeState takes what a bundle tells of one box, and passes on what is new.
+func (n *Node) takeState(item *digest.Item, b *digest.Bundle, now time.Time) {
+	old := n.heldOf(item)
+	if !n.takeItem(item, b, now) {
+		return
+	}
+	if first := n.isFirst(item); first || passes(item) {
+		n.out.add(*item, b.Reach, first || n.isNews(item, old), now)
+	}
+}
+
 // heldOf returns what is held of the box that an item tells of, or nil.
 func (n *Node) heldOf(item *digest.Item) *digest.Digest {
 	var p *peer
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -16,7 +16,9 @@
 	// nothing.
 	state       *digest.Digest
 	incarnation int64
-	seq         uint64
+	// start is the StartKey of its last start.
+	start uint64
+	seq   uint64
 	// strength and hash order the boxes as relays.
 	strength int32
 	hash     uint64
--- a/internal/member/receive.go
+++ b/internal/member/receive.go
@@ -54,28 +54,37 @@
 	return datagram{digest: d}, err
 }
 
-// seen holds the newest update of each start that came in a bundle, and the notes. Each
+// seen holds the newest update and roll of each start that came in a bundle, and the notes. Each
 // comes from two relays, and most of the work is to decode it.
 type seen struct {
-	own    uint64
-	newest map[uint64]uint64
-	notes  map[noteKey]struct{}
+	own            uint64
+	updates, rolls newest
+	notes          map[noteKey]struct{}
 }
 
+// newest holds the highest sequence number of each start.
+type newest map[uint64]uint64
+
 // mostSeen bounds the starts and the notes that are kept: some restarts of a large fleet.
 // When they are forgotten, an old update is decoded once and dropped then, and an old note is
 // found to be no news by who gets it.
 const mostSeen = 8192
 
-// Update reports whether a sequence number is the highest of its start so far.
-func (s *seen) Update(start, seq uint64) bool {
-	if start == s.own || (s.newest[start] >= seq && seq > 0) {
+// Update reports whether an update has the highest sequence number of its start so far.
+func (s *seen) Update(start, seq uint64) bool { return start != s.own && s.updates.raise(start, seq) }
+
+// Roll reports whether a roll has the highest sequence number of its start so far.
+func (s *seen) Roll(start, seq uint64) bool { return start != s.own && s.rolls.raise(start, seq) }
+
+// raise takes a sequence number, and reports whether it is the highest of its start so far.
+func (n *newest) raise(start, seq uint64) bool {
+	if (*n)[start] >= seq && seq > 0 {
 		return false
 	}
-	if s.newest == nil || len(s.newest) >= mostSeen {
-		s.newest = make(map[uint64]uint64)
+	if *n == nil || len(*n) >= mostSeen {
+		*n = make(newest)
 	}
-	s.newest[start] = seq
+	(*n)[start] = seq
 	return true
 }
 
@@ -106,7 +115,7 @@
 		n.acceptDigest(d.digest)
 	}
 	if n.changed {
-		n.publish()
+		n.publish(nil)
 	}
 	// Who hears a box is to find it among the live ones.
 	for _, d := range n.news {
@@ -131,8 +140,9 @@
 		return
 	}
 	p.relay.direct = now
-	// A peer that comes back has lost this box too, more often than not.
-	if d.Join || what != sameBox {
+	// A peer that comes back has lost this box too, more often than not. In a large fleet relays
+	// tell it who is there, and answers of all would be most of what a start costs.
+	if d.Join || what != sameBox && !n.peers.relayed() {
 		n.answer(p)
 	}
 	for _, m := range d.Members {
--- a/internal/member/relays.go
+++ b/internal/member/relays.go
@@ -149,8 +149,20 @@
 		t.domains[p.box.Domain] = append(t.domains[p.box.Domain], p)
 	}
 	for _, peers := range t.domains {
-		slices.SortFunc(peers, func(a, b *peer) int {
-			return cmp.Or(cmp.Compare(b.strength, a.strength), cmp.Compare(b.hash, a.hash))
-		})
+		slices.SortFunc(peers, byRank)
 	}
+	t.unranked, t.rosters = false, nil
+}
+
+// rank puts a peer that is live now in its place as a relay.
+func (t *table) rank(p *peer) {
+	peers := t.domains[p.box.Domain]
+	at, _ := slices.BinarySearchFunc(peers, p, byRank)
+	t.domains[p.box.Domain] = slices.Insert(peers, at, p)
+	t.rosters = nil
+}
+
+// byRank orders boxes as relays.
+func byRank(a, b *peer) int {
+	return cmp.Or(cmp.Compare(b.strength, a.strength), cmp.Compare(b.hash, a.hash))
 }
--- a/internal/member/send.go
+++ b/internal/member/send.go
@@ -44,7 +44,7 @@
 		n.peers.forgive(late, now)
 	}
 	if lost := n.peers.expire(now); len(lost) > 0 {
-		n.publish()
+		n.publish(lost)
 		for _, p := range lost {
 			n.logLost(p, now)
 		}
@@ -55,10 +55,10 @@
 	n.knock(now)
 	n.flush(now)
 	n.ask(now)
-	n.due.wake = n.nextWake()
+	n.due.wake = n.nextWake(now)
 }
 
-func (n *Node) nextWake() time.Time {
+func (n *Node) nextWake(now time.Time) time.Time {
 	wake := n.peers.earliest(n.due.round)
 	if n.due.kick && n.due.kicked.Add(kickInterval).Before(wake) {
 		wake = n.due.kicked.Add(kickInterval)
@@ -69,6 +69,9 @@
 	if n.peers.relayed() {
 		wake = sooner(wake, n.due.told.Add(relayedRound))
 	}
+	if n.relaying(now) {
+		wake = sooner(wake, n.rolls.due)
+	}
 	return sooner(sooner(wake, n.out.due), n.wants.due)
 }
 
@@ -82,6 +85,9 @@
 	if n.peers.relayed() && now.Sub(n.due.told) >= relayedRound {
 		n.tell(now)
 	}
+	if n.relaying(now) && !now.Before(n.rolls.due) {
+		n.tellRoll(now)
+	}
 	if now.Before(n.due.round) {
 		return
 	}
--- a/internal/member/silence.go
+++ b/internal/member/silence.go
@@ -17,6 +17,7 @@
 		lost = append(lost, p)
 		return true
 	})
+	t.unranked = t.unranked || len(lost) > 0
 	return lost
 }
 
@@ -73,10 +74,11 @@
 	return t.small() && now.Sub(p.met) <= missedBeats*roundInterval
 }
 
-// round is the time between heartbeats.
+// round is the time between heartbeats to peers. In a fleet that is told by relays only one peer gets
+// one each time.
 func (t *table) round() time.Duration {
 	if t.relayed() {
-		return relayedRound
+		return sampleInterval
 	}
 	return roundInterval
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -17,6 +17,9 @@
 	// relayedRound is the time between heartbeats in a fleet that is told by relays: 300
 	// boxes hear 500 a second from each of two relays.
 	relayedRound = 600 * time.Millisecond
+	// sampleInterval is the time between two samples of the members that a box of such a fleet
+	// sends to a peer. They bring together what relays do not.
+	sampleInterval = 3 * time.Second
 	// relayedInterval is the longest time between two of these at their receiver. Two
 	// relays on the way may each keep one for restInterval.
 	relayedInterval = relayedRound + 300*time.Millisecond
@@ -50,8 +53,11 @@
 	// order is the live peers, by name.
 	order []*peer
 	// domains is the live boxes of each failure domain, the box itself among them, in the
-	// order in which they are taken as relays.
-	domains map[string][]*peer
+	// order in which they are taken as relays; unranked means that it is to be made anew.
+	domains  map[string][]*peer
+	unranked bool
+	// rosters are those of the failure domains, made when they are needed after a change.
+	rosters map[string]*roster
 }
 
 func newTable(self Box, strength int32) *table {
@@ -76,18 +82,13 @@
 	if addr == nil {
 		return nil, sameBox
 	}
-	what := sameBox
-	switch {
-	case p == nil:
+	what := p.newsIn(d, box)
+	if p == nil {
 		p = &peer{hash: xxhash.Sum64String(box.Name)}
 		t.byName[box.Name] = p
-		what = newPeer
-	case p.incarnation == 0:
-		what = newPeer
-	case !p.live:
-		what = regained
-	case p.incarnation != d.Incarnation || p.box != box:
-		what = restarted
+	}
+	if p.live && (p.strength != d.Strength || p.box.Domain != box.Domain) {
+		t.unranked = true
 	}
 	t.keep(p, d)
 	p.box, p.addr = box, addr
@@ -102,6 +103,20 @@
 	return p, what
 }
 
+// newsIn says what a digest of a box changes; the peer is nil for one that is not known.
+func (p *peer) newsIn(d *digest.Digest, box Box) news {
+	switch {
+	case p == nil || p.incarnation == 0:
+		return newPeer
+	case !p.live:
+		return regained
+	case p.incarnation != d.Incarnation || p.box != box:
+		return restarted
+	default:
+		return sameBox
+	}
+}
+
 // meet notes that a peer came, came back or started anew.
 func (t *table) meet(p *peer, now time.Time) {
 	p.met = now
@@ -111,19 +126,30 @@
 	}
 }
 
+// revive makes a peer live again that told nothing new.
+func (t *table) revive(p *peer, now time.Time) {
+	p.heard = later(p.heard, now.Add(-presentFor))
+	t.meet(p, now)
+	p.live = true
+	t.insert(p)
+}
+
 // insert puts a peer that is live now in its place.
 func (t *table) insert(p *peer) {
 	at, _ := slices.BinarySearchFunc(t.order, p.box.Name, func(other *peer, name string) int {
 		return cmp.Compare(other.box.Name, name)
 	})
 	t.order = slices.Insert(t.order, at, p)
+	t.rank(p)
 }
 
 // keep keeps a digest as the state of a peer.
 func (t *table) keep(p *peer, d *digest.Digest) {
 	if p.state == nil || p.incarnation != d.Incarnation {
 		t.forgetStart(p)
-		t.byStart[digest.StartKey(d.Box, d.Incarnation)] = p
+		p.start = digest.StartKey(d.Box, d.Incarnation)
+		t.byStart[p.start] = p
+		t.rosters = nil
 	}
 	p.state, p.incarnation, p.seq, p.strength = d, d.Incarnation, d.Seq, d.Strength
 }
@@ -131,7 +157,7 @@
 // forgetStart drops the start that a peer is known by.
 func (t *table) forgetStart(p *peer) {
 	if p.state != nil {
-		delete(t.byStart, digest.StartKey(p.state.Box, p.state.Incarnation))
+		delete(t.byStart, p.start)
 	}
 }
 
--- a/internal/member/want.go
+++ b/internal/member/want.go
@@ -14,47 +14,63 @@
 	digestsPerQuestion = 24
 )
 
-// wants are the starts of boxes that were heard of and have no digest here, by the address
-// of the box that told of them.
+// wants are questions, by the address of the box that told of what is asked for.
 type wants struct {
+	// starts are those of boxes that were heard of and have no digest here.
 	starts map[string][]uint64
-	due    time.Time
+	// rolls are those of relays whose rolls could not be read.
+	rolls map[string][]uint64
+	due   time.Time
+}
+
+// begin sets the time for the questions, if there are none yet.
+func (w *wants) begin(now time.Time) {
+	if w.due.IsZero() {
+		*w = wants{starts: make(map[string][]uint64), rolls: make(map[string][]uint64), due: now.Add(wantInterval)}
+	}
 }
 
 // want asks the sender of a bundle, soon, for the digest of a box that it tells of.
 func (n *Node) want(start uint64, b *digest.Bundle, now time.Time) {
-	if n.wants.due.IsZero() {
-		n.wants = wants{starts: make(map[string][]uint64), due: now.Add(wantInterval)}
-	}
+	n.wants.begin(now)
 	if !slices.Contains(n.wants.starts[b.Addr], start) {
 		n.wants.starts[b.Addr] = append(n.wants.starts[b.Addr], start)
 	}
 }
 
-// ask sends the questions for digests that are due.
+// ask sends the questions that are due.
 func (n *Node) ask(now time.Time) {
 	if n.wants.due.IsZero() || now.Before(n.wants.due) {
 		return
 	}
 	for to, starts := range n.wants.starts {
-		addr := udpAddr(to)
-		if addr == nil {
-			continue
-		}
 		for wanted := range slices.Chunk(starts, digestsPerQuestion) {
-			n.sendBundle(&digest.Bundle{Wanted: wanted}, []*peer{{addr: addr}})
+			n.sendQuestion(to, &digest.Bundle{Wanted: wanted})
 		}
 	}
+	for to, starts := range n.wants.rolls {
+		n.sendQuestion(to, &digest.Bundle{WantedRolls: starts})
+	}
 	n.wants = wants{}
 }
 
-// answerWanted sends the digests that a box asks for.
+// sendQuestion sends a question to the address of a box.
+func (n *Node) sendQuestion(to string, b *digest.Bundle) {
+	if addr := udpAddr(to); addr != nil {
+		n.sendBundle(b, []*peer{{addr: addr}})
+	}
+}
+
+// answerWanted sends the digests and rolls that a box asks for.
 func (n *Node) answerWanted(b *digest.Bundle) {
 	addr := udpAddr(b.Addr)
-	if len(b.Wanted) == 0 || addr == nil {
+	if len(b.Wanted)+len(b.WantedRolls) == 0 || addr == nil {
 		return
 	}
 	var items []digest.Item
+	for _, start := range b.WantedRolls {
+		items = n.appendRoll(items, start)
+	}
 	for _, start := range b.Wanted {
 		if state := n.stateOf(start); state != nil {
 			items = n.appendDigest(items, state)
--- a/internal/peerstate/table.go
+++ b/internal/peerstate/table.go
@@ -41,17 +41,11 @@
 		old.digest.StoreTried != d.StoreTried || old.digest.Leaving != d.Leaving
 }
 
-// Retain forgets all boxes but the live ones and returns the names of those forgotten.
-func (t *Table) Retain(live func(box string) bool) (gone []string) {
+// Forget forgets a box that is gone.
+func (t *Table) Forget(box string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name := range t.boxes {
-		if !live(name) {
-			delete(t.boxes, name)
-			gone = append(gone, name)
-		}
-	}
-	return gone
+	delete(t.boxes, box)
 }
 
 // InContact reports whether a box told that it reached the store within a while.
--- a/internal/spend/fleet.go
+++ b/internal/spend/fleet.go
@@ -33,6 +33,19 @@
 	}
 }
 
+// Present notes that peers have nothing newer to tell than they told last: a second attempt is
+// told at once.
+func (b *Budget) Present(boxes []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	for _, box := range boxes {
+		if r := b.peers[box]; r != nil {
+			r.at = now
+		}
+	}
+}
+
 // pruneInterval is the least time between two searches for reports that are too old: they
 // count for nothing, and to look for them with each of hundreds of reports a second costs more than
 // the memory.
