member: memory that only grows is told by the sixteenth

Cause: each event of a stream changes the memory that its box takes on an engine, so that each box with a stream told all others of it at each heartbeat, and once more with the next. It moves no decision: the others forecast the growth from what they were told first.

Change: a load of which only the memory grew is told again once it is off by a sixteenth, and then half a step ahead, so that it is right on average. Streams, prompts, copies and moves are told as before. Only in fleets that are told by relays.

--- a/internal/member/news.go
+++ b/internal/member/news.go
@@ -54,6 +54,7 @@
 		t.last, t.changed, t.again = d, nil, false
 		return nil
 	}
+	d.Loads = steady(t.last.Loads, d.Loads)
 	changed := digest.Difference(t.last.Loads, d.Loads)
 	u := &digest.Update{
 		Start: digest.StartKey(d.Box, d.Incarnation), Seq: d.Seq,
--- a/internal/member/relays_test.go
+++ b/internal/member/relays_test.go
@@ -144,3 +144,28 @@
 	now = now.Add(500 * countPerBox)
 	require.Equal(t, int32(11), next(11, 1)[0].First)
 }
+
+// TestToldGrowth: a stream that only grows is told of now and then, as it is on average until the
+// next time.
+func TestToldGrowth(t *testing.T) {
+	now := time.Unix(1000, 0)
+	told := &told{began: now.Add(-time.Minute)}
+	loads := []digest.Load{{Server: "x", Streams: 1, Tokens: 3000, Growth: 400}}
+	told.next(&digest.Digest{Box: "b", Loads: loads}, 40, now)
+	updates, off, least, most := 0, int32(0), int32(0), int32(0)
+	for tokens := int32(3000); tokens <= 3400; tokens += 4 {
+		now = now.Add(28 * time.Millisecond)
+		d := &digest.Digest{Box: "b", Loads: []digest.Load{{Server: "x", Streams: 1, Tokens: tokens, Growth: 3400 - tokens}}}
+		if u := told.next(d, 40, now); len(u.Loads) > 0 {
+			updates++
+		}
+		ahead := told.last.Loads[0].Tokens - tokens
+		off += ahead
+		least, most = min(least, ahead), max(most, ahead)
+		require.Equal(t, int32(3400), told.last.Loads[0].Tokens+told.last.Loads[0].Growth)
+	}
+	require.LessOrEqual(t, updates, 4, "each is told twice")
+	require.LessOrEqual(t, most, int32(3400/steadyPart))
+	require.GreaterOrEqual(t, least, -int32(3400/steadyPart))
+	require.InDelta(t, 0, off/101, 3400/steadyPart/2)
+}
