spend: a test of peers that are there and tell nothing newer

Cause: relays tell who is there without a heartbeat of each, while the retry budget counts only reports of the last 2 s as all that a peer took. Change: a test of Present, by which the report of a quiet peer stays one that counts.

--- a/internal/spend/budget_test.go
+++ b/internal/spend/budget_test.go
@@ -273,3 +273,27 @@
 	_, peers = boxes[0].Demand("plain")
 	require.Empty(t, peers)
 }
+
+// TestQuietPeers: a peer that is there and has nothing newer to tell counts as one that was heard, and
+// one that is not does not.
+func TestQuietPeers(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	terms := spend.Terms{Minimum: 100, Window: window}
+	budget := fleet(clock, 10, terms)[0]
+	var peers []string
+	for i := range 9 {
+		name := fmt.Sprint("box-", i)
+		peers = append(peers, name)
+		budget.Heard(name, nil)
+	}
+	all := budget.Left("chat")
+	for range 8 {
+		clock.Advance(time.Second)
+		budget.Present(peers)
+	}
+	require.Equal(t, all, budget.Left("chat"))
+	clock.Advance(3 * time.Second)
+	budget.Present(peers[:1])
+	require.Less(t, budget.Left("chat"), all)
+	budget.Present([]string{"stranger"})
+}
