member: boxes are not lost while their failure domain's relays are replaced

Cause: what relays tell of who is there is up to 1.3 s old, and after the death of all relays of a failure domain it takes 1.3 s and a round until others tell: boxes that were there counted as lost 1.7 s after it, all of the failure domain at once (TestSpread/trouble, one of three runs with -race; 112 of 140 boxes known). A roll could not be read by who had passed it on, then nobody answered the question for its names; and a relay that was lost by mistake, whose digest was no newer, was not taken back.

Change: a box that was there by the last word of its failure domain waits 4 s for the next. The second question for names goes to the relay itself. A roll of a relay that counts as lost takes it back.

--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -35,16 +35,24 @@
 	// heard is the time of the last digest, and liveFor how long a silence may follow it.
 	heard   time.Time
 	liveFor time.Duration
+	// vouched is when a relay last told that it heard the peer.
+	vouched time.Time
 	// next is when a peer that is not live gets its next heartbeat.
 	next time.Time
 }
 
-// deadline is when a live peer counts as lost. While a fleet grows, a peer may
+// deadline is when a live peer counts as lost. One that was there by the last word of the relays of its
+// failure domain waits for their next, also if all of them have died: others take their place
+// after relaySilence and a round. While a fleet grows, a peer may
 // have told of a shorter interval than the one that it needs by now; none is
 // shorter than this box's own.
 func (t *table) deadline(p *peer) time.Time {
 	own := liveFor(int32(t.interval().Milliseconds()))
-	return p.heard.Add(max(p.liveFor, own))
+	due := p.heard.Add(max(p.liveFor, own))
+	if rolled, ok := t.rolled[p.box.Domain]; ok && p.vouched.Equal(rolled) {
+		return later(due, rolled.Add(maxLiveFor))
+	}
+	return due
 }
 
 // news says what a digest changed.
--- a/internal/member/roll.go
+++ b/internal/member/roll.go
@@ -26,8 +26,14 @@
 	seq        uint64
 	// last is the last roll of each relay by its start, for boxes that cannot read it.
 	last map[uint64]heldRoll
-	// wanted is when names were last asked for, by the start of the relay.
-	wanted map[uint64]time.Time
+	// wanted is the questions for names, by the start of the relay.
+	wanted map[uint64]wantedRoll
+}
+
+// wantedRoll is the questions for the names in the rolls of one relay since one could be read.
+type wantedRoll struct {
+	at    time.Time
+	times int
 }
 
 // heldRoll is a roll with the roster that its places are in; nil for one that names starts.
@@ -81,18 +87,21 @@
 // those of this box's own roster cannot be read: its names are asked for.
 func (n *Node) takeRoll(roll *digest.Roll, b *digest.Bundle, now time.Time) {
 	relay := n.peers.byStart[roll.Start]
-	if relay == nil || !relay.live {
+	if relay == nil {
 		n.want(roll.Start, b, now)
 		return
 	}
+	if !relay.live {
+		n.revive(relay, now)
+	}
 	if len(roll.Starts) > 0 {
 		n.keepRoll(heldRoll{Roll: roll})
-		n.takeStarts(roll.Starts, b, now)
+		n.takeStarts(roll.Starts, relay.box.Domain, b, now)
 		return
 	}
 	r := n.peers.roster(relay.box.Domain)
 	if r.order != roll.Order {
-		n.wantRoll(roll.Start, b, now)
+		n.wantRoll(relay, b, now)
 		return
 	}
 	n.keepRoll(heldRoll{Roll: roll, roster: r})
@@ -102,14 +111,15 @@
 			present = append(present, p)
 		}
 	}
-	n.vouch(present, now)
+	n.vouch(present, relay.box.Domain, now)
 }
 
-// vouch notes that a relay heard some boxes presentFor ago or later.
-func (n *Node) vouch(boxes []*peer, now time.Time) {
+// vouch notes that a relay of a failure domain heard some boxes presentFor ago or later.
+func (n *Node) vouch(boxes []*peer, domain string, now time.Time) {
+	n.peers.rolled[domain] = now
 	names := make([]string, 0, len(boxes))
 	for _, p := range boxes {
-		p.heard = later(p.heard, now.Add(-presentFor))
+		p.heard, p.vouched = later(p.heard, now.Add(-presentFor)), now
 		names = append(names, p.box.Name)
 	}
 	if n.Present != nil {
@@ -118,7 +128,7 @@
 }
 
 // takeStarts takes the names of boxes that are present.
-func (n *Node) takeStarts(starts []uint64, b *digest.Bundle, now time.Time) {
+func (n *Node) takeStarts(starts []uint64, domain string, b *digest.Bundle, now time.Time) {
 	var present []*peer
 	for _, start := range starts {
 		p := n.peers.byStart[start]
@@ -133,7 +143,7 @@
 			present = append(present, p)
 		}
 	}
-	n.vouch(present, now)
+	n.vouch(present, domain, now)
 }
 
 // revive counts a peer that was lost as live again, as it was when it was last heard. It may have had
@@ -151,19 +161,26 @@
 		n.rolls.last = make(map[uint64]heldRoll)
 	}
 	n.rolls.last[r.Start] = r
+	delete(n.rolls.wanted, r.Start)
 }
 
-// wantRoll asks the sender of a bundle, soon, for the names in a roll.
-func (n *Node) wantRoll(start uint64, b *digest.Bundle, now time.Time) {
-	if now.Sub(n.rolls.wanted[start]) < rollAgain {
+// wantRoll asks, soon, for the names in the roll of a relay: the sender of the bundle that it came in,
+// and if that cannot read it either, the relay itself.
+func (n *Node) wantRoll(relay *peer, b *digest.Bundle, now time.Time) {
+	asked := n.rolls.wanted[relay.start]
+	if now.Sub(asked.at) < rollAgain {
 		return
 	}
 	if n.rolls.wanted == nil || len(n.rolls.wanted) >= mostRolls {
-		n.rolls.wanted = make(map[uint64]time.Time)
+		n.rolls.wanted = make(map[uint64]wantedRoll)
+	}
+	n.rolls.wanted[relay.start] = wantedRoll{at: now, times: asked.times + 1}
+	to := b.Addr
+	if asked.times%2 == 1 {
+		to = relay.box.Addr
 	}
-	n.rolls.wanted[start] = now
 	n.wants.begin(now)
-	n.wants.rolls[b.Addr] = append(n.wants.rolls[b.Addr], start)
+	n.wants.rolls[to] = append(n.wants.rolls[to], relay.start)
 }
 
 // appendRoll adds the roll of a relay, with the names of those present, to the items, if it is known.
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -56,6 +56,8 @@
 	// order in which they are taken as relays; unranked means that it is to be made anew.
 	domains  map[string][]*peer
 	unranked bool
+	// rolled is when a relay of a failure domain last told who is there.
+	rolled map[string]time.Time
 	// rosters are those of the failure domains, made when they are needed after a change.
 	rosters map[string]*roster
 }
@@ -65,6 +67,7 @@
 		self:    &peer{box: self, strength: strength, hash: xxhash.Sum64String(self.Name)},
 		byName:  make(map[string]*peer),
 		byStart: make(map[uint64]*peer),
+		rolled:  make(map[string]time.Time),
 	}
 	t.rankDomains()
 	return t
