watchduty, member: bursts of changes are read and passed on together

And a relay sent what came each 20 ms to each box of its failure domain, 10,000 datagrams a second to 200 boxes.

Change: the box that calls again at once does so four times in a row and then ten times a second, also when it is alone. A relay of more than 80 boxes sends at most each 0.25 ms x boxes, 4,000 datagrams a second; the age of news that placement reckons with follows.

TestPromptCallsAreBounded fails before for the box that is alone (no rest at all).

--- a/internal/member/news.go
+++ b/internal/member/news.go
@@ -11,6 +11,9 @@
 	// flushInterval is the least time between two bundles of a relay to the same boxes. A
 	// change passes two relays on its way to a box of another failure domain.
 	flushInterval = 20 * time.Millisecond
+	// flushPerBox is what each box of its failure domain adds to that time if it is more, so that a relay
+	// sends them 4,000 datagrams a second at most, however many they are.
+	flushPerBox = 250 * time.Microsecond
 	// restInterval is the longest time that a relay keeps a heartbeat that says nothing new,
 	// to send it together with others.
 	restInterval = 100 * time.Millisecond
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -45,12 +45,15 @@
 	// Changed, if set, is called after Live changed, with the names of boxes that were lost.
 	Changed func(lost []string)
 
-	live  atomic.Pointer[[]Box]
-	seeds atomic.Pointer[[]string]
-	kick  chan struct{}
-	list  chan []Box
-	notes chan []byte
-	once  sync.Once
+	live atomic.Pointer[[]Box]
+	// extraLag is what relays of this failure domain, and of others of its size, keep news for beyond
+	// flushInterval, in ns: each of two keeps it for half of the time.
+	extraLag atomic.Int64
+	seeds    atomic.Pointer[[]string]
+	kick     chan struct{}
+	list     chan []Box
+	notes    chan []byte
+	once     sync.Once
 
 	incarnation int64
 	// ownStart is the StartKey of this start.
@@ -133,10 +136,10 @@
 
 // Lag returns how old what others told is, usually.
 func (n *Node) Lag() time.Duration {
-	if len(n.Live()) > directPeers+1 {
-		return relayedLag
+	if len(n.Live()) <= directPeers+1 {
+		return directLag
 	}
-	return directLag
+	return relayedLag + time.Duration(n.extraLag.Load())
 }
 
 // SetSeeds replaces the seeds.
@@ -273,6 +276,8 @@
 	}
 	live := n.peers.liveBoxes()
 	n.live.Store(&live)
+	apart := time.Duration(len(n.peers.domains[n.Self.Domain])) * flushPerBox
+	n.extraLag.Store(int64(max(0, apart-flushInterval)))
 	if n.Changed == nil {
 		return
 	}
--- a/internal/member/outbox.go
+++ b/internal/member/outbox.go
@@ -12,6 +12,9 @@
 	domain, fleet []digest.Item
 	// due is when it is sent, zero when it is empty; sent is when that last was.
 	due, sent time.Time
+	// apart is the least time between two times that something urgent is sent, if that is more than
+	// flushInterval.
+	apart time.Duration
 }
 
 // add takes an item that is to reach others. What is urgent and comes after a pause is
@@ -22,7 +25,7 @@
 	}
 	due := now.Add(restInterval)
 	if urgent {
-		due = later(now, o.sent.Add(flushInterval))
+		due = later(now, o.sent.Add(max(flushInterval, o.apart)))
 	}
 	if o.due.IsZero() || due.Before(o.due) {
 		o.due = due
@@ -47,8 +50,9 @@
 		return
 	}
 	domain, fleet := n.out.domain, n.out.fleet
-	n.out = outbox{sent: now}
-	n.sendItems(domain, digest.ReachBox, n.peers.domains[n.Self.Domain])
+	near := n.peers.domains[n.Self.Domain]
+	n.out = outbox{sent: now, apart: time.Duration(len(near)) * flushPerBox}
+	n.sendItems(domain, digest.ReachBox, near)
 	if len(fleet) == 0 {
 		return
 	}
--- a/internal/watchduty/duty.go
+++ b/internal/watchduty/duty.go
@@ -10,10 +10,12 @@
 package watchduty
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"github.com/dalebend/dalebend/internal/member"
 	"github.com/dalebend/dalebend/internal/storewatch"
@@ -35,9 +37,11 @@
 	// of the time within which a configuration must be in force.
 	backupRest   = 500 * time.Millisecond
 	backupSpread = 500 * time.Millisecond
-	// firstRest is the rest of the box that ranks first of all. While servers are replaced by the
-	// dozen each second it reads their changes together, instead of by a call for each.
-	firstRest = 100 * time.Millisecond
+	// promptEvery is the rest of the box that ranks first of all, or that follows the store alone, after
+	// promptBurst changes that follow each other closely. While servers come or are replaced by the
+	// dozen each second it reads their changes together: each is told to all boxes.
+	promptEvery = 100 * time.Millisecond
+	promptBurst = 4
 )
 
 // Peers tells what other boxes said of the store.
@@ -72,6 +76,9 @@
 
 	// ranked is the order of the boxes that were live when it was last asked for.
 	ranked atomic.Pointer[ranking]
+	// prompt bounds the calls without a rest.
+	once   sync.Once
+	prompt *rate.Limiter
 }
 
 // Decide reports whether this box should follow the store now, and why. A box that reaches
@@ -116,21 +123,26 @@
 
 // Rest returns how long this box rests after a change of the servers before its next
 // watch. Each change ends the watches of all boxes that wait, and each of them would
-// call again. So one box, which ranks first of all, calls again soon and tells the
+// call again. So one box, which ranks first of all, calls again at once and tells the
 // others; they rest longer, and learn by their own watch only what it missed. A box
-// that nobody else stands by does not rest.
+// that nobody else stands by calls again at once, too.
 func (d *Duty) Rest() time.Duration {
-	if !d.Peers.InContact(ContactAge) {
-		return 0
-	}
-	if d.first(d.ranking().fleet) == d.Self.Name {
-		return firstRest
+	if !d.Peers.InContact(ContactAge) || d.first(d.ranking().fleet) == d.Self.Name {
+		return d.promptRest()
 	}
 	// Boxes rest for different times, so that one of them is soon back whenever the
 	// first fails.
 	return backupRest + time.Duration(rank(d.Self.Name)%uint64(backupSpread))
 }
 
+// promptRest returns how long a box rests that is to call again at once: not at all, unless changes
+// follow each other closely.
+func (d *Duty) promptRest() time.Duration {
+	d.once.Do(func() { d.prompt = rate.NewLimiter(rate.Every(promptEvery), promptBurst) })
+	now := d.Clock.Now()
+	return d.prompt.ReserveN(now, 1).DelayFrom(now)
+}
+
 // first returns the box that ranks first of some, in their order, empty if the store refuses all
 // of them.
 func (d *Duty) first(ranked []string) string {
--- a/internal/watchduty/duty_test.go
+++ b/internal/watchduty/duty_test.go
@@ -181,9 +181,9 @@
 	require.Equal(t, 3, r.duty.Seekers())
 }
 
-// TestOneBoxRestsBriefly: of the boxes that follow the store one calls again within a tenth of a
-// second, and the others rest for different times, a second at most.
-func TestOneBoxRestsBriefly(t *testing.T) {
+// TestOneBoxDoesNotRest: of the boxes that follow the store one calls again at once,
+// and the others rest for different times, a second at most.
+func TestOneBoxDoesNotRest(t *testing.T) {
 	var live []member.Box
 	for i := range 12 {
 		live = append(live, member.Box{Name: fmt.Sprintf("box-%d", i), Domain: fmt.Sprintf("hall-%d", i%4)})
@@ -195,7 +195,7 @@
 		rest := newRig(live[i], live...).duty.Rest()
 		require.LessOrEqual(t, rest, time.Second)
 		rests[rest] = true
-		if rest <= 100*time.Millisecond {
+		if rest == 0 {
 			prompt++
 		}
 	}
@@ -216,7 +216,7 @@
 	if rest(b, "") < rest(a, "") {
 		first, second = b, a
 	}
-	require.Equal(t, 100*time.Millisecond, rest(second, first.Name))
+	require.Zero(t, rest(second, first.Name))
 
 	r := newRig(second, first, second)
 	require.GreaterOrEqual(t, r.duty.Rest(), 500*time.Millisecond)
@@ -302,3 +302,21 @@
 	require.Len(t, start(time.Second), 2)
 	require.Len(t, start(2*time.Second), 40)
 }
+
+// TestPromptCallsAreBounded: a box that calls again at once after a change makes ten calls a second, and a
+// few more, however fast changes follow each other, alone or as the first of the fleet.
+func TestPromptCallsAreBounded(t *testing.T) {
+	for _, contact := range []bool{true, false} {
+		r := newRig(member.Box{Name: "a", Domain: "x"}, member.Box{Name: "a", Domain: "x"})
+		r.peers.contact = contact
+		calls, rested := 0, time.Duration(0)
+		for ; rested < 10*time.Second; calls++ {
+			rest := max(r.duty.Rest(), time.Millisecond)
+			rested += rest
+			r.clock.Advance(rest)
+		}
+		require.LessOrEqual(t, calls, 10*11+4)
+		r.clock.Advance(time.Second)
+		require.Zero(t, r.duty.Rest(), "after a quiet time")
+	}
+}
