storewatch, watchduty: one box tells of a change that several read

Cause: each failure domain's watcher read changes in steps of its own and told all boxes of them.

Change: the boxes that do not rank first keep back a change for 250 ms and drop it if they learnt of as much meanwhile; they tell of it when the first is gone. It costs that much until a change is known when the first of the fleet has just died.

TestAChangeThatOthersTellOfIsNotTold and TestOneBoxTells are new; before, a change was delivered at once by each.

--- a/internal/storewatch/feed.go
+++ b/internal/storewatch/feed.go
@@ -72,7 +72,9 @@
 	deliver func(registry.View)
 	// known returns the newest view from whatever source; nil if there is none.
 	known func() *registry.View
-	view  registry.View
+	// hold waits before a change is delivered that another box may tell of.
+	hold func(ctx context.Context)
+	view registry.View
 }
 
 func (f *serversFeed) read(ctx context.Context) error {
@@ -101,8 +103,13 @@
 		f.view.Revision = at
 		return false, nil
 	}
-	f.view = f.view.With(changes, at)
-	f.deliver(f.view)
+	next := f.view.With(changes, at)
+	f.hold(ctx)
+	if v := f.known(); v != nil && v.Revision >= at {
+		return true, nil
+	}
+	f.view = next
+	f.deliver(next)
 	return true, nil
 }
 
--- a/internal/storewatch/rest_test.go
+++ b/internal/storewatch/rest_test.go
@@ -94,3 +94,34 @@
 	r.clock.Advance(testRest)
 	require.Equal(t, int64(10), (<-r.watchServers).from)
 }
+
+// TestAChangeThatOthersTellOfIsNotTold: a box that keeps a change back delivers it after that time,
+// unless it has learnt of as much meanwhile; then it goes on from there.
+func TestAChangeThatOthersTellOfIsNotTold(t *testing.T) {
+	const hold = 250 * time.Millisecond
+	known := &atomic.Pointer[registry.View]{}
+	r := newRigWith(t, false, func(w *Watcher) {
+		w.Hold = func() time.Duration { return hold }
+		w.Known = known.Load
+	})
+	defer r.stop()
+	r.active.Store(true)
+	r.watcher.Wake()
+	_, servers := r.start()
+
+	servers.answer(reply{changes: []registry.Change{added("b")}, at: 6})
+	r.awaitPause()
+	r.clock.Advance(hold - 1)
+	require.Empty(t, r.views)
+	r.clock.Advance(1)
+	require.Equal(t, view(6, "a", "b"), <-r.views)
+
+	servers = <-r.watchServers
+	servers.answer(reply{changes: []registry.Change{added("c")}, at: 7})
+	r.awaitPause()
+	told := view(8, "a", "b", "c", "d")
+	known.Store(&told)
+	r.clock.Advance(hold)
+	require.Equal(t, int64(8), (<-r.watchServers).from)
+	require.Empty(t, r.views)
+}
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -67,6 +67,9 @@
 	// Rest returns how long to rest after an answer that brought a change of the
 	// servers, before the next watch; a second at most. Nil is no rest.
 	Rest func() time.Duration
+	// Hold returns how long a change of the servers is kept back: another box that reads the same is
+	// left to tell of it first. Nil is not at all.
+	Hold func() time.Duration
 	// Known returns the newest view of the servers that the box has, from whatever
 	// source. A watch goes on from it. Nil, also as the answer, is none.
 	Known func() *registry.View
@@ -98,7 +101,7 @@
 	w.contact.logger = w.Logger
 	w.contact.beliefs = w.Beliefs
 	w.config = configFeed{source: w.Source, deliver: w.OnConfig}
-	w.servers = serversFeed{source: w.Source, deliver: w.OnServers, known: w.known}
+	w.servers = serversFeed{source: w.Source, deliver: w.OnServers, known: w.known, hold: w.hold}
 	w.cordons = cordonsFeed{source: w.Source, deliver: w.OnCordons}
 }
 
@@ -238,6 +241,13 @@
 	return w.Known()
 }
 
+// hold waits for as long as a change of the servers is kept back.
+func (w *Watcher) hold(ctx context.Context) {
+	if w.Hold != nil {
+		w.sleep(ctx, w.Hold())
+	}
+}
+
 func (w *Watcher) rest() time.Duration {
 	if w.Rest == nil {
 		return 0
--- a/internal/watchduty/duty.go
+++ b/internal/watchduty/duty.go
@@ -37,6 +37,10 @@
 	// of the time within which a configuration must be in force.
 	backupRest   = 500 * time.Millisecond
 	backupSpread = 500 * time.Millisecond
+	// backupHold is how long the other boxes keep back a change that they read: two calls of the first,
+	// and its note. Of changes that two boxes read in different steps the rest of the fleet can follow
+	// only one, and fetches the whole list for the other.
+	backupHold = 250 * time.Millisecond
 	// promptEvery is the rest of the box that ranks first of all, or that follows the store alone, after
 	// promptBurst changes that follow each other closely. While servers come or are replaced by the
 	// dozen each second it reads their changes together: each is told to all boxes.
@@ -135,6 +139,15 @@
 	return backupRest + time.Duration(rank(d.Self.Name)%uint64(backupSpread))
 }
 
+// Hold returns how long this box keeps back a change of the servers that it read, so that the box which
+// ranks first of all tells of it.
+func (d *Duty) Hold() time.Duration {
+	if !d.Peers.InContact(ContactAge) || d.first(d.ranking().fleet) == d.Self.Name {
+		return 0
+	}
+	return backupHold
+}
+
 // promptRest returns how long a box rests that is to call again at once: not at all, unless changes
 // follow each other closely.
 func (d *Duty) promptRest() time.Duration {
--- a/internal/watchduty/duty_test.go
+++ b/internal/watchduty/duty_test.go
@@ -320,3 +320,16 @@
 		require.Zero(t, r.duty.Rest(), "after a quiet time")
 	}
 }
+
+// TestOneBoxTells: of the boxes that follow the store one tells at once of a change that it read, and a box
+// that follows it alone does.
+func TestOneBoxTells(t *testing.T) {
+	a, b := member.Box{Name: "a", Domain: "x"}, member.Box{Name: "b", Domain: "y"}
+	holds := []time.Duration{newRig(a, a, b).duty.Hold(), newRig(b, a, b).duty.Hold()}
+	require.ElementsMatch(t, []time.Duration{0, 250 * time.Millisecond}, holds)
+	for _, self := range []member.Box{a, b} {
+		r := newRig(self, a, b)
+		r.peers.contact = false
+		require.Zero(t, r.duty.Hold())
+	}
+}
