viewshare: a large change of the servers is told in parts

Cause: a change that did not fit into one note (8 KB, some 120 servers) was not told at all.

What is lost is fetched as before.

--- a/internal/viewshare/change.go
+++ b/internal/viewshare/change.go
@@ -41,15 +41,17 @@
 		s.Logger.Error("cannot tell of a change of the view", "err", err)
 		return
 	}
-	data, err := encode(u)
+	parts, err := split(u, s.MostChange)
 	if err != nil {
 		s.Logger.Error("cannot tell of a change of the view", "err", err)
 		return
 	}
-	s.OnChange(data)
+	for _, data := range parts {
+		s.OnChange(data)
+	}
 }
 
-// TakeChange takes a change that another box told of. One that does not fit the view that is
+// TakeChange takes a change, or a part of one, that another box told of. One that does not fit the view that is
 // held is kept until those before it have come; what is missed is fetched once a peer says
 // that it has more.
 func (s *Share) TakeChange(data []byte) {
@@ -58,11 +60,24 @@
 		s.Logger.Warn("change of the view refused", "err", err)
 		return
 	}
+	if u.Parts > 1 {
+		u = s.takePart(u)
+	}
 	for u != nil {
 		u = s.takeChange(u)
 	}
 }
 
+// takePart takes a part of a change, and returns the change once it is whole.
+func (s *Share) takePart(u *update) *update {
+	s.viewMu.Lock()
+	defer s.viewMu.Unlock()
+	if held := s.view.Load(); held != nil && u.Revision <= held.Revision {
+		return nil
+	}
+	return s.parts.put(u)
+}
+
 // takeChange takes one change, and returns the one that follows it if that came before.
 func (s *Share) takeChange(u *update) (next *update) {
 	held := s.View()
--- a/internal/viewshare/share.go
+++ b/internal/viewshare/share.go
@@ -35,9 +35,11 @@
 	OnTable func(t *routetable.Table)
 	OnView  func(v registry.View)
 	// OnChange, if set, is called before OnView with the change that leads from the view that
-	// was held to one that came from the store. Other boxes take it by TakeChange. It must
-	// not block.
+	// was held to one that came from the store, in parts if it is large. Other boxes take
+	// them by TakeChange. It must not block.
 	OnChange func(change []byte)
+	// MostChange is the largest part of a change in bytes; 0 is any.
+	MostChange int
 	// LinkMbps is the rate of this box's link in Mbit/s, which bounds the whole documents that
 	// it gives to peers; 0 is not stated.
 	LinkMbps float64
@@ -58,8 +60,10 @@
 	// log holds the changes that lead peers from older views to this one.
 	log  changeLog
 	sums checksums
-	// early holds changes that begin at a later revision than the one held.
+	// early holds changes that begin at a later revision than the one held, parts those of which some
+	// are still to come.
 	early earlyChanges
+	parts partial
 
 	fetches fetches
 	// pace spreads the whole documents that are given to peers.
--- a/internal/viewshare/update.go
+++ b/internal/viewshare/update.go
@@ -23,6 +23,9 @@
 	Changes []registry.Change
 	// Checksum is that of the whole view.
 	Checksum uint64
+	// Part is the number of this part of the changes, from 0 on, and Parts how many there are; both are
+	// 0 for changes that travel as one.
+	Part, Parts int
 }
 
 // newUpdate makes the update from a revision that the log has, or from an empty
