watchduty, storewatch: the rest after a change grows with its size

Change: after 32 changes or more at once the box that calls again first rests a millisecond for each, a second at most.

TestManyChangesAreFollowedByARest is new; before, the rest was 0 to 100 ms whatever came.

--- a/internal/storewatch/feed.go
+++ b/internal/storewatch/feed.go
@@ -14,8 +14,8 @@
 type feed interface {
 	// read reads the whole state and delivers it.
 	read(ctx context.Context) error
-	// watch waits for changes and delivers them. It reports whether there were any.
-	watch(ctx context.Context, wait time.Duration) (bool, error)
+	// watch waits for changes and delivers them. It returns how many there were.
+	watch(ctx context.Context, wait time.Duration) (int, error)
 }
 
 // staleError is an answer that is older than an earlier one.
@@ -44,12 +44,15 @@
 	return f.take(doc, at)
 }
 
-func (f *configFeed) watch(ctx context.Context, wait time.Duration) (bool, error) {
+func (f *configFeed) watch(ctx context.Context, wait time.Duration) (int, error) {
 	doc, at, err := f.source.WatchConfig(ctx, f.at, wait)
 	if err != nil {
-		return false, err
+		return 0, err
 	}
-	return doc != nil, f.take(doc, at)
+	if doc == nil {
+		return 0, f.take(doc, at)
+	}
+	return 1, f.take(doc, at)
 }
 
 // take keeps the last document if there is none any more: requests are still to
@@ -90,27 +93,27 @@
 	return nil
 }
 
-func (f *serversFeed) watch(ctx context.Context, wait time.Duration) (bool, error) {
+func (f *serversFeed) watch(ctx context.Context, wait time.Duration) (int, error) {
 	f.catchUp()
 	changes, at, err := f.source.WatchServers(ctx, f.view.Revision, wait)
 	if err != nil {
-		return false, err
+		return 0, err
 	}
 	if at < f.view.Revision {
-		return false, &staleError{what: "changes of servers", got: at, have: f.view.Revision}
+		return 0, &staleError{what: "changes of servers", got: at, have: f.view.Revision}
 	}
 	if len(changes) == 0 {
 		f.view.Revision = at
-		return false, nil
+		return 0, nil
 	}
 	next := f.view.With(changes, at)
 	f.hold(ctx)
 	if v := f.known(); v != nil && v.Revision >= at {
-		return true, nil
+		return len(changes), nil
 	}
 	f.view = next
 	f.deliver(next)
-	return true, nil
+	return len(changes), nil
 }
 
 // catchUp goes on from a newer view that others told, so that a watch brings only
@@ -139,19 +142,19 @@
 	return f.take(cordons)
 }
 
-func (f *cordonsFeed) watch(ctx context.Context, wait time.Duration) (bool, error) {
+func (f *cordonsFeed) watch(ctx context.Context, wait time.Duration) (int, error) {
 	changes, at, err := f.source.WatchCordons(ctx, f.at, wait)
 	if err != nil {
-		return false, err
+		return 0, err
 	}
 	if len(changes) > 0 {
-		return true, f.take(f.cordons.With(changes, at))
+		return len(changes), f.take(f.cordons.With(changes, at))
 	}
 	if at < f.at {
-		return false, f.stale(at)
+		return 0, f.stale(at)
 	}
 	f.at = at
-	return false, nil
+	return 0, nil
 }
 
 func (f *cordonsFeed) take(cordons registry.Cordons) error {
--- a/internal/storewatch/rest_test.go
+++ b/internal/storewatch/rest_test.go
@@ -17,7 +17,7 @@
 func newRestingRig(t *testing.T) (*rig, *atomic.Pointer[registry.View]) {
 	r := newRig(t, false)
 	known := &atomic.Pointer[registry.View]{}
-	r.watcher.Rest = func() time.Duration { return testRest }
+	r.watcher.Rest = func(int) time.Duration { return testRest }
 	r.watcher.Known = known.Load
 	r.active.Store(true)
 	r.watcher.Wake()
@@ -54,7 +54,7 @@
 	r, _ := newRestingRig(t)
 	defer r.stop()
 	_, servers := r.start()
-	r.watcher.Rest = func() time.Duration { return time.Hour }
+	r.watcher.Rest = func(int) time.Duration { return time.Hour }
 	servers.answer(reply{changes: []registry.Change{added("b")}, at: 6})
 	<-r.views
 	r.awaitPause()
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -64,9 +64,9 @@
 	// Draw returns a number from 0 to 1, 1 excluded, for the times that are left to
 	// chance. It is called from one goroutine. Nil is 0 each time.
 	Draw func() float64
-	// Rest returns how long to rest after an answer that brought a change of the
+	// Rest returns how long to rest after an answer that brought so many changes of the
 	// servers, before the next watch; a second at most. Nil is no rest.
-	Rest func() time.Duration
+	Rest func(changes int) time.Duration
 	// Hold returns how long a change of the servers is kept back: another box that reads the same is
 	// left to tell of it first. Nil is not at all.
 	Hold func() time.Duration
@@ -188,21 +188,21 @@
 // noRest is the rest after a change of the configuration or the cordons. Both change seldom,
 // and the whole configuration travels to every box: one box alone would be long in giving it
 // to all.
-func noRest() time.Duration { return 0 }
+func noRest(int) time.Duration { return 0 }
 
 // follow watches one kind of state until a call fails.
-func (w *Watcher) follow(ctx context.Context, f feed, restAfter func() time.Duration) error {
+func (w *Watcher) follow(ctx context.Context, f feed, restAfter func(changes int) time.Duration) error {
 	rest := time.Duration(0)
 	for w.Active() {
 		began := w.Clock.Now()
 		// With the rest before it, a watch is over as soon as one without.
-		changed, err := f.watch(ctx, watchWait-rest)
+		changes, err := f.watch(ctx, watchWait-rest)
 		if err := w.take(ctx, f, err); err != nil {
 			return err
 		}
 		rest = 0
-		if changed {
-			rest = restAfter()
+		if changes > 0 {
+			rest = restAfter(changes)
 			w.sleep(ctx, rest)
 		} else {
 			w.sleep(ctx, leastCycle-w.Clock.Since(began))
@@ -248,11 +248,11 @@
 	}
 }
 
-func (w *Watcher) rest() time.Duration {
+func (w *Watcher) rest(changes int) time.Duration {
 	if w.Rest == nil {
 		return 0
 	}
-	return min(w.Rest(), longestRest)
+	return min(w.Rest(changes), longestRest)
 }
 
 // startsAnew reports whether the state is read again after a watch failed.
--- a/internal/watchduty/duty.go
+++ b/internal/watchduty/duty.go
@@ -46,6 +46,10 @@
 	// dozen each second it reads their changes together: each is told to all boxes.
 	promptEvery = 100 * time.Millisecond
 	promptBurst = 4
+	// restPerChange is what each of bulk changes or more adds, so that thousands of servers that come at
+	// once are told in a few large steps: of each step a box looks at a part of all servers.
+	restPerChange = time.Millisecond
+	bulk          = 32
 )
 
 // Peers tells what other boxes said of the store.
@@ -125,14 +129,14 @@
 	return len(d.Live())
 }
 
-// Rest returns how long this box rests after a change of the servers before its next
+// Rest returns how long this box rests after so many changes of the servers before its next
 // watch. Each change ends the watches of all boxes that wait, and each of them would
 // call again. So one box, which ranks first of all, calls again at once and tells the
 // others; they rest longer, and learn by their own watch only what it missed. A box
 // that nobody else stands by calls again at once, too.
-func (d *Duty) Rest() time.Duration {
+func (d *Duty) Rest(changes int) time.Duration {
 	if !d.Peers.InContact(ContactAge) || d.first(d.ranking().fleet) == d.Self.Name {
-		return d.promptRest()
+		return max(d.promptRest(), bulkRest(changes))
 	}
 	// Boxes rest for different times, so that one of them is soon back whenever the
 	// first fails.
@@ -148,6 +152,14 @@
 	return backupHold
 }
 
+// bulkRest returns the rest after many changes at once.
+func bulkRest(changes int) time.Duration {
+	if changes < bulk {
+		return 0
+	}
+	return time.Duration(changes) * restPerChange
+}
+
 // promptRest returns how long a box rests that is to call again at once: not at all, unless changes
 // follow each other closely.
 func (d *Duty) promptRest() time.Duration {
--- a/internal/watchduty/duty_test.go
+++ b/internal/watchduty/duty_test.go
@@ -192,7 +192,7 @@
 	prompt := 0
 	for _, name := range active(live, func(*rig) {}) {
 		i := slices.IndexFunc(live, func(b member.Box) bool { return b.Name == name })
-		rest := newRig(live[i], live...).duty.Rest()
+		rest := newRig(live[i], live...).duty.Rest(1)
 		require.LessOrEqual(t, rest, time.Second)
 		rests[rest] = true
 		if rest == 0 {
@@ -210,7 +210,7 @@
 	rest := func(self member.Box, passed string) time.Duration {
 		r := newRig(self, a, b)
 		r.peers.refused[passed] = true
-		return r.duty.Rest()
+		return r.duty.Rest(1)
 	}
 	first, second := a, b
 	if rest(b, "") < rest(a, "") {
@@ -219,9 +219,9 @@
 	require.Zero(t, rest(second, first.Name))
 
 	r := newRig(second, first, second)
-	require.GreaterOrEqual(t, r.duty.Rest(), 500*time.Millisecond)
+	require.GreaterOrEqual(t, r.duty.Rest(1), 500*time.Millisecond)
 	r.peers.contact = false
-	require.Zero(t, r.duty.Rest(), "nobody else follows the store")
+	require.Zero(t, r.duty.Rest(1), "nobody else follows the store")
 }
 
 // TestFreshBox: a box that has just started does not take the store from those that follow
@@ -311,13 +311,13 @@
 		r.peers.contact = contact
 		calls, rested := 0, time.Duration(0)
 		for ; rested < 10*time.Second; calls++ {
-			rest := max(r.duty.Rest(), time.Millisecond)
+			rest := max(r.duty.Rest(1), time.Millisecond)
 			rested += rest
 			r.clock.Advance(rest)
 		}
 		require.LessOrEqual(t, calls, 10*11+4)
 		r.clock.Advance(time.Second)
-		require.Zero(t, r.duty.Rest(), "after a quiet time")
+		require.Zero(t, r.duty.Rest(1), "after a quiet time")
 	}
 }
 
@@ -333,3 +333,12 @@
 		require.Zero(t, r.duty.Hold())
 	}
 }
+
+// TestManyChangesAreFollowedByARest: the more servers change at once, the longer the box that calls
+// again first rests; a few cost nothing.
+func TestManyChangesAreFollowedByARest(t *testing.T) {
+	self := member.Box{Name: "a", Domain: "x"}
+	for changes, rest := range map[int]time.Duration{1: 0, 31: 0, 32: 32 * time.Millisecond, 900: 900 * time.Millisecond} {
+		require.Equal(t, rest, newRig(self, self).duty.Rest(changes), "%d changes", changes)
+	}
+}
