member, spend, digest: attempts in order; what reading the change as a newcomer found

Cause: a box told its attempts in the order of a map, so that with two services half of what had not changed looked new, and relays passed it on (bounded by the rate for first attempts). A time that nothing reads any more stood in told, and a comment was one line of 300 letters and left out rolls.

Change: attempts go by the names of services; the field and the line are mended. TestOwnIsInOrder fails before.

--- a/internal/digest/bundle.go
+++ b/internal/digest/bundle.go
@@ -166,7 +166,9 @@
 	return len(data) > 1 && data[0] == shortArray|bundleFields && data[1] == bundleFormat
 }
 
-// DecodeBundle reads a datagram. Updates and notes that are not fresh are left out. Digests are not, as one that answers a question may be as old as an update. The error is ErrTooLarge or ErrMalformed; the bundle keeps no reference to the bytes.
+// DecodeBundle reads a datagram. Updates, notes and rolls that are not fresh are left out. Digests are
+// not, as one that answers a question may be as old as an update. The error is ErrTooLarge or ErrMalformed;
+// the bundle keeps no reference to the bytes.
 func DecodeBundle(data []byte, fresh Fresh) (*Bundle, error) {
 	b := &Bundle{}
 	err := decode(data, func(r *reader) {
--- a/internal/member/news.go
+++ b/internal/member/news.go
@@ -37,7 +37,6 @@
 
 // told is what a box has told of itself, to make updates from.
 type told struct {
-	began time.Time
 	// full and passed are when a digest, and anything that relays pass on, was last told.
 	full, passed time.Time
 	// counts are the attempts that were in what was last passed on.
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -214,7 +214,7 @@
 	n.ownStart = digest.StartKey(n.Self.Name, n.incarnation)
 	n.peers = newTable(n.Self, n.Strength)
 	n.peers.self.came, n.peers.self.start = now, n.ownStart
-	n.told = told{began: now}
+	n.told = told{}
 	n.due = schedule{wake: now, round: now, join: now, seed: now.Add(seedInterval)}
 	n.publish(nil)
 }
--- a/internal/member/relays_test.go
+++ b/internal/member/relays_test.go
@@ -97,7 +97,7 @@
 // what one peer was shown in between is told to all.
 func TestTold(t *testing.T) {
 	now := time.Unix(1000, 0)
-	told := &told{began: now.Add(-time.Minute)}
+	told := &told{}
 	load := func(server string, streams int32) digest.Load { return digest.Load{Server: server, Streams: streams} }
 	next := func(loads ...digest.Load) *digest.Update {
 		now = now.Add(100 * time.Millisecond)
@@ -120,7 +120,7 @@
 // the more boxes there are.
 func TestToldAttempts(t *testing.T) {
 	now := time.Unix(1000, 0)
-	told := &told{began: now.Add(-time.Minute)}
+	told := &told{}
 	boxes := 40
 	next := func(first, second int32) []digest.Attempts {
 		now = now.Add(20 * time.Millisecond)
@@ -149,7 +149,7 @@
 // next time.
 func TestToldGrowth(t *testing.T) {
 	now := time.Unix(1000, 0)
-	told := &told{began: now.Add(-time.Minute)}
+	told := &told{}
 	loads := []digest.Load{{Server: "x", Streams: 1, Tokens: 3000, Growth: 400}}
 	told.next(&digest.Digest{Box: "b", Loads: loads}, 40, now)
 	updates, off, least, most := 0, int32(0), int32(0), int32(0)
--- a/internal/spend/budget_test.go
+++ b/internal/spend/budget_test.go
@@ -297,3 +297,15 @@
 	require.Less(t, budget.Left("chat"), all)
 	budget.Present([]string{"stranger"})
 }
+
+// TestOwnIsInOrder: what has not changed is told as it was, so that it is seen to be the same.
+func TestOwnIsInOrder(t *testing.T) {
+	budget := fleet(clockwork.NewFakeClockAt(time.Unix(1000, 0)), 2, spend.Terms{Minimum: 100, Window: window})[0]
+	for i := range 8 {
+		budget.First(fmt.Sprint("service-", i))
+	}
+	first := budget.Own()
+	for range 20 {
+		require.Equal(t, first, budget.Own())
+	}
+}
--- a/internal/spend/fleet.go
+++ b/internal/spend/fleet.go
@@ -1,6 +1,8 @@
 package spend
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/dalebend/dalebend/internal/digest"
@@ -51,8 +53,8 @@
 // the memory.
 const pruneInterval = time.Second
 
-// Own returns what this box sent within the window, as it is told to its peers. First
-// attempts that leave the window before the report is too old are left out.
+// Own returns what this box sent within the window, as it is told to its peers, by the names of
+// the services. First attempts that leave the window before the report is too old are left out.
 func (b *Budget) Own() []digest.Attempts {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -64,6 +66,7 @@
 			own = append(own, a)
 		}
 	}
+	slices.SortFunc(own, func(x, y digest.Attempts) int { return cmp.Compare(x.Service, y.Service) })
 	b.told = own
 	return own
 }
