box: listen for scrapes before the start is logged

Callers saw: nothing. A scrape right after the start of a box was refused, and TestStopWhileRequestsArrive then waited for a sample until its time-out.

Cause: all listeners but that of the metrics were opened before the line "start"; that one was opened by the goroutine that serves it.

No failed run has a line of an address that is taken or of a server that failed.

Change: the listener is opened with the others. An address that is taken is still only logged. TestMetricsServedFromStart dials at the line "start".

--- a/internal/box/listeners.go
+++ b/internal/box/listeners.go
@@ -11,6 +11,8 @@
 	ready     net.Listener
 	calls     net.Listener
 	heartbeat net.PacketConn
+	// metrics is nil if the metrics are not served.
+	metrics net.Listener
 }
 
 // open opens the sockets. On an error it closes those already open.
@@ -34,9 +36,24 @@
 	if l.front, err = net.Listen("tcp", s.Front); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	l.metrics = b.listenMetrics()
 	return nil
 }
 
+// listenMetrics opens the socket for the metrics. A failure is only logged, since a box without
+// metrics still serves its callers.
+func (b *Box) listenMetrics() net.Listener {
+	if b.Metrics == nil || b.Settings.Metrics == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", b.Settings.Metrics)
+	if err != nil {
+		b.Logger.Warn("metrics listener could not be opened", "error", err)
+		return nil
+	}
+	return ln
+}
+
 func (l *listeners) close() {
 	for _, c := range []interface{ Close() error }{l.heartbeat, l.calls, l.ready, l.front} {
 		if c != nil {
--- a/internal/box/log_test.go
+++ b/internal/box/log_test.go
@@ -81,6 +81,25 @@
 	}
 }
 
+// TestMetricsServedFromStart guards against a scrape that is refused because the box logs its start
+// before it listens for scrapes: a test that then waited for a sample waited in vain.
+func TestMetricsServedFromStart(t *testing.T) {
+	r := newRig(t)
+	dialed := make(chan error, 1)
+	r.log.onLine = func(name string) {
+		if name != string(event.Start) {
+			return
+		}
+		conn, err := net.Dial("tcp", r.settings.Metrics)
+		if err == nil {
+			err = conn.Close()
+		}
+		dialed <- err
+	}
+	r.run()
+	require.NoError(t, <-dialed)
+}
+
 // TestMetricsAddressTaken checks that a box whose metrics can't be served serves its callers.
 func TestMetricsAddressTaken(t *testing.T) {
 	r := newRig(t)
--- a/internal/box/metrics.go
+++ b/internal/box/metrics.go
@@ -1,9 +1,6 @@
 package box
 
-import (
-	"context"
-	"net"
-)
+import "context"
 
 // buildMetrics connects the gauges to the parts of the box.
 func (b *Box) buildMetrics() {
@@ -59,15 +56,10 @@
 // serveMetrics serves the metrics until the context ends. Failures are only logged, since a box
 // without metrics still serves its callers.
 func (b *Box) serveMetrics(ctx context.Context) {
-	if b.Metrics == nil || b.Settings.Metrics == "" {
+	if b.listeners.metrics == nil {
 		return
 	}
-	ln, err := net.Listen("tcp", b.Settings.Metrics)
-	if err != nil {
-		b.Logger.Warn("metrics listener could not be opened", "error", err)
-		return
-	}
-	if err := b.Metrics.Serve(ctx, ln); err != nil {
+	if err := b.Metrics.Serve(ctx, b.listeners.metrics); err != nil {
 		b.Logger.Warn("metrics server failed", "error", err)
 	}
 }
--- a/internal/box/rig_test.go
+++ b/internal/box/rig_test.go
@@ -44,6 +44,8 @@
 	mu      sync.Mutex
 	lines   []line
 	changed chan struct{}
+	// onLine, if set, is called with the name of each line before the logger returns.
+	onLine func(name string)
 }
 
 // line is one log line.
@@ -62,6 +64,9 @@
 		l.attrs[a.Key] = a.Value.Resolve()
 		return true
 	})
+	if j.onLine != nil {
+		j.onLine(l.name)
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.lines = append(j.lines, l)
