front: count a request until its answer is sent

Callers saw: the connection of a request that a server had run ended without an answer at a planned stop; some of these requests may not be repeated.

Cause: a request stopped to count when its handler returned, but net/http sends the last bytes of an answer after that. A stopping box that counted no request closed the connection in between.

Change: front tracks the connections with a request. One ends when net/http reports its connection as idle or closed, which is after the last write. FinishIfIdle also waits while callerconn buffers bytes that a caller has not taken. TestRunEnds now waits for the end of Run before it requires that no request is counted: a request ends after its caller has the answer, so that the check right after the last byte asked for the fault.

--- a/internal/box/stop_test.go
+++ b/internal/box/stop_test.go
@@ -27,6 +27,9 @@
 // check and before connections were closed, because checking that none runs and rejecting new ones
 // were two steps; now they are one. The gap is about 0.1 ms long, so that the test sends a thousand
 // requests.
+//
+// It also guards against an answer that is lost because its request counted as ended before the
+// last bytes were sent.
 
 // awaitConnections waits until the box has accepted n connections of callers.
 func (r *rig) awaitConnections(n int) {
--- a/internal/front/answer_test.go
+++ b/internal/front/answer_test.go
@@ -270,5 +270,7 @@
 	require.Equal(t, "good", c.send("GET / HTTP/1.1\nHost: plain.test\n\n").read().text)
 	r.cancel()
 	c.awaitClosed()
+	err := <-r.ended // a request ends after its caller has the answer
 	require.Zero(t, r.OpenRequests())
+	r.ended <- err
 }
--- a/internal/front/inflight.go
+++ b/internal/front/inflight.go
@@ -1,40 +1,50 @@
 package front
 
-import "sync"
+import (
+	"net"
+	"sync"
+)
 
-// inFlight counts the requests in progress. The zero value is ready to use.
+// inFlight tracks the connections with a request in progress. A request is in progress until its
+// answer has been written to the connection, which for the last bytes happens after its handler has
+// returned. The zero value is ready to use.
 type inFlight struct {
-	mu   sync.Mutex
-	open int
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
 	// ended, if there is a waiter, is closed when no request is left.
 	ended chan struct{}
 	// finished is set when no more requests may begin.
 	finished bool
 }
 
-// begin counts a request and reports whether it may begin.
-func (r *inFlight) begin() bool {
+// begin records that a connection has a request and reports whether that may begin.
+func (r *inFlight) begin(conn net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.open++
+	if r.conns == nil {
+		r.conns = make(map[net.Conn]struct{})
+	}
+	r.conns[conn] = struct{}{}
 	return !r.finished
 }
 
-// finish stops further requests from beginning if none is in progress, and reports whether it did.
-func (r *inFlight) finish() bool {
+// finish stops further requests from beginning if none is in progress and all answers were
+// delivered, and reports whether it did. It calls delivered only if no request is in progress.
+func (r *inFlight) finish(delivered func() bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.open == 0 {
+	if len(r.conns) == 0 && delivered() {
 		r.finished = true
 	}
 	return r.finished
 }
 
-func (r *inFlight) end() {
+// end records that a connection has no request, which may have been so before.
+func (r *inFlight) end(conn net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.open--
-	if r.open == 0 && r.ended != nil {
+	delete(r.conns, conn)
+	if len(r.conns) == 0 && r.ended != nil {
 		close(r.ended)
 		r.ended = nil
 	}
@@ -43,14 +53,14 @@
 func (r *inFlight) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.open
+	return len(r.conns)
 }
 
 // idle returns a channel that is closed once no request is in progress.
 func (r *inFlight) idle() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.open == 0 {
+	if len(r.conns) == 0 {
 		ended := make(chan struct{})
 		close(ended)
 		return ended
--- a/internal/front/rig_test.go
+++ b/internal/front/rig_test.go
@@ -96,6 +96,15 @@
 
 // newRigWith sets buffer limits.
 func newRigWith(t *testing.T, now time.Time, limits bufferlimit.Limits) *rig {
+	return startRig(t, now, limits, func(ln net.Listener) net.Listener { return smallListener{ln} })
+}
+
+// newRigOn wraps the listener.
+func newRigOn(t *testing.T, wrap func(net.Listener) net.Listener) *rig {
+	return startRig(t, time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC), bufferlimit.Limits{}, wrap)
+}
+
+func startRig(t *testing.T, now time.Time, limits bufferlimit.Limits, wrap func(net.Listener) net.Listener) *rig {
 	r := &rig{t: t, clock: clockwork.NewFakeClockAt(now), ended: make(chan error, 1)}
 	r.recent.Store(true)
 	r.use(spec())
@@ -110,7 +119,7 @@
 	r.addr = ln.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	go func() { r.ended <- r.Run(ctx, smallListener{ln}) }()
+	go func() { r.ended <- r.Run(ctx, wrap(ln)) }()
 	t.Cleanup(func() {
 		cancel()
 		require.NoError(t, <-r.ended)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -125,7 +125,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         s.countConnection,
+		ConnState:         s.connChanged,
 		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelDebug),
 	}
 	ended := context.AfterFunc(ctx, func() {
@@ -162,8 +162,14 @@
 
 // FinishIfIdle stops further requests from beginning if none is in progress, and reports whether it
 // did. Otherwise a request read before its connection is closed would reach a server and be
-// aborted.
-func (s *Server) FinishIfIdle() bool { return s.requests.finish() }
+// aborted. Answers that callers have not taken yet count as in progress.
+func (s *Server) FinishIfIdle() bool { return s.requests.finish(s.delivered) }
+
+// delivered reports whether no bytes are buffered for callers.
+func (s *Server) delivered() bool {
+	buffered, _ := s.Buffers.Buffered()
+	return buffered == 0
+}
 
 // balancerNoticed reports whether the server has been draining long enough for the balancer and the
 // callers to notice.
@@ -186,11 +192,16 @@
 // OpenConnections returns the number of open caller connections.
 func (s *Server) OpenConnections() int { return int(s.connections.Load()) }
 
-func (s *Server) countConnection(_ net.Conn, state http.ConnState) {
+// connChanged counts connections. A request ends here and not when its handler returns, because its
+// connection is idle or closed only after the whole answer was written.
+func (s *Server) connChanged(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		s.connections.Add(1)
+	case http.StateIdle:
+		s.requests.end(conn)
 	case http.StateClosed, http.StateHijacked:
+		s.requests.end(conn)
 		s.connections.Add(-1)
 	default:
 	}
@@ -198,15 +209,15 @@
 
 // serve answers one request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	begun := s.requests.begin()
-	defer s.requests.end()
+	conn := connOf(r.Context())
+	begun := s.requests.begin(conn)
 	if _, stops := s.timeLeft(); stops {
 		w.Header().Set("Connection", "close")
 	}
 	uri := uriOf(r)
 	path, _, _ := strings.Cut(uri, "?")
 	x := &exchange{
-		server: s, w: w, http: r, conn: connOf(r.Context()),
+		server: s, w: w, http: r, conn: conn,
 		req: &request.Request{
 			Method: r.Method, Host: hostOf(r.Host), URI: uri, Path: path,
 			Header: r.Header, HasBody: r.ContentLength != 0, Arrived: s.Clock.Now(),
