quarantine/gate: count the end of a server whose address another one has

Callers saw: a request that ends servers could run on a fourth one, and the streams of that server were cut.

Cause: after a connection was cut, the gate asks whether the server still accepts connections. If a server of another service has the address by then, it does, and the end was counted only when the entry in the store lapsed.

Change: such a refusal (421), to any request, counts as the end of the instance if a connection to it was cut within the last 5 s.

An end is still counted late if nothing is sent to the address meanwhile.

--- a/internal/quarantine/gate/gate.go
+++ b/internal/quarantine/gate/gate.go
@@ -5,12 +5,14 @@
 // evaluates how the exchange ended: a complete answer clears the request; a connection that the
 // server's side cut raises the question whether the server has ended. The end is taken as proven if
 // the server no longer accepts connections, or if within some seconds its entry disappears or is
-// replaced by that of a later instance. A server that was about to leave proves nothing.
+// replaced by that of a later instance, or another server answers at its address. A server that was
+// about to leave proves nothing.
 package gate
 
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,8 +33,8 @@
 	// cutWait is how long the caller of an exchange waits for that check, so that the crash history
 	// is updated before the request is sent to another server: some round trips in a region.
 	cutWait = 20 * time.Millisecond
-	// entryWatchTime is how long after a cut connection the end of the server's entry is attributed
-	// to it. Entries lapse after three heartbeats of 1.2 s.
+	// entryWatchTime is how long after a cut connection the end of the server's entry, or another
+	// server at its address, is attributed to it. Entries lapse after three heartbeats of 1.2 s.
 	entryWatchTime = 5 * time.Second
 	// maxWatched bounds the cut connections that wait for that.
 	maxWatched = 256
@@ -42,6 +44,7 @@
 const (
 	howNoListener = "it accepts no connection"
 	howEntry      = "its entry is gone or of a later start"
+	howAddress    = "another server has its address"
 )
 
 // Exchanger sends requests, and finds out whether a server accepts connections.
@@ -91,6 +94,9 @@
 		g.failed(t, attempt, err)
 		return nil, err
 	}
+	if g.Codec.Misdirected(resp.Status) {
+		g.recordEnds(howAddress, func(server string) bool { return server == t.Key })
+	}
 	if g.Codec.NotRun(resp.Status, resp.Header) {
 		attempt.Release()
 		return resp, nil
@@ -152,22 +158,25 @@
 
 // ServersChanged looks for watched instances whose entries are gone.
 func (g *Gate) ServersChanged() {
-	g.mu.Lock()
-	watched := g.watched
-	g.watched = nil
-	g.mu.Unlock()
-	var left []cut
+	g.recordEnds(howEntry, func(server string) bool { return !g.Servers.Known(server) })
+}
+
+// recordEnds records the ends of the watched instances that have ended, and forgets those that were
+// watched for long enough.
+func (g *Gate) recordEnds(how string, ended func(server string) bool) {
 	now := g.Clock.Now()
-	for _, c := range watched {
-		switch {
-		case now.After(c.until):
-		case g.Servers.Known(c.server):
-			left = append(left, c)
-		default:
-			c.attempt.RecordServerEnd(c.server, howEntry)
+	var gone []cut
+	g.mu.Lock()
+	g.watched = slices.DeleteFunc(g.watched, func(c cut) bool {
+		over := now.After(c.until)
+		if !over && ended(c.server) {
+			gone = append(gone, c)
+			return true
 		}
+		return over
+	})
+	g.mu.Unlock()
+	for _, c := range gone {
+		c.attempt.RecordServerEnd(c.server, how)
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.watched = append(g.watched, left...)
 }
--- a/internal/quarantine/gate/gate_test.go
+++ b/internal/quarantine/gate/gate_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 func (codec) RequestHeader(*request.Request, *backend.SendOptions) http.Header { return nil }
 func (codec) AnswerMatcher(*request.Request) func(http.Header) bool            { return nil }
 func (codec) NotRun(status int, _ http.Header) bool                            { return status == http.StatusMisdirectedRequest }
-func (codec) Misdirected(int) bool                                             { return false }
+func (codec) Misdirected(status int) bool                                      { return status == http.StatusMisdirectedRequest }
 func (codec) Authentic(h http.Header) bool                                     { return h.Get("Proof") != "" }
 func (codec) CallerHeader(h http.Header) http.Header                           { return h }
 func (codec) Condition(int, http.Header) backend.Condition                     { return backend.Condition{} }
@@ -54,8 +55,9 @@
 	s.takes, s.known = takes, known
 }
 
-// rig is a gate in front of one server that answers with fixed bytes and closes.
+// rig is a gate in front of one server that answers with given bytes and closes.
 type rig struct {
+	answer  atomic.Pointer[string]
 	t       *testing.T
 	clock   *clockwork.FakeClock
 	gate    *gate.Gate
@@ -70,6 +72,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	client := &exchange.Client{Clock: clock, Logger: logger, DialTimeout: time.Second}
 	r := &rig{t: t, clock: clock, servers: &servers{takes: true, known: true}, ends: ends}
+	r.answer.Store(&answer)
 	r.gate = &gate.Gate{
 		Clock: clock, Exchanger: client, Servers: r.servers, Codec: codec{},
 		Tracker: &quarantine.Tracker{Clock: clock, Logger: logger},
@@ -78,12 +81,12 @@
 	require.NoError(t, err)
 	r.addr = ln.Addr().String()
 	var done sync.WaitGroup
-	done.Go(func() { r.serve(ln, answer) })
+	done.Go(func() { r.serve(ln) })
 	t.Cleanup(func() { _ = ln.Close(); done.Wait() })
 	return r
 }
 
-func (r *rig) serve(ln net.Listener, answer string) {
+func (r *rig) serve(ln net.Listener) {
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -94,7 +97,7 @@
 			if r.ends {
 				_ = ln.Close()
 			}
-			_, _ = io.WriteString(conn, answer)
+			_, _ = io.WriteString(conn, *r.answer.Load())
 		}
 		_ = conn.Close()
 	}
@@ -113,6 +116,13 @@
 	return err
 }
 
+// misdirect sends the request to an instance whose address another server has.
+func (r *rig) misdirect(server string) {
+	answer := turned
+	r.answer.Store(&answer)
+	require.NoError(r.t, r.send(r.t.Context(), server))
+}
+
 // suspected reports whether an end is recorded: then a second concurrent attempt is refused.
 func (r *rig) suspected() bool {
 	f := fingerprint.Sum("a", http.MethodGet, "host", "/", nil)
@@ -133,7 +143,9 @@
 	garbage  = "no answer\r\n\r\n"
 )
 
-// TestEnds: which ends of an exchange count as an end of the server under a request.
+// TestEnds: which ends of an exchange count as an end of the server under a request. It also guards
+// against an end that is not counted because another server has the address by the time of the
+// check.
 func TestEnds(t *testing.T) {
 	for name, c := range map[string]struct {
 		answer    string
@@ -155,6 +167,9 @@
 		"torn, and its entry goes":      {answer: torn, later: func(r *rig) { r.servers.set(false, false) }, suspected: true},
 		"torn, and its entry goes late": {answer: torn, later: func(r *rig) { r.clock.Advance(6 * time.Second); r.servers.set(false, false) }},
 		"torn, and it leaves later":     {answer: torn, later: func(r *rig) { r.servers.set(false, true) }},
+		"torn, another has its address": {answer: torn, later: func(r *rig) { r.misdirect("s1") }, suspected: true},
+		"torn, another's is taken":      {answer: torn, later: func(r *rig) { r.misdirect("s2") }},
+		"torn, its address taken late":  {answer: torn, later: func(r *rig) { r.clock.Advance(6 * time.Second); r.misdirect("s1") }},
 		"failure of a proxy before it":  {answer: foreign},
 		"the same, and its entry goes":  {answer: foreign, later: func(r *rig) { r.servers.set(false, false) }, suspected: true},
 		"its own failure, entry goes":   {answer: failed, later: func(r *rig) { r.servers.set(false, false) }},
