viewshare: end calls at their time-out, also after an interruption

Callers saw: nothing directly. A box ended a call to a peer although its answer kept arriving, and had the servers' changes later; or it waited longer than the time-out for a silent peer. TestSlowLink hung.

Cause: the check of a call read when bytes last arrived, then the clock, and then set a timer for the time left. Bytes that arrived between the first two did not count, and the time between the last two was added to the time-out. A process stands still there for up to 0.1 s when its CPU quota is used up.

Change: package alarm sets a timer for a time, and sets it anew if the clock shows that it was set late. The check reads the clock first.

--- a/internal/viewshare/progress.go
+++ b/internal/viewshare/progress.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/alarm"
 )
 
 // progressConn records when bytes arrive.
@@ -43,7 +45,7 @@
 func (w *callWatch) start() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = w.caller.clock.AfterFunc(callTimeout, w.check)
+	w.timer = alarm.AfterFunc(w.caller.clock, w.began.Add(callTimeout), w.check)
 }
 
 // stop ends the watch.
@@ -61,16 +63,25 @@
 	if w.over {
 		return
 	}
-	last := w.caller.lastRead()
-	if last.Before(w.began) {
-		last = w.began
-	}
+	// Bytes that arrive after the clock was read move the deadline.
 	now := w.caller.clock.Now()
-	left := min(callTimeout-now.Sub(last), maxCallTime-now.Sub(w.began))
-	if left > 0 {
-		w.timer = w.caller.clock.AfterFunc(left, w.check)
+	if due := w.deadline(); now.Before(due) {
+		w.timer = alarm.AfterFunc(w.caller.clock, due, w.check)
 		return
 	}
 	w.late.Store(true)
 	w.caller.drop(w.client)
 }
+
+// deadline returns when the call times out if no more bytes arrive.
+func (w *callWatch) deadline() time.Time {
+	last := w.caller.lastRead()
+	if last.Before(w.began) {
+		last = w.began
+	}
+	due, latest := last.Add(callTimeout), w.began.Add(maxCallTime)
+	if latest.Before(due) {
+		return latest
+	}
+	return due
+}
--- a/internal/viewshare/progress_test.go
+++ b/internal/viewshare/progress_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dalebend/dalebend/internal/digest"
@@ -65,7 +66,8 @@
 }
 
 // TestSlowLink: a call is not ended, nor another peer asked, while its answer keeps arriving,
-// however long it takes; it is ended when bytes stop arriving.
+// however long it takes; it is ended when bytes stop arriving. It guards against a timer that is set
+// late and a check that overlooks bytes, see TestCallWatchInterrupted.
 func TestSlowLink(t *testing.T) {
 	const parts, apart = 10, callTimeout - 20*time.Millisecond
 	for _, whole := range []bool{true, false} {
@@ -93,3 +95,50 @@
 		require.Empty(t, b.views)
 	}
 }
+
+// interruptedClock calls a function once the clock has been read, as if the goroutine that reads it
+// were interrupted.
+type interruptedClock struct {
+	*clockwork.FakeClock
+
+	interrupt func()
+}
+
+func (c *interruptedClock) Now() time.Time {
+	now := c.FakeClock.Now()
+	if f := c.interrupt; f != nil {
+		c.interrupt = nil
+		f()
+	}
+	return now
+}
+
+// watchedCall returns the watch of a call that began now.
+func watchedCall(t *testing.T, clock *interruptedClock) *callWatch {
+	conn, peer := net.Pipe()
+	t.Cleanup(func() { require.NoError(t, peer.Close()) })
+	return &callWatch{caller: &caller{clock: clock}, client: rpc.NewClient(conn), began: clock.Now()}
+}
+
+// TestCallWatchInterrupted guards against a call that is not ended in time, or is ended although
+// its answer arrives, because its check is interrupted after it has read the clock.
+func TestCallWatchInterrupted(t *testing.T) {
+	t.Run("before the timer is set", func(t *testing.T) {
+		clock := &interruptedClock{FakeClock: newClock()}
+		w := watchedCall(t, clock)
+		w.caller.read.Store(w.began.Add(callTimeout / 2))
+		clock.Advance(callTimeout)
+		clock.interrupt = func() { clock.Advance(callTimeout) }
+		w.check()
+		require.Eventually(t, w.late.Load, time.Minute, time.Millisecond)
+	})
+	t.Run("by bytes that arrive", func(t *testing.T) {
+		clock := &interruptedClock{FakeClock: newClock()}
+		w := watchedCall(t, clock)
+		clock.Advance(callTimeout)
+		clock.interrupt = func() { w.caller.read.Store(clock.FakeClock.Now()) }
+		w.check()
+		require.False(t, w.late.Load())
+		w.stop()
+	})
+}
