box: servers of the tests listen on an address of their process

Callers saw: nothing. TestQueryOfDeathAfterAllEnd had a fourth end of a server.

Cause: the servers of all test processes listened on ports of 127.0.0.1. The port of a server that crashes is free, and a server of another process may have it within the millisecond after which the box asks whether the server has ended.

The box listens on an address of its process for the same reason.

Change: standin.Fleet has a host, and the rig sets it.

--- a/internal/box/query_of_death_test.go
+++ b/internal/box/query_of_death_test.go
@@ -76,7 +76,8 @@
 	}
 }
 
-// TestQueryOfDeathAfterAllEnd checks that the quarantine outlives the boxes.
+// TestQueryOfDeathAfterAllEnd checks that the quarantine outlives the boxes. It guards against a
+// fourth end of a server, as one of the first three was not counted.
 func TestQueryOfDeathAfterAllEnd(t *testing.T) {
 	r, ends := deadlyRig(t, "chat")
 	for n := range maxEnds {
--- a/internal/box/rig_test.go
+++ b/internal/box/rig_test.go
@@ -114,7 +114,8 @@
 	ended    chan error
 }
 
-// boxIP returns a loopback address that no other process uses, derived from the process id.
+// boxIP returns a loopback address that no other process uses, derived from the process id. On a
+// shared one, a server of another process may get the port of a server that has just crashed.
 func boxIP() string {
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&127, pid>>8&255, pid&255)
@@ -130,9 +131,9 @@
 	r.store = &standin.Store{Clock: r.clock}
 	server := httptest.NewServer(r.store)
 	t.Cleanup(server.Close)
-	r.engines = &standin.Fleet{Store: r.store}
-	t.Cleanup(r.engines.Close)
 	ip := boxIP()
+	r.engines = &standin.Fleet{Store: r.store, Host: ip}
+	t.Cleanup(r.engines.Close)
 	r.settings = &boxsettings.Settings{
 		Box: "box-1", Domain: "hall", Front: ip + ":7401", Ready: ip + ":7402", Heartbeat: ip + ":7403",
 		Calls: ip + ":7403", Metrics: ip + ":7404", Store: server.Listener.Addr().String(),
