box: end a stop with the last request

Callers saw: nothing; a box lived up to 50 ms longer than its last request.

Cause: a stopping box looked for open requests at each tick only.

Change: the stop is also checked whenever the last request ends. front.NextIdle gives the channel before the check, so that an end in between is not missed.

--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -18,7 +18,8 @@
 	minStopTime = 3 * time.Second
 	// stopMargin is the part of the stop time reserved for the process to end.
 	stopMargin = 300 * time.Millisecond
-	// stopCheckInterval is how often a stopping box checks whether it has finished.
+	// stopCheckInterval is how often a stopping box checks whether it has finished, besides whenever
+	// the last request ends.
 	stopCheckInterval = 50 * time.Millisecond
 )
 
@@ -86,17 +87,25 @@
 	ticker := b.Clock.NewTicker(stopCheckInterval)
 	defer ticker.Stop()
 	for {
+		idle := b.front.NextIdle()
+		if b.stopEnds(began, by) {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
+		case <-idle:
 		}
-		if !b.Clock.Now().Before(by) {
-			b.cutAtStop.Store(int64(b.front.OpenRequests()))
-			return
-		}
-		if b.Clock.Since(began) >= minStopTime && b.front.FinishIfIdle() {
-			return
-		}
 	}
 }
+
+// stopEnds reports whether a stop that began at a time and must end by another one is over.
+func (b *Box) stopEnds(began, by time.Time) bool {
+	now := b.Clock.Now()
+	if !now.Before(by) {
+		b.cutAtStop.Store(int64(b.front.OpenRequests()))
+		return true
+	}
+	return now.Sub(began) >= minStopTime && b.front.FinishIfIdle()
+}
--- a/internal/box/stream_test.go
+++ b/internal/box/stream_test.go
@@ -302,6 +302,25 @@
 	require.NoError(t, <-r.ended)
 }
 
+// TestStopEndsWithLastRequest guards against a stop that goes on after the last request has ended,
+// until the next check by the clock.
+func TestStopEndsWithLastRequest(t *testing.T) {
+	r, engines := withServers(t, "chat", "a")
+	g := r.begin("q1")
+	run := <-engines[0].Generations
+	require.NoError(t, run.Emit(1))
+	g.expect(1, 1)
+	stop := r.stop
+	r.stop = nil
+	stop()
+	r.awaitTicker(stopTicker)
+	r.clock.Advance(3 * time.Second)
+	require.False(t, r.ready(), "the box still runs")
+	run.End()
+	g.whole()
+	require.NoError(t, <-r.ended)
+}
+
 // TestStopEnds checks that what doesn't finish in time is broken off.
 func TestStopEnds(t *testing.T) {
 	r, engines := withServers(t, "chat", "a")
--- a/internal/front/inflight.go
+++ b/internal/front/inflight.go
@@ -11,7 +11,7 @@
 type inFlight struct {
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
-	// ended, if there is a waiter, is closed when no request is left.
+	// ended, if there is a waiter, is closed when the last request ends.
 	ended chan struct{}
 	// finished is set when no more requests may begin.
 	finished bool
@@ -43,6 +43,9 @@
 func (r *inFlight) end(conn net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if _, open := r.conns[conn]; !open {
+		return
+	}
 	delete(r.conns, conn)
 	if len(r.conns) == 0 && r.ended != nil {
 		close(r.ended)
@@ -65,6 +68,17 @@
 		close(ended)
 		return ended
 	}
+	return r.endedLocked()
+}
+
+// nextIdle returns a channel that is closed when the last request ends, the next time that happens.
+func (r *inFlight) nextIdle() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endedLocked()
+}
+
+func (r *inFlight) endedLocked() <-chan struct{} {
 	if r.ended == nil {
 		r.ended = make(chan struct{})
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -165,6 +165,10 @@
 // aborted. Answers that callers have not taken yet count as in progress.
 func (s *Server) FinishIfIdle() bool { return s.requests.finish(s.delivered) }
 
+// NextIdle returns a channel that is closed when the last request in progress ends, the next time
+// that happens. A caller that gets it before FinishIfIdle fails misses no such moment.
+func (s *Server) NextIdle() <-chan struct{} { return s.requests.nextIdle() }
+
 // delivered reports whether no bytes are buffered for callers.
 func (s *Server) delivered() bool {
 	buffered, _ := s.Buffers.Buffered()
