viewshare, peerrpc: return after the listener is closed

Callers saw: nothing. A server that was started again in the same process right after the end of the one before found its address in use; TestStopWhileRequestsArrive hung in 1 of 1,000 runs.

Cause: Serve and Run returned when Accept failed, which happens before the goroutine that closes the listener has closed its socket.

Evidence: in the run that hung, the box had returned before the line "start", before which it only opens its sockets. Serve alone, in a loop on an address that nobody else uses, beside six busy processes, left it in use once in 20,000 times. That it was this socket in the run that hung is likely, not shown.

Change: both return after Close has returned.

Result: tests with a listener that takes its time to close failed 50 of 50 times each before and 0 of 100 after. The loop: 0 of 100,000 after. TestStopWhileRequestsArrive, six processes at a time beside four busy ones, without the race detector: 1 of 1,000 before, 0 of 1,000 after.

--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -36,11 +36,18 @@
 	s.mu.Lock()
 	s.conns = make(map[net.Conn]struct{})
 	s.mu.Unlock()
+	closed := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
 		_ = ln.Close()
 		s.closeAll()
 	})
-	defer stop()
+	defer func() {
+		if !stop() {
+			// Accept fails before the address is free.
+			<-closed
+		}
+	}()
 	for {
 		c, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/viewshare/service.go
+++ b/internal/viewshare/service.go
@@ -137,8 +137,17 @@
 	defer s.fetches.close()
 	conns := &connSet{conns: make(map[net.Conn]struct{})}
 	defer conns.close()
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = ln.Close()
+	})
+	defer func() {
+		if !stop() {
+			// Accept fails before the address is free.
+			<-closed
+		}
+	}()
 	bounded := &deadlineconn.Listener{Listener: ln, Clock: s.Clock, WriteIdle: writeIdle}
 	for {
 		c, err := bounded.Accept()
