--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -35,6 +35,7 @@
 	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/quarantine/gate"
 	"github.com/dalebend/dalebend/internal/quarantine/keeper"
+	"github.com/dalebend/dalebend/internal/reach"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/retrybudget"
 	"github.com/dalebend/dalebend/internal/retrypriority"
@@ -96,6 +97,7 @@
 	election       *watchelection.Election
 	directory      *registry.Directory
 	evidence       *evidence.Tracker
+	reach          *reach.Tracker
 	shutdownNotice *shutdownnotice.Estimator
 	engineLoad     *engineload.Tracker
 	// startRate is the rate at which other boxes start generations.
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -27,10 +27,12 @@
 	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/quarantine/gate"
 	"github.com/dalebend/dalebend/internal/quarantine/keeper"
+	"github.com/dalebend/dalebend/internal/reach"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/retrybudget"
 	"github.com/dalebend/dalebend/internal/retrypriority"
 	"github.com/dalebend/dalebend/internal/serverlimit"
+	"github.com/dalebend/dalebend/internal/serverpath"
 	"github.com/dalebend/dalebend/internal/shutdownnotice"
 	"github.com/dalebend/dalebend/internal/storewatch"
 	"github.com/dalebend/dalebend/internal/streaming"
@@ -83,6 +85,8 @@
 	b.engineLoad = engineload.New()
 	b.startRate = &arrival.Rate{Clock: b.Clock}
 	b.evidence = &evidence.Tracker{Clock: b.Clock, OnChange: b.onServerChanged}
+	b.reach = &reach.Tracker{Clock: b.Clock, Logger: b.Logger}
+	b.Exchange.Paths = &serverpath.Selector{Reach: b.reach}
 	b.shutdownNotice = &shutdownnotice.Estimator{Clock: b.Clock}
 	cold := &coldstart.Gate{
 		Clock: b.Clock, Box: b.Settings.Box, Live: b.liveNames,
--- a/internal/box/metrics.go
+++ b/internal/box/metrics.go
@@ -23,6 +23,7 @@
 	m.ShutdownNotice.Compute(func() float64 { return b.shutdownNotice.Expected().Seconds() })
 	m.ShutdownsSeen.Compute(func() float64 { return float64(b.shutdownNotice.Samples()) })
 	m.ServersEjected.Compute(func() float64 { return float64(b.evidence.EjectedCount()) })
+	m.Isolated.Compute(b.isolated)
 	m.ServersLimited.Compute(func() float64 { return float64(b.serverLimits.NumLimited()) })
 	m.ServersLeaving.Compute(func() float64 { return float64(b.departures.NumLeaving()) })
 	m.ServersHeldOff.Compute(func() float64 { return float64(b.holdOffs.NumHeldOff()) })
@@ -46,6 +47,13 @@
 	return age.Seconds()
 }
 
+func (b *Box) isolated() float64 {
+	if b.reach.Isolated() {
+		return 1
+	}
+	return 0
+}
+
 func (b *Box) serverCount() float64 {
 	if v := b.share.View(); v != nil {
 		return float64(v.Servers.Len())
--- a/internal/condition/reader/reader.go
+++ b/internal/condition/reader/reader.go
@@ -17,7 +17,7 @@
 // Exchanger sends requests, and finds out whether a server accepts connections.
 type Exchanger interface {
 	Do(ctx context.Context, t exchange.Target, r *exchange.Request) (*exchange.Response, error)
-	Listens(ctx context.Context, addr string) error
+	Listens(ctx context.Context, t exchange.Target) error
 }
 
 // Reader is an Exchanger that reports answers to a Tracker. Set the fields before use.
--- a/internal/condition/reader/reader_test.go
+++ b/internal/condition/reader/reader_test.go
@@ -43,7 +43,7 @@
 	}
 	return a.resp, nil
 }
-func (answers) Listens(context.Context, string) error { return nil }
+func (answers) Listens(context.Context, exchange.Target) error { return nil }
 
 // servers ignores reports that servers leave.
 type servers struct{}
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -89,6 +89,10 @@
 			KeyFrom, KeyTo, KeyViewRevision, KeyViewAge),
 		info(EngineSilent, "an engine that was asked, as the view is old, gave no answer",
 			KeyServer, KeyCause, KeyViewRevision, KeyViewAge),
+		warn(ServersUnreachable, "dials to so many servers in a row failed, and nothing came from any server between them: the box's own paths appear to be down",
+			KeyServers, KeyCause),
+		info(ServersReachable, "a server answered on a direct path again, after the time away_ms",
+			KeyServer, KeyAway),
 	}
 }
 
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -47,6 +47,9 @@
 	EngineDeparts    Name = "engine-departs"
 	EngineStarted    Name = "engine-started"
 	EngineSilent     Name = "engine-silent"
+	// ServersUnreachable and ServersReachable tell of the box's own paths to all servers.
+	ServersUnreachable Name = "servers-unreachable"
+	ServersReachable   Name = "servers-reachable"
 )
 
 // Events of requests.
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -29,6 +29,10 @@
 	DialTimeout time.Duration
 	// MaxIdlePerServer bounds the idle connections to one server. 0 keeps none.
 	MaxIdlePerServer int
+	// Dialer dials servers. Nil uses TCP with time-outs that detect a dead server.
+	Dialer Dialer
+	// Paths chooses how servers are reached. Nil connects directly.
+	Paths Paths
 
 	mu    sync.Mutex
 	pools map[string]*pool // by Target.Key
@@ -98,7 +102,7 @@
 		return nil, newFailure(NoConnection, t.Addr, errNoConnection)
 	}
 	c.counters().dialed.Inc(1)
-	conn, err := c.open(ctx, t.Addr, p)
+	conn, err := c.open(ctx, t, p)
 	if err != nil {
 		c.counters().dialFailed.Inc(1)
 		c.release(p)
@@ -108,8 +112,8 @@
 }
 
 // open dials a connection that p already counts.
-func (c *Client) open(ctx context.Context, addr string, p *pool) (*conn, error) {
-	nc, err := c.dial(ctx, addr)
+func (c *Client) open(ctx context.Context, t Target, p *pool) (*conn, error) {
+	nc, err := c.dial(ctx, t)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -39,8 +40,12 @@
 	expires   time.Time
 }
 
-func newConn(nc *net.TCPConn, own *pool) (*conn, error) {
-	raw, err := nc.SyscallConn()
+func newConn(nc net.Conn, own *pool) (*conn, error) {
+	system, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("%T has no connection of the operating system", nc)
+	}
+	raw, err := system.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -27,25 +27,30 @@
 
 // dial opens a connection. The timeout runs on the client's clock; the deadline of ctx is hidden
 // from the dialer, which would compare it with the system clock.
-func (c *Client) dial(ctx context.Context, addr string) (*net.TCPConn, error) {
+func (c *Client) dial(ctx context.Context, t Target) (net.Conn, error) {
 	bounded, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	stop := context.AfterFunc(ctx, func() { cancel(contextError(ctx)) })
 	defer stop()
-	timer := c.Clock.AfterFunc(c.DialTimeout, func() { cancel(errDialTimeout) })
+	timer := c.Clock.AfterFunc(c.DialTimeout, func() { cancel(ErrDialTimeout) })
 	defer timer.Stop()
 
-	nc, err := c.dialer().DialContext(bounded, "tcp", addr)
+	nc, err := c.paths().Connect(bounded, t.Key, func(ctx context.Context) (net.Conn, error) {
+		return c.dialer().DialContext(ctx, "tcp", t.Addr)
+	})
 	if cause := context.Cause(bounded); err != nil && cause != nil {
 		return nil, cause
 	}
 	if err != nil {
 		return nil, err
 	}
-	return nc.(*net.TCPConn), nil
+	return nc, nil
 }
 
-func (c *Client) dialer() *net.Dialer {
+func (c *Client) dialer() Dialer {
+	if c.Dialer != nil {
+		return c.Dialer
+	}
 	return &net.Dialer{
 		Control: func(_, addr string, raw syscall.RawConn) error {
 			c.setUserTimeout(raw, addr, userTimeout)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -55,6 +55,7 @@
 		if err != nil {
 			return nil, x.fail(x.stageOf(err, surplus), err)
 		}
+		x.client.paths().RecordAnswer(x.conn.pool.key, x.conn.nc)
 		if r.matches(h.header) {
 			return x.respond(r, h, f), nil
 		}
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -88,10 +88,13 @@
 		errors.Is(f.cause, syscall.ETIMEDOUT)
 }
 
+// ErrDialTimeout is the cause of a dial that took longer than the client's DialTimeout.
+var ErrDialTimeout = errors.New("dial timed out")
+
 // Causes of a Failure that do not come from the operating system.
 var (
-	errNoConnection  = errors.New("connection limit reached")
-	errDialTimeout   = errors.New("dial timed out")
+	errNoConnection = errors.New("connection limit reached")
+
 	errHeadTooLarge  = errors.New("answer head exceeds the size limit")
 	errSurplusLimit  = errors.New("too many surplus answers")
 	errSurplusSize   = errors.New("surplus answer exceeds the size limit")
--- a/internal/exchange/internal_test.go
+++ b/internal/exchange/internal_test.go
@@ -59,10 +59,10 @@
 	require.NoError(t, err)
 	defer l.Close()
 	c := &Client{Clock: clockwork.NewFakeClock(), DialTimeout: time.Second}
-	nc, err := c.dial(context.Background(), l.Addr().String())
+	nc, err := c.dial(context.Background(), Target{Addr: l.Addr().String()})
 	require.NoError(t, err)
 	defer nc.Close()
-	raw, err := nc.SyscallConn()
+	raw, err := nc.(*net.TCPConn).SyscallConn()
 	require.NoError(t, err)
 	options := map[int]int{
 		unix.TCP_USER_TIMEOUT: int(userTimeout / time.Millisecond),
--- a/internal/exchange/listens.go
+++ b/internal/exchange/listens.go
@@ -4,9 +4,9 @@
 
 // Listens dials a server and closes the connection immediately. It returns an error if nothing
 // accepts it. The connection does not count against the server's connection limit.
-func (c *Client) Listens(ctx context.Context, addr string) error {
+func (c *Client) Listens(ctx context.Context, t Target) error {
 	c.counters().dialed.Inc(1)
-	conn, err := c.dial(ctx, addr)
+	conn, err := c.dial(ctx, t)
 	if err != nil {
 		c.counters().dialFailed.Inc(1)
 		return err
--- a/internal/quarantine/gate/gate.go
+++ b/internal/quarantine/gate/gate.go
@@ -50,7 +50,7 @@
 // Exchanger sends requests, and finds out whether a server accepts connections.
 type Exchanger interface {
 	Do(ctx context.Context, t exchange.Target, r *exchange.Request) (*exchange.Response, error)
-	Listens(ctx context.Context, addr string) error
+	Listens(ctx context.Context, t exchange.Target) error
 }
 
 // Servers looks up server instances by id.
@@ -141,7 +141,7 @@
 	ended, _, _ := g.asked.Do(t.Key, func() (any, error) {
 		ctx, cancel := clockctx.WithTimeout(context.Background(), g.Clock, probeTimeout)
 		defer cancel()
-		return g.Exchanger.Listens(ctx, t.Addr) != nil, nil
+		return g.Exchanger.Listens(ctx, t) != nil, nil
 	})
 	return ended.(bool)
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -100,6 +100,8 @@
 	// ServersHeldOff the number that asked this box to hold off.
 	ServersLeaving *gauge
 	ServersHeldOff *gauge
+	// Isolated is 1 while the box appears to have lost its paths to all servers.
+	Isolated *gauge
 	// ShutdownNotice is the notice that engines are expected to give, ShutdownsSeen the number of
 	// ended engines behind the estimate.
 	ShutdownNotice *gauge
@@ -187,6 +189,7 @@
 	m.ServersLimited = m.gauge("servers_limited", "backend servers that name such a limit")
 	m.ServersLeaving = m.gauge("servers_leaving", "backend servers that say in their answers that they leave")
 	m.ServersHeldOff = m.gauge("servers_held_off", "backend servers that want nothing from this box for a time, or have not answered since")
+	m.Isolated = m.gauge("isolated", "1 while the box appears to have lost its own paths to all backend servers")
 	m.ConfigVersion = m.gauge("config_version", "configuration version in force")
 	m.ConfigAge = m.gauge("config_age_seconds", "time since the configuration was last known to be the newest")
 	m.ViewRevision = m.gauge("view_revision", "revision of what the box knows of the backend servers")
