--- a/internal/box/rig_test.go
+++ b/internal/box/rig_test.go
@@ -110,8 +110,10 @@
 	metrics *telemetry.Metrics
 
 	settings *boxsettings.Settings
-	stop     context.CancelFunc
-	ended    chan error
+	// dialer, if set, dials the backend servers.
+	dialer exchange.Dialer
+	stop   context.CancelFunc
+	ended  chan error
 }
 
 // boxIP returns a loopback address that no other process uses, derived from the process id. On a
@@ -150,6 +152,7 @@
 	}
 	client := &exchange.Client{
 		Clock: r.time, Logger: logger, Metrics: r.metrics.Registry(), DialTimeout: time.Second, MaxIdlePerServer: 4,
+		Dialer: r.dialer,
 	}
 	store := &platform.Store{Addr: r.settings.Store, Clock: r.time, Logger: logger, Metrics: r.metrics.Registry()}
 	moves := &platform.EngineClient{Exchanger: client}
