--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -41,10 +41,12 @@
 	"github.com/dalebend/dalebend/internal/retrypriority"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/serverlimit"
+	"github.com/dalebend/dalebend/internal/serverpath"
 	"github.com/dalebend/dalebend/internal/shutdownnotice"
 	"github.com/dalebend/dalebend/internal/storewatch"
 	"github.com/dalebend/dalebend/internal/streaming"
 	"github.com/dalebend/dalebend/internal/telemetry"
+	"github.com/dalebend/dalebend/internal/tunnel/endpoint"
 	"github.com/dalebend/dalebend/internal/viewshare"
 	"github.com/dalebend/dalebend/internal/watchelection"
 )
@@ -89,15 +91,18 @@
 	// Seed seeds the random choices.
 	Seed uint64
 
-	listeners      listeners
-	node           *member.Node
-	peers          *peerstate.Table
-	share          *viewshare.Share
-	watcher        *storewatch.Watcher
-	election       *watchelection.Election
-	directory      *registry.Directory
-	evidence       *evidence.Tracker
-	reach          *reach.Tracker
+	listeners listeners
+	node      *member.Node
+	peers     *peerstate.Table
+	share     *viewshare.Share
+	watcher   *storewatch.Watcher
+	election  *watchelection.Election
+	directory *registry.Directory
+	evidence  *evidence.Tracker
+	reach     *reach.Tracker
+	// paths chooses how servers are reached, tunnels connects to servers for other boxes.
+	paths          *serverpath.Selector
+	tunnels        *endpoint.Server
 	shutdownNotice *shutdownnotice.Estimator
 	engineLoad     *engineload.Tracker
 	// startRate is the rate at which other boxes start generations.
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -32,7 +32,6 @@
 	"github.com/dalebend/dalebend/internal/retrybudget"
 	"github.com/dalebend/dalebend/internal/retrypriority"
 	"github.com/dalebend/dalebend/internal/serverlimit"
-	"github.com/dalebend/dalebend/internal/serverpath"
 	"github.com/dalebend/dalebend/internal/shutdownnotice"
 	"github.com/dalebend/dalebend/internal/storewatch"
 	"github.com/dalebend/dalebend/internal/streaming"
@@ -50,6 +49,7 @@
 	b.buildConditions()
 	b.buildEngineState()
 	b.buildPeers()
+	b.buildPaths()
 	b.buildQuarantine()
 	b.buildStore()
 	b.buildRequests()
@@ -86,7 +86,6 @@
 	b.startRate = &arrival.Rate{Clock: b.Clock}
 	b.evidence = &evidence.Tracker{Clock: b.Clock, OnChange: b.onServerChanged}
 	b.reach = &reach.Tracker{Clock: b.Clock, Logger: b.Logger}
-	b.Exchange.Paths = &serverpath.Selector{Reach: b.reach}
 	b.shutdownNotice = &shutdownnotice.Estimator{Clock: b.Clock}
 	cold := &coldstart.Gate{
 		Clock: b.Clock, Box: b.Settings.Box, Live: b.liveNames,
@@ -239,6 +238,7 @@
 	randForLimits
 	randForDepartures
 	randForHoldOffs
+	randForPaths
 )
 
 // random returns the random generator for one part of the box.
--- a/internal/box/isolated_test.go
+++ b/internal/box/isolated_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,14 +27,17 @@
 	isolatedStep = 5 * time.Millisecond
 	// isolatedCalls is the number of requests to a box that is cut off.
 	isolatedCalls = 12
+	// findOutCalls is the number of requests after which a box knows that no server is reached, each of
+	// which it offers to all of them.
+	findOutCalls = 2
 )
 
-// pair is two boxes with the same servers. The first can be cut off from these.
+// pair is two boxes with the same servers. Each can be cut off from these.
 type pair struct {
-	cut, other *rig
-	partition  *partition.Dialer
-	servers    []*standin.BackendServer
-	calls      int
+	cut, other                *rig
+	partition, otherPartition *partition.Dialer
+	servers                   []*standin.BackendServer
+	calls                     int
 }
 
 // newPair starts two boxes and servers of a service, and waits until the boxes know each other.
@@ -46,8 +52,8 @@
 			go answerRuns(e)
 		}
 	}
-	p.cutOff(t)
 	p.other = p.cut.sibling()
+	p.partition, p.otherPartition = p.cut.partition(), p.other.partition()
 	for _, r := range []*rig{p.cut, p.other} {
 		r.run()
 		p.advanceUntil(func() { r.awaitConfig(1) })
@@ -59,15 +65,16 @@
 	return p
 }
 
-// cutOff makes the first box dial servers through the partition.
-func (p *pair) cutOff(t *testing.T) {
+// partition makes the box dial servers through a partition, which it returns.
+func (r *rig) partition() *partition.Dialer {
 	ctx, cancel := context.WithCancel(context.Background())
-	p.partition = &partition.Dialer{Clock: p.cut.clock, Logger: slog.New(slog.DiscardHandler), Context: ctx, Group: &errgroup.Group{}}
-	p.cut.dialer = p.partition
-	t.Cleanup(func() {
+	d := &partition.Dialer{Clock: r.clock, Logger: slog.New(slog.DiscardHandler), Context: ctx, Group: &errgroup.Group{}}
+	r.dialer = d
+	r.t.Cleanup(func() {
 		cancel()
-		require.NoError(t, p.partition.Group.Wait())
+		require.NoError(r.t, d.Group.Wait())
 	})
+	return d
 }
 
 // sibling returns another box of the fleet, which is not started yet.
@@ -104,32 +111,65 @@
 
 // ask sends a request to a box and returns its status. The clock advances while servers may be silent.
 func (p *pair) ask(r *rig, host string) int {
-	p.calls++
-	id := fmt.Sprintf("q%d", p.calls)
-	type result struct {
-		reply *standin.Reply
-		err   error
-	}
-	done := make(chan result, 1)
-	go func() {
-		reply, err := standin.Send(r.t.Context(), r.settings.Front, standin.Call{
-			ID: id, Method: http.MethodPost, Host: host, URI: "/a", Body: "b",
-			Timeout: 10 * time.Second, PromptTokens: 100, MaxTokens: 400,
-		})
-		if err == nil {
-			_, err = reply.Text()
-		}
-		done <- result{reply: reply, err: err}
-	}()
-	var got result
+	var got asked
 	if p.partition.Silent() {
-		p.advanceUntil(func() { got = <-done })
+		p.advanceUntil(func() { got = p.askOnce(r, host) })
 	} else {
-		got = <-done
+		got = p.askOnce(r, host)
 	}
 	require.NoError(r.t, got.err)
-	require.Equal(r.t, id, got.reply.ID)
-	return got.reply.Status
+	return got.status
+}
+
+// askStanding sends a request to the box that is cut off, while its clock stands still.
+func (p *pair) askStanding(host string) int {
+	done := make(chan asked, 1)
+	go func() { done <- p.askOnce(p.cut, host) }()
+	var got asked
+	require.Eventually(p.cut.t, func() bool {
+		select {
+		case got = <-done:
+			return true
+		default:
+			return false
+		}
+	}, time.Minute, time.Millisecond)
+	require.NoError(p.cut.t, got.err)
+	return got.status
+}
+
+// asked is what became of a request.
+type asked struct {
+	status int
+	err    error
+}
+
+// askOnce sends a request to a box and waits for its whole answer.
+func (p *pair) askOnce(r *rig, host string) asked {
+	p.calls++
+	reply, err := standin.Send(r.t.Context(), r.settings.Front, standin.Call{
+		ID: fmt.Sprintf("q%d", p.calls), Method: http.MethodPost, Host: host, URI: "/a", Body: "b",
+		Timeout: 10 * time.Second, PromptTokens: 100, MaxTokens: 400,
+	})
+	if err != nil {
+		return asked{err: err}
+	}
+	_, err = reply.Text()
+	return asked{status: reply.Status, err: err}
+}
+
+// tunnels returns the number of connections to servers that a box has open for others.
+func (r *rig) tunnels() int {
+	resp, err := http.Get("http://" + r.settings.Metrics + "/metrics")
+	require.NoError(r.t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(r.t, err)
+	_, after, ok := strings.Cut(string(text), "\ndalebend_tunnels ")
+	require.True(r.t, ok)
+	n, err := strconv.Atoi(strings.Fields(after)[0])
+	require.NoError(r.t, err)
+	return n
 }
 
 // pass lets time pass while the other box serves its callers.
@@ -171,3 +211,54 @@
 		}
 	}
 }
+
+// TestBoxesWithoutServerPaths checks that boxes none of which reaches a server refuse their callers
+// without a wait, and serve them again once one of them does.
+func TestBoxesWithoutServerPaths(t *testing.T) {
+	for _, c := range []struct {
+		host, service string
+		mode          partition.Mode
+	}{
+		{"chat.test", "chat", partition.Reset},
+		{"many.test", "plain", partition.Reset},
+		{"once.test", "plain", partition.Reset},
+		{"once.test", "plain", partition.Silent},
+	} {
+		t.Run(c.host+"/"+string(c.mode), func(t *testing.T) {
+			p, host := newPair(t, c.service), c.host
+			p.partition.Cut(c.mode)
+			p.otherPartition.Cut(partition.Reset)
+			for range findOutCalls {
+				require.NotEqual(t, http.StatusOK, p.ask(p.cut, host))
+			}
+			for range isolatedCalls {
+				// The clock stands still: a request that waits gets no answer.
+				require.Equal(t, http.StatusServiceUnavailable, p.askStanding(host))
+				require.Zero(t, p.runs(fmt.Sprintf("q%d", p.calls)))
+			}
+			p.otherPartition.Cut(partition.None)
+			p.advanceUntil(func() {
+				for p.askOnce(p.cut, host).status != http.StatusOK {
+				}
+			})
+			p.partition.Cut(partition.None)
+		})
+	}
+}
+
+// TestDirectPathUsedAgain checks that a box whose paths are back uses them and not its peer's.
+func TestDirectPathUsedAgain(t *testing.T) {
+	p := newPair(t, "plain")
+	p.partition.Cut(partition.Reset)
+	for range isolatedCalls {
+		require.Equal(t, http.StatusOK, p.ask(p.cut, "once.test"))
+	}
+	require.Positive(t, p.other.tunnels())
+	p.partition.Cut(partition.None)
+	p.advanceUntil(func() { p.cut.log.await(event.PathRegained, nil) })
+	p.advanceUntil(func() {
+		for p.other.tunnels() > 0 {
+			require.Equal(t, http.StatusOK, p.askOnce(p.cut, "once.test").status)
+		}
+	})
+}
--- a/internal/box/listeners.go
+++ b/internal/box/listeners.go
@@ -3,13 +3,18 @@
 import (
 	"fmt"
 	"net"
+
+	"github.com/dalebend/dalebend/internal/connmux"
+	"github.com/dalebend/dalebend/internal/tunnel"
 )
 
 // listeners are the open sockets of a box.
 type listeners struct {
-	front     net.Listener
-	ready     net.Listener
-	calls     net.Listener
+	front net.Listener
+	ready net.Listener
+	calls net.Listener
+	// callsMux splits calls into remote procedure calls and tunnels.
+	callsMux  *connmux.Mux
 	heartbeat net.PacketConn
 	// metrics is nil if the metrics are not served.
 	metrics net.Listener
@@ -30,6 +35,7 @@
 	if l.calls, err = net.Listen("tcp", s.Calls); err != nil {
 		return fmt.Errorf("listen for other boxes: %w", err)
 	}
+	l.callsMux = &connmux.Mux{Listener: l.calls, Prefix: tunnel.Prefix, Clock: b.Clock, Logger: b.Logger}
 	if l.ready, err = net.Listen("tcp", s.Ready); err != nil {
 		return fmt.Errorf("listen for the balancer: %w", err)
 	}
--- a/internal/box/metrics.go
+++ b/internal/box/metrics.go
@@ -24,6 +24,8 @@
 	m.ShutdownsSeen.Compute(func() float64 { return float64(b.shutdownNotice.Samples()) })
 	m.ServersEjected.Compute(func() float64 { return float64(b.evidence.EjectedCount()) })
 	m.Isolated.Compute(b.isolated)
+	m.ServersByPeer.Compute(func() float64 { return float64(b.paths.NumDetours()) })
+	m.Tunnels.Compute(func() float64 { return float64(b.tunnels.Open()) })
 	m.ServersLimited.Compute(func() float64 { return float64(b.serverLimits.NumLimited()) })
 	m.ServersLeaving.Compute(func() float64 { return float64(b.departures.NumLeaving()) })
 	m.ServersHeldOff.Compute(func() float64 { return float64(b.holdOffs.NumHeldOff()) })
--- a/internal/box/rig_test.go
+++ b/internal/box/rig_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -91,6 +92,13 @@
 	}
 }
 
+// has reports whether there is a line of an event.
+func (j *logRecorder) has(name event.Name) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.ContainsFunc(j.lines, func(l line) bool { return l.name == string(name) })
+}
+
 // forget drops the lines recorded so far.
 func (j *logRecorder) forget() {
 	j.mu.Lock()
--- a/internal/box/run.go
+++ b/internal/box/run.go
@@ -36,7 +36,9 @@
 	defer cancel()
 	g, inner := errgroup.WithContext(inner)
 	g.Go(func() error { return b.node.Run(inner) })
-	g.Go(func() error { return b.share.Serve(inner, b.listeners.calls) })
+	g.Go(func() error { return b.listeners.callsMux.Run(inner) })
+	g.Go(func() error { return b.share.Serve(inner, b.listeners.callsMux.Others()) })
+	g.Go(func() error { return b.tunnels.Serve(inner, b.listeners.callsMux.Matching()) })
 	g.Go(func() error { return b.watcher.Run(inner) })
 	g.Go(func() error { return b.register(inner) })
 	g.Go(func() error { return b.serveReady(inner) })
@@ -107,5 +109,6 @@
 		b.cutAtStop.Store(int64(b.front.OpenRequests()))
 		return true
 	}
-	return now.Sub(began) >= minStopTime && b.front.FinishIfIdle()
+	// Other boxes stop using their tunnels through this one as soon as they hear that it stops.
+	return now.Sub(began) >= minStopTime && b.tunnels.Open() == 0 && b.front.FinishIfIdle()
 }
--- a/internal/box/state.go
+++ b/internal/box/state.go
@@ -111,6 +111,7 @@
 	b.decodeTime.Retain(b.directory.Known)
 	b.prefillDemand.Retain(b.directory.Known)
 	b.conditions.Retain(b.directory.Known)
+	b.paths.Retain(b.directory.Known)
 }
 
 // publishView sends the peers at once a view that this box read from the store, and its first view.
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -7,7 +7,7 @@
 
 // Declarations returns every event, in the order of docs/LOGS.md.
 func Declarations() []Declaration {
-	return slices.Concat(processEvents(), stateEvents(), requestEvents(), streamEvents())
+	return slices.Concat(processEvents(), stateEvents(), pathEvents(), requestEvents(), streamEvents())
 }
 
 func info(n Name, meaning string, keys ...string) Declaration {
@@ -89,10 +89,19 @@
 			KeyFrom, KeyTo, KeyViewRevision, KeyViewAge),
 		info(EngineSilent, "an engine that was asked, as the view is old, gave no answer",
 			KeyServer, KeyCause, KeyViewRevision, KeyViewAge),
+	}
+}
+
+func pathEvents() []Declaration {
+	return []Declaration{
 		warn(ServersUnreachable, "dials to so many servers in a row failed, and nothing came from any server between them: the box's own paths appear to be down",
 			KeyServers, KeyCause),
 		info(ServersReachable, "a server answered on a direct path again, after the time away_ms",
 			KeyServer, KeyAway),
+		warn(PathLost, "the box's own path to a server is down and a peer reaches the server: requests go through peers",
+			KeyServer, KeyPeer, KeyCause),
+		info(PathRegained, "the box's own path to a server works again, after the time away_ms",
+			KeyServer, KeyAway),
 	}
 }
 
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -50,6 +50,9 @@
 	// ServersUnreachable and ServersReachable tell of the box's own paths to all servers.
 	ServersUnreachable Name = "servers-unreachable"
 	ServersReachable   Name = "servers-reachable"
+	// PathLost and PathRegained tell of the box's own path to one server.
+	PathLost     Name = "path-lost"
+	PathRegained Name = "path-regained"
 )
 
 // Events of requests.
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -113,7 +113,7 @@
 
 // open dials a connection that p already counts.
 func (c *Client) open(ctx context.Context, t Target, p *pool) (*conn, error) {
-	nc, err := c.dial(ctx, t)
+	nc, err := c.dial(ctx, t, c.paths().Connect)
 	if err != nil {
 		return nil, err
 	}
@@ -131,7 +131,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.poolOf(t.Key)
-	if conn := p.take(fresh, c.Clock.Now()); conn != nil {
+	if conn := p.take(fresh, c.Clock.Now(), c.paths().Usable); conn != nil {
 		return conn, nil
 	}
 	if !p.reserve(t.MaxConns) {
@@ -206,7 +206,7 @@
 	now := c.Clock.Now()
 	idle := 0
 	for _, p := range c.pools {
-		p.expire(now)
+		p.expire(now, c.paths().Usable)
 		idle += len(p.idle)
 		c.forgetEmpty(p)
 	}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -107,6 +107,9 @@
 // reusable reports whether an idle connection is open and has nothing to read. Bytes that arrived
 // between requests belong to no request.
 func (c *conn) reusable() bool {
+	if b, ok := c.nc.(interface{ Buffered() int }); ok && b.Buffered() > 0 {
+		return false
+	}
 	silent := false
 	err := c.raw.Control(func(fd uintptr) {
 		var b [1]byte
--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -27,7 +27,7 @@
 
 // dial opens a connection. The timeout runs on the client's clock; the deadline of ctx is hidden
 // from the dialer, which would compare it with the system clock.
-func (c *Client) dial(ctx context.Context, t Target) (net.Conn, error) {
+func (c *Client) dial(ctx context.Context, t Target, connect connectFunc) (net.Conn, error) {
 	bounded, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	stop := context.AfterFunc(ctx, func() { cancel(contextError(ctx)) })
@@ -35,16 +35,22 @@
 	timer := c.Clock.AfterFunc(c.DialTimeout, func() { cancel(ErrDialTimeout) })
 	defer timer.Stop()
 
-	nc, err := c.paths().Connect(bounded, t.Key, func(ctx context.Context) (net.Conn, error) {
-		return c.dialer().DialContext(ctx, "tcp", t.Addr)
-	})
-	if cause := context.Cause(bounded); err != nil && cause != nil {
-		return nil, cause
+	return connect(bounded, t.Key, func(ctx context.Context) (net.Conn, error) { return c.DialDirect(ctx, t.Addr) })
+}
+
+// connectFunc is a method of Paths.
+type connectFunc func(ctx context.Context, key string, direct DialFunc) (net.Conn, error)
+
+// DialDirect dials the address of a server.
+func (c *Client) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
+	nc, err := c.dialer().DialContext(ctx, "tcp", addr)
+	if err == nil {
+		return nc, nil
 	}
-	if err != nil {
-		return nil, err
+	if cause := context.Cause(ctx); cause != nil {
+		return nil, cause
 	}
-	return nc, nil
+	return nil, err
 }
 
 func (c *Client) dialer() Dialer {
--- a/internal/exchange/failure.go
+++ b/internal/exchange/failure.go
@@ -91,6 +91,10 @@
 // ErrDialTimeout is the cause of a dial that took longer than the client's DialTimeout.
 var ErrDialTimeout = errors.New("dial timed out")
 
+// ErrNoPath means that no connection was opened for lack of a path to the server, as far as is known:
+// no other box has found that it accepts none.
+var ErrNoPath = errors.New("no path to the server")
+
 // Causes of a Failure that do not come from the operating system.
 var (
 	errNoConnection = errors.New("connection limit reached")
--- a/internal/exchange/internal_test.go
+++ b/internal/exchange/internal_test.go
@@ -59,7 +59,7 @@
 	require.NoError(t, err)
 	defer l.Close()
 	c := &Client{Clock: clockwork.NewFakeClock(), DialTimeout: time.Second}
-	nc, err := c.dial(context.Background(), Target{Addr: l.Addr().String()})
+	nc, err := c.dial(context.Background(), Target{Addr: l.Addr().String()}, c.paths().Connect)
 	require.NoError(t, err)
 	defer nc.Close()
 	raw, err := nc.(*net.TCPConn).SyscallConn()
--- a/internal/exchange/paths.go
+++ b/internal/exchange/paths.go
@@ -18,7 +18,12 @@
 type Paths interface {
 	// Connect opens a connection to the server with the given key. The context bounds all of it;
 	// direct dials the server's own address.
+	// The error wraps ErrNoPath if the server may accept connections on another path.
 	Connect(ctx context.Context, key string, direct DialFunc) (net.Conn, error)
+	// Check is Connect to find out whether the server accepts connections.
+	Check(ctx context.Context, key string, direct DialFunc) (net.Conn, error)
+	// Usable reports whether an idle connection may carry another request.
+	Usable(key string, conn net.Conn) bool
 	// RecordAnswer is called with each connection that delivered the head of an answer.
 	RecordAnswer(key string, conn net.Conn)
 }
@@ -30,6 +35,12 @@
 	return direct(ctx)
 }
 
+func (directPath) Check(ctx context.Context, _ string, direct DialFunc) (net.Conn, error) {
+	return direct(ctx)
+}
+
+func (directPath) Usable(string, net.Conn) bool { return true }
+
 func (directPath) RecordAnswer(string, net.Conn) {}
 
 func (c *Client) paths() Paths {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -1,6 +1,9 @@
 package exchange
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // pool holds the connections to one server instance. The client's mutex guards it.
 type pool struct {
@@ -12,14 +15,14 @@
 
 // take removes the most recently used idle connection that may carry a request, and
 // closes those that may not. It returns nil if there is none.
-func (p *pool) take(fresh time.Duration, now time.Time) *conn {
+func (p *pool) take(fresh time.Duration, now time.Time, usable func(key string, conn net.Conn) bool) *conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		conn := p.idle[i]
 		if conn.expires.After(now) && !conn.idleLessThan(fresh, now) {
 			return nil // the remaining ones have been idle for longer
 		}
 		p.removeIdle(i)
-		if conn.expires.After(now) && conn.reusable() {
+		if conn.expires.After(now) && usable(p.key, conn.nc) && conn.reusable() {
 			return conn
 		}
 		p.discard(conn)
@@ -45,10 +48,10 @@
 	}
 }
 
-// expire closes the expired idle connections.
-func (p *pool) expire(now time.Time) {
+// expire closes the idle connections that have expired or are not usable any more.
+func (p *pool) expire(now time.Time, usable func(key string, conn net.Conn) bool) {
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if conn := p.idle[i]; !conn.expires.After(now) {
+		if conn := p.idle[i]; !conn.expires.After(now) || !usable(p.key, conn.nc) {
 			p.removeIdle(i)
 			p.discard(conn)
 		}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -33,6 +33,8 @@
 	// failed holds when the last dial to each server failed, of those since the last sign of life
 	// from any server.
 	failed map[string]time.Time
+	// failedAt is the last of these times.
+	failedAt time.Time
 	// isolatedAt is when the box began to count as isolated, zero if it doesn't.
 	isolatedAt time.Time
 }
@@ -51,6 +53,7 @@
 		t.failed = make(map[string]time.Time)
 	}
 	t.failed[server] = now
+	t.failedAt = now
 	if len(t.failed) >= isolatedAfter && t.isolatedAt.IsZero() {
 		t.isolatedAt = now
 		t.log(event.ServersUnreachable, slog.Int(event.KeyServers, len(t.failed)), slog.String(event.KeyCause, cause.Error()))
@@ -73,11 +76,12 @@
 	t.log(event.ServersReachable, slog.String(event.KeyServer, server), slog.Int64(event.KeyAway, away.Milliseconds()))
 }
 
-// Isolated reports whether this box appears to have lost its paths to all servers.
+// Isolated reports whether this box appears to have lost its paths to all servers. That is forgotten
+// unless further dials fail.
 func (t *Tracker) Isolated() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.isolatedAt.IsZero()
+	return !t.isolatedAt.IsZero() && t.Clock.Since(t.failedAt) <= streakTime
 }
 
 func (t *Tracker) log(name event.Name, attrs ...slog.Attr) {
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -210,6 +210,23 @@
 	return m != nil && !m.lapsed(d.Clock.Now())
 }
 
+// Lookup returns the server with an instance id, also one that gets no new work, or nil.
+func (d *Directory) Lookup(id string) *Server {
+	l := d.current.Load()
+	if m := l.member(id); m != nil {
+		return m.Server
+	}
+	return l.entry(id)
+}
+
+// DomainOf returns the failure domain of an instance, or "" if it is unknown.
+func (d *Directory) DomainOf(id string) string {
+	if s := d.Lookup(id); s != nil {
+		return s.Domain
+	}
+	return ""
+}
+
 // Known reports whether an instance has an entry in the newest view, in any state, or is a member.
 func (d *Directory) Known(id string) bool {
 	l := d.current.Load()
--- a/internal/registry/listing.go
+++ b/internal/registry/listing.go
@@ -57,13 +57,19 @@
 }
 
 // hasEntry reports whether an instance has an entry.
-func (l *listing) hasEntry(id string) bool {
+func (l *listing) hasEntry(id string) bool { return l.entry(id) != nil }
+
+// entry returns the entry of an instance, or nil.
+func (l *listing) entry(id string) *Server {
+	if l == nil {
+		return nil
+	}
 	for _, name := range possibleNames(id) {
 		if s, ok := l.entries.Get(name); ok && s.ID == id {
-			return true
+			return &s
 		}
 	}
-	return false
+	return nil
 }
 
 func (l *listing) acceptsNew(m *Member) bool { return !l.cordons.Has(m.Domain) && !m.Declines }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -51,6 +51,8 @@
 	// HoldOffs counts answers with which servers asked this box to hold off for longer than before,
 	// by server.
 	HoldOffs *counters
+	// PeerConnections counts connections to servers through other boxes.
+	PeerConnections *counters
 	// Ejections counts ejections of backend servers, by cause.
 	Ejections *counters
 
@@ -102,6 +104,10 @@
 	ServersHeldOff *gauge
 	// Isolated is 1 while the box appears to have lost its paths to all servers.
 	Isolated *gauge
+	// ServersByPeer is the number of servers that are reached through peers, as the direct path is
+	// down, and Tunnels the number of connections to servers that are open for other boxes.
+	ServersByPeer *gauge
+	Tunnels       *gauge
 	// ShutdownNotice is the notice that engines are expected to give, ShutdownsSeen the number of
 	// ended engines behind the estimate.
 	ShutdownNotice *gauge
@@ -169,6 +175,7 @@
 	m.ReturningCallers = m.counters("returned_total", "generations of callers that came back after a refusal and went first", "route")
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
 	m.SlowCallersDropped = m.counters("gave_way_total", "callers that were too slow for what was kept for them", "bound")
+	m.PeerConnections = m.counters("peer_connections_total", "connections to backend servers that were opened through other boxes")
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
 	m.QuarantineChanges = m.counters("quarantined_total", "changes of what is known of requests under which servers ended", "change")
 	m.LimitedSends = m.counters("limited_sends_total", "requests given to servers that name a limit", "server")
@@ -190,6 +197,8 @@
 	m.ServersLeaving = m.gauge("servers_leaving", "backend servers that say in their answers that they leave")
 	m.ServersHeldOff = m.gauge("servers_held_off", "backend servers that want nothing from this box for a time, or have not answered since")
 	m.Isolated = m.gauge("isolated", "1 while the box appears to have lost its own paths to all backend servers")
+	m.ServersByPeer = m.gauge("servers_by_peer", "backend servers that are reached through other boxes, as the direct path is down")
+	m.Tunnels = m.gauge("tunnels", "connections to backend servers that are open for other boxes")
 	m.ConfigVersion = m.gauge("config_version", "configuration version in force")
 	m.ConfigAge = m.gauge("config_age_seconds", "time since the configuration was last known to be the newest")
 	m.ViewRevision = m.gauge("view_revision", "revision of what the box knows of the backend servers")
--- /dev/null
+++ b/internal/tunnel/endpoint/server.go
@@ -0,0 +1,169 @@
+// Package endpoint serves tunnels for other boxes; see package tunnel.
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/dalebend/dalebend/internal/clockctx"
+	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/tunnel"
+)
+
+const (
+	// requestTimeout bounds how long a peer may take to send its request. Peers give up sooner.
+	requestTimeout = time.Second
+	// dialTimeout bounds connecting to the server.
+	dialTimeout = 200 * time.Millisecond
+	// requestBytes bounds the request of a tunnel.
+	requestBytes = 4 << 10
+)
+
+// ErrUnknown is an error of Dial: there is no such server.
+var ErrUnknown = errors.New("no such backend server")
+
+// errTooMany means that MaxTunnels are open.
+var errTooMany = errors.New("too many tunnels")
+
+// Server serves tunnels. Set the exported fields before Serve.
+type Server struct {
+	Clock  clockwork.Clock
+	Logger *slog.Logger
+	// Dial connects directly to a server by its id. The error wraps exchange.ErrNoPath if this box
+	// appears to have no path to the server.
+	Dial func(ctx context.Context, server string) (net.Conn, error)
+	// MaxTunnels bounds the open tunnels; 0 is no bound.
+	MaxTunnels int
+
+	mu   sync.Mutex
+	open int
+	done sync.WaitGroup
+}
+
+// Open returns the number of open tunnels.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
+// Serve accepts tunnels until the listener is closed. The end of the context cuts all tunnels.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	defer s.done.Wait()
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept tunnels: %w", err)
+		}
+		s.done.Go(func() { s.serve(ctx, conn) })
+	}
+}
+
+// serve serves one tunnel.
+func (s *Server) serve(ctx context.Context, near net.Conn) {
+	stop := context.AfterFunc(ctx, func() { abort(near) })
+	defer stop()
+	defer discard(near)
+	if err := setUserTimeout(near, nearTimeout); err != nil {
+		s.Logger.Warn("cannot set the TCP user timeout of a peer", "peer", near.RemoteAddr(), "err", err)
+	}
+	br := bufio.NewReaderSize(near, requestBytes)
+	far, err := s.connect(ctx, near, br)
+	if err != nil {
+		s.refuse(near, err)
+		return
+	}
+	defer s.release()
+	stopFar := context.AfterFunc(ctx, func() { abort(far) })
+	defer stopFar()
+	defer discard(far)
+	if _, err := io.WriteString(near, accepted); err != nil {
+		return
+	}
+	splice(s.Clock, near, br, far)
+}
+
+const accepted = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + tunnel.Protocol + "\r\n\r\n"
+
+// discard closes a connection that may be closed already.
+func discard(conn net.Conn) { _ = conn.Close() }
+
+// connect reads a request and connects to the server that it names. The tunnel is counted unless it
+// fails.
+func (s *Server) connect(ctx context.Context, near net.Conn, br *bufio.Reader) (net.Conn, error) {
+	timer := s.Clock.AfterFunc(requestTimeout, func() { discard(near) })
+	r, err := http.ReadRequest(br)
+	timer.Stop()
+	if err != nil {
+		return nil, &badRequestError{cause: err}
+	}
+	server, ok := tunnel.ServerOf(r.URL.EscapedPath())
+	if !ok || r.Header.Get("Upgrade") != tunnel.Protocol {
+		return nil, &badRequestError{cause: errors.New("it names no server, or another protocol")}
+	}
+	if !s.reserve() {
+		return nil, errTooMany
+	}
+	bounded, cancel := clockctx.WithTimeout(ctx, s.Clock, dialTimeout)
+	defer cancel()
+	far, err := s.Dial(bounded, server)
+	if err != nil {
+		s.release()
+		return nil, err
+	}
+	return far, nil
+}
+
+// badRequestError means that a peer's request can't be understood.
+type badRequestError struct{ cause error }
+
+func (e *badRequestError) Error() string { return "read the request of a tunnel: " + e.cause.Error() }
+
+func (s *Server) reserve() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.MaxTunnels > 0 && s.open >= s.MaxTunnels {
+		return false
+	}
+	s.open++
+	return true
+}
+
+func (s *Server) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+}
+
+// refuse answers a request that gets no tunnel.
+func (s *Server) refuse(near net.Conn, cause error) {
+	status := http.StatusBadGateway
+	var bad *badRequestError
+	switch {
+	case errors.As(cause, &bad):
+		status = http.StatusBadRequest
+	case errors.Is(cause, ErrUnknown):
+		status = http.StatusNotFound
+	case errors.Is(cause, exchange.ErrNoPath), errors.Is(cause, errTooMany):
+		status = http.StatusServiceUnavailable
+	}
+	text := cause.Error()
+	_, err := fmt.Fprintf(near, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), len(text), text)
+	if err != nil {
+		s.Logger.Debug("peer did not wait for the answer", "peer", near.RemoteAddr(), "err", err)
+	}
+}
--- a/internal/unary/flight.go
+++ b/internal/unary/flight.go
@@ -159,6 +159,9 @@
 	if errors.As(cause, &refused) && refused.RetryAfter > 0 {
 		return refused.RetryAfter
 	}
+	if errors.Is(cause, exchange.ErrNoPath) {
+		return noPathRetryAfter
+	}
 	return defaultRetryAfter
 }
 
--- a/internal/unary/unary.go
+++ b/internal/unary/unary.go
@@ -96,6 +96,10 @@
 // that shed a connection has capacity again within tens of milliseconds on the users' sheets.
 const defaultRetryAfter = 50 * time.Millisecond
 
+// noPathRetryAfter is the retry delay if this box has no path to the servers: about the time until it
+// probes them again. Another box may have one.
+const noPathRetryAfter = 250 * time.Millisecond
+
 // Do returns the answer for the caller, or *runerr.NotRun or *runerr.PerhapsRun.
 // The context ends when the caller leaves or at the job's deadline.
 func (s *Sender) Do(ctx context.Context, j *Job) (*Answer, error) {
