--- a/internal/quarantine/gate/gate.go
+++ b/internal/quarantine/gate/gate.go
@@ -135,13 +135,14 @@
 	}
 }
 
-// ended reports whether a server accepts no connections. Concurrent checks of one server share a
+// ended reports whether a server accepts no connections, from any box. Concurrent checks of one server share a
 // single probe.
 func (g *Gate) ended(t exchange.Target) bool {
 	ended, _, _ := g.asked.Do(t.Key, func() (any, error) {
 		ctx, cancel := clockctx.WithTimeout(context.Background(), g.Clock, probeTimeout)
 		defer cancel()
-		return g.Exchanger.Listens(ctx, t) != nil, nil
+		err := g.Exchanger.Listens(ctx, t)
+		return err != nil && !errors.Is(err, exchange.ErrNoPath), nil
 	})
 	return ended.(bool)
 }
