--- a/internal/box/isolated_test.go
+++ b/internal/box/isolated_test.go
@@ -246,6 +246,28 @@
 	}
 }
 
+// TestIsolatedBoxBlamesNoServer checks that a box without paths to servers makes no other box doubt
+// the servers, and suspects no request of having ended them.
+func TestIsolatedBoxBlamesNoServer(t *testing.T) {
+	for _, mode := range partition.Modes() {
+		t.Run(string(mode), func(t *testing.T) {
+			p := newPair(t, "plain")
+			p.partition.Cut(mode)
+			p.pass("many.test", time.Second)
+			for range isolatedCalls {
+				p.ask(p.cut, "many.test")
+				p.ask(p.cut, "once.test")
+			}
+			p.pass("many.test", time.Second)
+			require.False(t, p.other.log.has(event.ServerEjected))
+			for _, r := range []*rig{p.cut, p.other} {
+				require.False(t, r.log.has(event.RequestSuspected))
+			}
+			p.partition.Cut(partition.None)
+		})
+	}
+}
+
 // TestDirectPathUsedAgain checks that a box whose paths are back uses them and not its peer's.
 func TestDirectPathUsedAgain(t *testing.T) {
 	p := newPair(t, "plain")
--- a/internal/box/peers.go
+++ b/internal/box/peers.go
@@ -75,9 +75,7 @@
 	d.Leaving = b.stopping.Load()
 	d.Loads = b.engineLoad.OwnLoads()
 	d.Attempts = b.retryBudget.LocalAttempts()
-	b.evidence.VisitFailures(failureAge, func(server string, age time.Duration) {
-		d.Troubles = append(d.Troubles, digest.ServerFailure{Server: server, AgeMs: int32(age.Milliseconds()), Kind: kindFailed})
-	})
+	b.reportFailures(d)
 	b.directory.Departing(func(server string, age time.Duration) {
 		if age < failureAge {
 			d.Troubles = append(d.Troubles, digest.ServerFailure{Server: server, AgeMs: int32(age.Milliseconds()), Kind: kindLeaving})
@@ -85,6 +83,17 @@
 	})
 }
 
+// reportFailures adds the servers that failed for this box. A box without paths to servers reports
+// none: its failures tell nothing about the servers.
+func (b *Box) reportFailures(d *digest.Digest) {
+	if b.reach.Isolated() {
+		return
+	}
+	b.evidence.VisitFailures(failureAge, func(server string, age time.Duration) {
+		d.Troubles = append(d.Troubles, digest.ServerFailure{Server: server, AgeMs: int32(age.Milliseconds()), Kind: kindFailed})
+	})
+}
+
 // receiveDigest applies a peer's digest.
 func (b *Box) receiveDigest(d *digest.Digest) {
 	changed := b.peers.Update(d)
