--- a/internal/box/paths.go
+++ b/internal/box/paths.go
@@ -28,14 +28,14 @@
 	b.paths = &serverpath.Selector{
 		Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics, Reach: b.reach,
 		Peers: b.tunnelPeers, Domain: b.directory.DomainOf,
-		Tunnels: &tunnel.Dialer{Net: &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Tunnels: &tunnel.Dialer{Box: b.Settings.Box, Net: &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: tunnelKeepAliveIdle, Interval: tunnelKeepAliveInterval, Count: tunnelKeepAliveCount,
 		}}},
 		Draw: b.random(randForPaths).IntN,
 	}
 	b.Exchange.Paths = b.paths
 	b.tunnels = &endpoint.Server{
-		Clock: b.Clock, Logger: b.Logger, Dial: b.dialForPeer,
+		Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics, Dial: b.dialForPeer,
 		MaxTunnels: b.Settings.Descriptors / descriptorsPerTunnel / tunnelShare,
 	}
 }
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -100,6 +100,8 @@
 			KeyServer, KeyAway),
 		warn(PathLost, "the box's own path to a server is down and a peer reaches the server: requests go through peers",
 			KeyServer, KeyPeer, KeyCause),
+		info(TunnelOpened, "a peer that does not reach a server has a connection to it through this box",
+			KeyPeer, KeyServer),
 		info(PathRegained, "the box's own path to a server works again, after the time away_ms",
 			KeyServer, KeyAway),
 	}
@@ -113,6 +115,8 @@
 		info(RequestSent, "a server was chosen among candidates and the request goes there; a long generation gets a backup when emptying its engine takes longer than the notice allows",
 			KeyRequest, KeyRoute, KeyAccount, KeyServer, KeyAttempt, KeyCause, KeyCandidates, KeyLoad, KeyRank,
 			KeyExpectedTokens, KeyExpectedFirst, KeyExpectedPauses, KeyReturned, KeyBackup, KeyEmptying, KeyNotice, KeyDeadline, KeyConfigVersion, KeyViewRevision, KeyViewAge, KeyElapsed),
+		info(RequestByPeer, "the server was reached through a peer, which writes tunnel-opened when the connection is opened",
+			KeyRequest, KeyServer, KeyPeer),
 		info(EnginesCrowded, "no engine is expected to begin the generation in time, so that its caller is told to come back; the engine is the best one",
 			KeyRequest, KeyServer, KeyCandidates, KeyLoad, KeyPendingPrefill, KeyExpectedFirst, KeyWithin, KeyReturned, KeyOverShare, KeyViewRevision, KeyViewAge, KeyElapsed),
 		warn(RequestFailed, "an attempt failed; perhaps_run says whether the server may have run it, and if so fingerprint is what all attempts of the request have in common",
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -53,12 +53,15 @@
 	// PathLost and PathRegained tell of the box's own path to one server.
 	PathLost     Name = "path-lost"
 	PathRegained Name = "path-regained"
+	// TunnelOpened tells of a connection to a server for another box.
+	TunnelOpened Name = "tunnel-opened"
 )
 
 // Events of requests.
 const (
 	RequestRefused   Name = "request-refused"
 	RequestSent      Name = "request-sent"
+	RequestByPeer    Name = "request-by-peer"
 	RequestFailed    Name = "request-failed"
 	RequestResent    Name = "request-resent"
 	RequestGivenUp   Name = "request-given-up"
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -52,6 +52,22 @@
 	return &conn{nc: nc, raw: raw, pool: own, left: unlimited}, nil
 }
 
+// peer returns the name of the box that the connection goes through, empty if it is direct.
+func (c *conn) peer() string {
+	if t, ok := c.nc.(interface{ Peer() string }); ok {
+		return t.Peer()
+	}
+	return ""
+}
+
+// describe returns the address of the server, with the box that the connection goes through.
+func (c *conn) describe(addr string) string {
+	if peer := c.peer(); peer != "" {
+		return addr + " through " + peer
+	}
+	return addr
+}
+
 // Read reads from the connection, within the size limit of an answer's head.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.left == 0 {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -133,6 +133,7 @@
 		Header:        h.header,
 		ContentLength: f.length,
 		Body:          &body{x: x, in: newBodyReader(x.conn.br, f, x.sent)},
+		Peer:          x.conn.peer(),
 		framing:       f,
 	}
 }
@@ -143,7 +144,7 @@
 	if stage != Truncated && x.sent.n == 0 {
 		stage = NotSent
 	}
-	return newFailure(stage, x.addr, x.causeOf(cause))
+	return newFailure(stage, x.conn.describe(x.addr), x.causeOf(cause))
 }
 
 // causeOf returns the error that ended the exchange. The end of ctx closes the connection and shows
--- a/internal/exchange/response.go
+++ b/internal/exchange/response.go
@@ -19,6 +19,8 @@
 	// end. Only one goroutine at a time may use it; the end of the request's context interrupts a
 	// Read.
 	Body io.ReadCloser
+	// Peer is the name of the box through which the server was reached, empty if directly.
+	Peer string
 
 	framing framing
 }
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -9,6 +9,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -29,6 +30,9 @@
 	Clock  clockwork.Clock
 	Logger *slog.Logger
 
+	// disturbed is set while there is anything to forget on a sign of life.
+	disturbed atomic.Bool
+
 	mu sync.Mutex
 	// failed holds when the last dial to each server failed, of those since the last sign of life
 	// from any server.
@@ -53,6 +57,7 @@
 		t.failed = make(map[string]time.Time)
 	}
 	t.failed[server] = now
+	t.disturbed.Store(true)
 	t.failedAt = now
 	if len(t.failed) >= isolatedAfter && t.isolatedAt.IsZero() {
 		t.isolatedAt = now
@@ -62,12 +67,13 @@
 
 // RecordContact records a sign of life on a direct path to a server: a connection or an answer.
 func (t *Tracker) RecordContact(server string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.failed) == 0 && t.isolatedAt.IsZero() {
+	if !t.disturbed.Load() {
 		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	clear(t.failed)
+	t.disturbed.Store(false)
 	if t.isolatedAt.IsZero() {
 		return
 	}
@@ -79,6 +85,9 @@
 // Isolated reports whether this box appears to have lost its paths to all servers. That is forgotten
 // unless further dials fail.
 func (t *Tracker) Isolated() bool {
+	if !t.disturbed.Load() {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return !t.isolatedAt.IsZero() && t.Clock.Since(t.failedAt) <= streakTime
--- a/internal/serverpath/selector.go
+++ b/internal/serverpath/selector.go
@@ -14,6 +14,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -64,6 +65,9 @@
 	// Draw returns a random number below n.
 	Draw func(n int) int
 
+	// disturbed is set once a path was not in order. While it is not, direct connections are usable.
+	disturbed atomic.Bool
+
 	mu      sync.Mutex
 	servers map[string]*path
 	// heldPeers holds until when peers are tried last.
@@ -142,6 +146,9 @@
 // no longer than needed.
 func (s *Selector) Usable(server string, conn net.Conn) bool {
 	t, tunneled := conn.(tunneledConn)
+	if !tunneled && !s.disturbed.Load() {
+		return true
+	}
 	s.mu.Lock()
 	p := s.servers[server]
 	detour := p != nil && p.detour
@@ -205,6 +212,7 @@
 
 // pathTo returns the state of a server, which it creates if needed. The lock must be held.
 func (s *Selector) pathTo(server string) *path {
+	s.disturbed.Store(true)
 	if s.servers == nil {
 		s.servers = make(map[string]*path)
 	}
@@ -270,6 +278,7 @@
 		return
 	}
 	delete(s.servers, server)
+	s.disturbed.Store(len(s.servers) > 0)
 	if p.detour {
 		s.log(event.PathRegained, slog.String(event.KeyServer, server), slog.Int64(event.KeyAway, s.Clock.Since(p.since).Milliseconds()))
 	}
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -197,3 +197,10 @@
 			slog.String(event.KeyServer, engine.ID), slog.String(event.KeyCause, cause.Error()),
 		})...)
 }
+
+// logByPeer logs that an engine was reached through a peer.
+func (x *run) logByPeer(engine *registry.Server, peer string) {
+	if peer != "" {
+		x.log(event.RequestByPeer, slog.String(event.KeyServer, engine.ID), slog.String(event.KeyPeer, peer))
+	}
+}
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -213,6 +213,7 @@
 		o.refused = !o.arrived && x.relay.Clock.Since(start) <= immediateRefusal
 		return o
 	}
+	x.logByPeer(engine, resp.Peer)
 	a := &answer{Response: resp, giveUp: giveUp}
 	if x.relay.Codec.NotRun(resp.Status, resp.Header) {
 		a.close()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -51,6 +51,8 @@
 	// HoldOffs counts answers with which servers asked this box to hold off for longer than before,
 	// by server.
 	HoldOffs *counters
+	// TunnelRequests counts connections to servers that other boxes asked this one for, by result.
+	TunnelRequests *counters
 	// PeerConnections counts connections to servers through other boxes.
 	PeerConnections *counters
 	// Ejections counts ejections of backend servers, by cause.
@@ -175,6 +177,7 @@
 	m.ReturningCallers = m.counters("returned_total", "generations of callers that came back after a refusal and went first", "route")
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
 	m.SlowCallersDropped = m.counters("gave_way_total", "callers that were too slow for what was kept for them", "bound")
+	m.TunnelRequests = m.counters("tunnel_requests_total", "connections to backend servers that other boxes asked for", "result")
 	m.PeerConnections = m.counters("peer_connections_total", "connections to backend servers that were opened through other boxes")
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
 	m.QuarantineChanges = m.counters("quarantined_total", "changes of what is known of requests under which servers ended", "change")
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -29,8 +29,10 @@
 	DialContext(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
-// Dialer opens tunnels. Set Net before use.
+// Dialer opens tunnels. Set the exported fields before use.
 type Dialer struct {
+	// Box is the name of this box, for the peer's log.
+	Box string
 	// Net dials the peers.
 	Net NetDialer
 }
@@ -49,7 +51,7 @@
 	}
 	conn := &Conn{TCPConn: tcp, peer: peer.Name, br: bufio.NewReaderSize(tcp, readBufferBytes)}
 	stop := context.AfterFunc(ctx, func() { _ = tcp.Close() })
-	err = conn.open(peer.CallAddr, server)
+	err = conn.open(d.Box, peer.CallAddr, server)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -61,11 +63,11 @@
 }
 
 // open asks the peer to connect to the server.
-func (c *Conn) open(addr, server string) error {
+func (c *Conn) open(box, addr, server string) error {
 	r := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Path: pathPrefix + server, RawPath: pathOf(server)}, Host: addr,
 		ProtoMajor: 1, ProtoMinor: 1,
-		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {Protocol}, "User-Agent": {""}},
+		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {Protocol}, "User-Agent": {""}, BoxHeader: {box}},
 	}
 	if err := r.Write(c.TCPConn); err != nil {
 		return err
--- a/internal/tunnel/doc.go
+++ b/internal/tunnel/doc.go
@@ -7,8 +7,9 @@
 //	GET /tunnel/SERVER HTTP/1.1
 //	Connection: Upgrade
 //	Upgrade: dalebend-tunnel
+//	Dalebend-Box: NAME
 //
-// SERVER is the id of the server instance, URL-escaped; the peer connects only to servers that it
+// NAME is the box that asks. SERVER is the id of the server instance, URL-escaped; the peer connects only to servers that it
 // knows itself. It answers 101 once it is connected, 404 if it doesn't know the server, 502 if the
 // server accepts no connection from it, and 503 if it reaches no server or has too many tunnels.
 //
--- a/internal/tunnel/endpoint/server.go
+++ b/internal/tunnel/endpoint/server.go
@@ -16,7 +16,9 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dalebend/dalebend/internal/clockctx"
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/telemetry"
 	"github.com/dalebend/dalebend/internal/tunnel"
 )
 
@@ -39,6 +41,8 @@
 type Server struct {
 	Clock  clockwork.Clock
 	Logger *slog.Logger
+	// Metrics may be nil.
+	Metrics *telemetry.Metrics
 	// Dial connects directly to a server by its id. The error wraps exchange.ErrNoPath if this box
 	// appears to have no path to the server.
 	Dial func(ctx context.Context, server string) (net.Conn, error)
@@ -124,9 +128,22 @@
 		s.release()
 		return nil, err
 	}
+	s.Metrics.OrDiscard().TunnelRequests.Inc(resultOpened)
+	s.Logger.LogAttrs(ctx, event.TunnelOpened.Level(), string(event.TunnelOpened),
+		slog.String(event.KeyPeer, r.Header.Get(tunnel.BoxHeader)), slog.String(event.KeyServer, server))
 	return far, nil
 }
 
+// Results of requests in the metrics.
+const (
+	resultOpened      = "opened"
+	resultUnreachable = "unreachable"
+	resultNoPath      = "no-path"
+	resultFull        = "full"
+	resultUnknown     = "unknown-server"
+	resultBad         = "bad-request"
+)
+
 // badRequestError means that a peer's request can't be understood.
 type badRequestError struct{ cause error }
 
@@ -150,16 +167,19 @@
 
 // refuse answers a request that gets no tunnel.
 func (s *Server) refuse(near net.Conn, cause error) {
-	status := http.StatusBadGateway
+	status, result := http.StatusBadGateway, resultUnreachable
 	var bad *badRequestError
 	switch {
 	case errors.As(cause, &bad):
-		status = http.StatusBadRequest
+		status, result = http.StatusBadRequest, resultBad
 	case errors.Is(cause, ErrUnknown):
-		status = http.StatusNotFound
-	case errors.Is(cause, exchange.ErrNoPath), errors.Is(cause, errTooMany):
-		status = http.StatusServiceUnavailable
+		status, result = http.StatusNotFound, resultUnknown
+	case errors.Is(cause, exchange.ErrNoPath):
+		status, result = http.StatusServiceUnavailable, resultNoPath
+	case errors.Is(cause, errTooMany):
+		status, result = http.StatusServiceUnavailable, resultFull
 	}
+	s.Metrics.OrDiscard().TunnelRequests.Inc(result)
 	text := cause.Error()
 	_, err := fmt.Fprintf(near, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), len(text), text)
--- a/internal/tunnel/endpoint/server_test.go
+++ b/internal/tunnel/endpoint/server_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/rpc"
 	"strings"
 	"syscall"
 	"testing"
@@ -212,6 +213,19 @@
 	}
 }
 
+// TestPeerOfBefore: a peer without tunnels, which serves calls of net/rpc only, closes the connection.
+func TestPeerOfBefore(t *testing.T) {
+	ln := listen(t)
+	go func() {
+		if conn, err := ln.Accept(); err == nil {
+			rpc.NewServer().ServeConn(conn)
+		}
+	}()
+	_, err := (&tunnel.Dialer{Box: "a", Net: new(net.Dialer)}).Dial(t.Context(), &member.Box{CallAddr: ln.Addr().String()}, "s")
+	require.Error(t, err)
+	require.NotErrorIs(t, err, tunnel.ErrServerUnreachable)
+}
+
 // TestDialEnds: the end of the context ends a dial whose peer doesn't answer.
 func TestDialEnds(t *testing.T) {
 	ln := listen(t)
--- a/internal/tunnel/protocol.go
+++ b/internal/tunnel/protocol.go
@@ -12,6 +12,9 @@
 	// Protocol is the name of the protocol that a tunnel is upgraded to.
 	Protocol = "dalebend-tunnel"
 
+	// BoxHeader names the box that asks.
+	BoxHeader = "Dalebend-Box"
+
 	pathPrefix = "/tunnel/"
 )
 
--- a/internal/unary/flight.go
+++ b/internal/unary/flight.go
@@ -174,6 +174,7 @@
 	if err != nil {
 		return f.recordFailed(ctx, c, start, err)
 	}
+	f.logByPeer(c, resp.Peer)
 	if s.Codec.NotRun(resp.Status, resp.Header) {
 		return f.recordTurnedAway(ctx, c, resp)
 	}
--- a/internal/unary/log.go
+++ b/internal/unary/log.go
@@ -77,6 +77,13 @@
 	})
 }
 
+// logByPeer logs that a server was reached through a peer.
+func (f *flight) logByPeer(c *picker.Candidate, peer string) {
+	if peer != "" {
+		f.log(event.RequestByPeer, []slog.Attr{slog.String(event.KeyServer, c.ID), slog.String(event.KeyPeer, peer)})
+	}
+}
+
 // logFailed logs a send without an answer.
 func (f *flight) logFailed(c *picker.Candidate, stage string, perhapsRun bool, cause string) {
 	f.count(c, stage)
