--- a/internal/program/box.go
+++ b/internal/program/box.go
@@ -38,7 +38,10 @@
 )
 
 // Box runs dalebend-box.
-func Box(args []string, out, errOut io.Writer) int {
+func Box(args []string, out, errOut io.Writer) int { return boxWithDialer(args, out, errOut, nil) }
+
+// boxWithDialer runs dalebend-box with another dialer of backend servers than the usual one, nil.
+func boxWithDialer(args []string, out, errOut io.Writer, dialer exchange.Dialer) int {
 	// From here on SIGHUP doesn't end the process. One that arrives during the start is kept, and
 	// has the settings read again.
 	hangup := make(chan os.Signal, 1)
@@ -67,7 +70,7 @@
 		fmt.Fprintln(errOut, "dalebend-box:", err)
 		return exitUsage
 	}
-	if err := runBox(file, &settingsFile{path: path, read: read}, log, hangup); err != nil {
+	if err := runBox(file, &settingsFile{path: path, read: read}, log, hangup, dialer); err != nil {
 		fmt.Fprintln(errOut, "dalebend-box:", err)
 		return exitFailed
 	}
@@ -93,7 +96,7 @@
 	return host
 }
 
-func runBox(s *boxsettings.Settings, file *settingsFile, log *decisionlog.Log, hangup <-chan os.Signal) error {
+func runBox(s *boxsettings.Settings, file *settingsFile, log *decisionlog.Log, hangup <-chan os.Signal, dialer exchange.Dialer) error {
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
@@ -111,6 +114,7 @@
 	ctx, stop := signalContext()
 	defer stop()
 	b := newBox(s, clock, log)
+	b.Exchange.Dialer = dialer
 	clock.OnSuspend = func(away time.Duration) {
 		b.Logger.LogAttrs(ctx, event.Suspended.Level(), string(event.Suspended), slog.Int64(event.KeyAway, away.Milliseconds()))
 	}
--- a/internal/settings/soak.go
+++ b/internal/settings/soak.go
@@ -32,7 +32,7 @@
 	DeadlyCallers int           `arg:"--deadly-callers,env:DALEBEND_SOAK_DEADLY_CALLERS" default:"1" help:"callers besides that send a request which ends servers, again and again"`
 	Out           string        `arg:"--out,env:DALEBEND_SOAK_OUT" default:"target/soak" help:"folder in which what was seen with a failed seed is kept"`
 	Keep          bool          `arg:"--keep,env:DALEBEND_SOAK_KEEP" help:"keep what was seen with every seed"`
-	Box           string        `arg:"--box,env:DALEBEND_SOAK_BOX" help:"path of dalebend-box; without it, it is built"`
+	Box           string        `arg:"--box,env:DALEBEND_SOAK_BOX" help:"program of the boxes with its arguments, such as another dalebend-soak with 'box'; without it, this program runs as the boxes; dalebend-box can't be cut off from its servers"`
 	LogLevel      string        `arg:"--log-level,env:DALEBEND_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 }
 
--- a/internal/soak/history/trouble.go
+++ b/internal/soak/history/trouble.go
@@ -11,6 +11,8 @@
 	OnBox Scope = "box"
 	// OnStoreLink troubles strike the links of a box to the store.
 	OnStoreLink Scope = "store-link"
+	// OnServerPaths troubles strike the paths of a box to all backend servers. The box stays in touch.
+	OnServerPaths Scope = "server-paths"
 	// OnServer troubles strike a backend server or the links to it.
 	OnServer Scope = "server"
 	// OnStore troubles strike the store, for all boxes.
--- a/internal/soak/inject/injector.go
+++ b/internal/soak/inject/injector.go
@@ -26,6 +26,8 @@
 	// Callers is the proxy before it, Store the one to the store.
 	Callers *proxy.Proxy
 	Store   *proxy.Proxy
+	// Partition is the file that cuts it off from all servers.
+	Partition string
 }
 
 // Injector carries out acts. Set the exported fields before Run.
@@ -78,6 +80,8 @@
 		box.Process.HangUp()
 	case a.Kind == schedule.BoxKill, a.Kind == schedule.BoxPause:
 		i.disturb(ctx, a, history.OnBox, box.Process.Name, func() func() { return signal(box.Process, a.Kind) })
+	case a.Kind == schedule.BoxesIsolated:
+		return i.isolate(ctx, a)
 	case onLink(a.Kind):
 		i.link(ctx, a, box)
 	case strings.HasPrefix(string(a.Kind), storePrefix):
--- a/internal/soak/run/start.go
+++ b/internal/soak/run/start.go
@@ -30,6 +30,10 @@
 	// boxThreads bounds the threads of a box that run at once, so that many boxes
 	// share one machine.
 	boxThreads = "GOMAXPROCS=2"
+	// BoxCommand is the first argument with which dalebend-soak runs as a box that can be cut off from its
+	// servers, and PartitionVariable names the file that it follows.
+	BoxCommand        = "box"
+	PartitionVariable = "DALEBEND_SOAK_PARTITION"
 	// keptSetting is the setting of what a box may keep for slow readers.
 	keptSetting = "DALEBEND_KEPT_SHARE"
 	// storeHeaderTime bounds how long a box takes to send the head of a call.
@@ -125,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	r.boxes = append(r.boxes, inject.Box{Process: p, Callers: toFront, Store: toStore})
+	r.boxes = append(r.boxes, inject.Box{Process: p, Callers: toFront, Store: toStore, Partition: r.partitionFile(file.Name)})
 	box := &callers.Box{Name: file.Name, Front: toFront.Addr(), Ready: file.Ready(), Life: p.Life}
 	r.balancer.Boxes = append(r.balancer.Boxes, box)
 	r.group.Go(func() error { return r.watchKept(ctx, box, file.IP) })
@@ -144,13 +148,17 @@
 	}
 	p := &process.Process{
 		Name: file.Name, Path: r.Program, Args: r.Args,
-		Env: []string{platform.SettingsVariable + "=" + settings, boxThreads, fmt.Sprint(keptSetting, "=", r.Bounds.KeptShare)}, Log: log,
+		Env: []string{platform.SettingsVariable + "=" + settings, boxThreads, fmt.Sprint(keptSetting, "=", r.Bounds.KeptShare),
+			PartitionVariable + "=" + r.partitionFile(file.Name)}, Log: log,
 		Grace: r.Bounds.Grace, Clock: r.Clock, Record: r.record, Logger: r.Logger,
 	}
 	r.group.Go(func() error { return errors.Join(p.Run(ctx), log.Close()) })
 	return p, nil
 }
 
+// partitionFile returns the file that a box follows to be cut off from its servers.
+func (r *Run) partitionFile(box string) string { return filepath.Join(r.Dir, box+".partition") }
+
 // writeSettings writes the settings file of a box and returns its path.
 func (r *Run) writeSettings(file *standin.SettingsFile) (string, error) {
 	text, err := file.Text()
--- a/internal/soak/schedule/kind.go
+++ b/internal/soak/schedule/kind.go
@@ -48,6 +48,8 @@
 	// ServerHoldsOff lets one, or all of its service, turn requests away and ask boxes to hold off.
 	ServerLeavesUnheard history.Kind = "server-leaves-unheard"
 	ServerHoldsOff      history.Kind = "server-holds-off"
+	// BoxesIsolated cuts some boxes off from all servers.
+	BoxesIsolated history.Kind = "boxes-isolated"
 	// ServersFull lets all servers turn requests away.
 	ServersFull history.Kind = "servers-full"
 
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -57,6 +57,11 @@
 	leaveStream   = 17
 	holdOffStream = 18
 	wordLasts     = 4 * time.Second
+	// isolateStream is that of boxes that are cut off from all servers, isolateIn of how many seeds all but
+	// one have them, and isolateLasts the least time for which they are: they are bound from 3 s on.
+	isolateStream = 19
+	isolateIn     = 3
+	isolateLasts  = 5 * time.Second
 	// restartRest is left after a restart for what follows from it.
 	restartRest = time.Second
 )
@@ -86,6 +91,7 @@
 	acts = append(acts, restarts(seed, duration)...)
 	acts = append(acts, limits(seed, duration)...)
 	acts = append(acts, words(seed, duration)...)
+	acts = append(acts, word(seed, isolateStream, isolateIn, BoxesIsolated, isolateLasts, duration)...)
 	slices.SortStableFunc(acts, func(a, b Act) int { return int(a.At - b.At) })
 	return acts
 }
@@ -152,7 +158,7 @@
 		word(seed, holdOffStream, wordsIn, ServerHoldsOff, wordLasts, duration)...)
 }
 
-// word draws when servers say something of themselves for a least time: once in all seeds but one of some, if the
+// word draws when servers say something of themselves, or boxes are cut off, for a least time: once in all seeds but one of some, if the
 // run is long enough.
 func word(seed, stream uint64, of int, kind history.Kind, least, duration time.Duration) []Act {
 	rng := rand.New(rand.NewPCG(seed, stream))
--- a/internal/soak/touch/touch.go
+++ b/internal/soak/touch/touch.go
@@ -35,6 +35,11 @@
 	return t.calm(history.OnServer, server, from, to, but)
 }
 
+// Paths reports whether the paths of a box to the servers were left alone, but for links to single ones.
+func (t Touch) Paths(box string, from, to time.Duration) bool {
+	return t.calm(history.OnServerPaths, box, from, to, nil)
+}
+
 // calm reports whether no trouble but of some kinds struck a target within a time, or so
 // shortly before it that it still counts.
 func (t Touch) calm(scope history.Scope, target string, from, to time.Duration, but []history.Kind) bool {
