--- a/internal/soak/run/start.go
+++ b/internal/soak/run/start.go
@@ -30,10 +30,6 @@
 	// boxThreads bounds the threads of a box that run at once, so that many boxes
 	// share one machine.
 	boxThreads = "GOMAXPROCS=2"
-	// BoxCommand is the first argument with which dalebend-soak runs as a box that can be cut off from its
-	// servers, and PartitionVariable names the file that it follows.
-	BoxCommand        = "box"
-	PartitionVariable = "DALEBEND_SOAK_PARTITION"
 	// keptSetting is the setting of what a box may keep for slow readers.
 	keptSetting = "DALEBEND_KEPT_SHARE"
 	// storeHeaderTime bounds how long a box takes to send the head of a call.
@@ -42,6 +38,14 @@
 	fileMode = 0o600
 )
 
+const (
+	// BoxCommand is the first argument with which dalebend-soak runs as a box that can be cut off from
+	// its servers.
+	BoxCommand = "box"
+	// PartitionVariable names the environment variable with the path of the file that such a box follows.
+	PartitionVariable = "DALEBEND_SOAK_PARTITION"
+)
+
 // domains are the names of the failure domains.
 func domains() []string { return []string{"hall-1", "hall-2", "hall-3"} }
 
