--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// userTimeout is how long sent bytes may remain unacknowledged. It allows for two
-	// retransmissions between regions, and most deadlines leave time for another server after it.
-	userTimeout = 1500 * time.Millisecond
+	// userTimeout is how long sent bytes may remain unacknowledged. A sound server may be silent for
+	// a second or so, and its connections live on. It also decides when keep-alive probes give up: at
+	// the first one that is due after it.
+	userTimeout = 3 * time.Second
 	// uploadTimeout replaces userTimeout while a body does not fit the connection's buffers. The
 	// kernel cannot tell a dead peer from one that does not read yet, and a busy server may leave a
 	// body unread for seconds.
@@ -21,8 +22,9 @@
 	// interval that the kernel accepts.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	// keepAliveCount is the number of lost probes that end a connection.
-	keepAliveCount = 3
+	// keepAliveCount is the number of lost probes that end a connection, at the same time as
+	// userTimeout does.
+	keepAliveCount = 2
 )
 
 // dial opens a connection. The timeout runs on the client's clock; the deadline of ctx is hidden
--- a/internal/viewshare/caller.go
+++ b/internal/viewshare/caller.go
@@ -28,13 +28,13 @@
 	// half of a 10 Mbit/s link.
 	maxCallTime = 4 * time.Second
 	// userTimeout is how long sent bytes may remain unacknowledged. Connections survive a lost
-	// packet, but not the death of a box.
+	// packet, but not the death of a box. It also makes one lost keep-alive probe end a connection.
 	userTimeout = time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveCount close idle connections whose peer lost
-	// power within 25 s, at little cost until then.
+	// power within 20 s, at little cost until then.
 	keepAliveIdle     = 15 * time.Second
 	keepAliveInterval = 5 * time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 1
 )
 
 var (
