--- a/internal/soak/check/isolated.go
+++ b/internal/soak/check/isolated.go
@@ -19,8 +19,9 @@
 	callPrefix = "call-"
 )
 
-// Isolated finds times in which boxes that are cut off from all servers, but in touch, serve their callers
-// far worse than the others do, from the bound of contact after they were cut off.
+// Isolated finds times in which boxes that are cut off from all servers, but left alone, serve their callers
+// far worse than the others do, from the bound of contact after they were cut off. That the store is away is no
+// excuse: a box does not need it to find a way.
 func Isolated(c *Case) []Violation {
 	var all []Violation
 	for _, cut := range c.Troubles {
@@ -52,7 +53,7 @@
 	var own, others served
 	for i := range c.Requests {
 		q := &c.Requests[i]
-		if !strings.HasPrefix(q.ID, callPrefix) || q.Sent < from || q.Done > cut.To || !c.touch.Box(q.Box, q.Sent, q.Done) {
+		if !strings.HasPrefix(q.ID, callPrefix) || q.Sent < from || q.Done > cut.To || !c.touch.Alone(q.Box, q.Sent, q.Done) {
 			continue
 		}
 		switch {
--- a/internal/soak/check/isolated_test.go
+++ b/internal/soak/check/isolated_test.go
@@ -29,7 +29,7 @@
 		"before the bound":              {own: 0, others: 60, first: 10100},
 		"probes":                        {own: 0, others: 60, prefix: "probe"},
 		"the box was paused":            {own: 0, others: 60, troubles: []history.Trouble{trouble(history.OnBox, "a", 13500, 13900)}},
-		"the store was away":            {own: 0, others: 60, troubles: []history.Trouble{trouble(history.OnStore, "", 13500, 13900)}},
+		"the store was away":            {own: 0, others: 60, broken: true, troubles: []history.Trouble{trouble(history.OnStore, "", 13500, 13900)}},
 		"the other is cut off as well":  {own: 0, others: 0, troubles: []history.Trouble{trouble(history.OnServerPaths, "b", 9000, 12100), trouble(history.OnServerPaths, "b", 14000, 20000)}},
 		"the other was cut off earlier": {own: 0, others: 60, broken: true, troubles: []history.Trouble{trouble(history.OnServerPaths, "b", 1000, 9000)}},
 	} {
