--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -213,7 +213,7 @@
 		Evidence: b.evidence, EngineLoad: b.engineLoad, AnswerLengths: &outputlength.Estimator{}, ShutdownNotice: b.shutdownNotice,
 		PrefillTime: b.picker.PrefillTime, DecodeTime: b.decodeTime,
 		Exchanger: b.gate, Codec: b.Platform.Codec, Mover: b.Platform.Mover, StatusReader: b.Platform.Reporter,
-		RetryBudget: b.retryBudget, RetryPriority: b.retryPriority, AccountShares: b.accountShares, LoadChanged: b.node.TriggerHeartbeat, Staleness: b.knownState, Metrics: b.Metrics,
+		RetryBudget: b.retryBudget, RetryPriority: b.retryPriority, AccountShares: b.accountShares, LoadChanged: b.node.TriggerHeartbeat, PathDown: b.paths.DirectHangs, Staleness: b.knownState, Metrics: b.Metrics,
 	}
 	b.front = &front.Server{
 		Clock: b.Clock, Logger: b.Logger, Codec: b.Platform.Wire,
--- a/internal/box/isolated_test.go
+++ b/internal/box/isolated_test.go
@@ -40,14 +40,19 @@
 	calls                     int
 }
 
-// newPair starts two boxes and servers of a service, and waits until the boxes know each other.
-func newPair(t *testing.T, service string) *pair {
+// newPair starts two boxes and servers of a service, and waits until the boxes know each other. Engines
+// answer by themselves unless their configuration is changed.
+func newPair(t *testing.T, service string, change ...func(*standin.ConfigEngine)) *pair {
 	p := &pair{cut: newRig(t)}
-	p.cut.standard()
+	c := config(1)
+	for _, f := range change {
+		f(c.Services[1].Engine)
+	}
+	p.cut.store.PutConfig(c)
 	for n := range 3 {
 		p.servers = append(p.servers, p.cut.server(fmt.Sprintf("s%d", n), service))
 	}
-	if service == "chat" {
+	if service == "chat" && len(change) == 0 {
 		for _, e := range p.servers {
 			go answerRuns(e)
 		}
@@ -284,3 +289,38 @@
 		}
 	})
 }
+
+// TestStreamOfBoxWithoutServerPaths checks that a stream whose connection hangs, as its box has lost its
+// paths, goes on without a copy: a peer reaches its engine.
+func TestStreamOfBoxWithoutServerPaths(t *testing.T) {
+	p := newPair(t, "chat", noCopies)
+	runs := make(chan *standin.Generation, len(p.servers))
+	for _, e := range p.servers {
+		go func() {
+			for run := range e.Generations {
+				if run.ID == "stream" {
+					runs <- run
+					continue
+				}
+				_ = run.Emit(2) // its caller may have left
+				run.End()
+			}
+		}()
+	}
+	g := p.cut.begin("stream")
+	run := <-runs
+	require.NoError(t, run.Emit(2))
+	g.expect(1, 2)
+	p.partition.Cut(partition.Silent)
+	for range findOutCalls {
+		require.Equal(t, http.StatusOK, p.ask(p.cut, "chat.test"))
+	}
+	var next *standin.Generation
+	p.advanceUntil(func() { next = <-runs })
+	require.NoError(t, next.Emit(1))
+	g.expect(3, 3)
+	next.End()
+	g.whole()
+	require.Equal(t, 1, p.cut.engines.FreshRuns("stream"))
+	p.partition.Cut(partition.None)
+}
--- a/internal/serverpath/selector.go
+++ b/internal/serverpath/selector.go
@@ -146,19 +146,22 @@
 // no longer than needed.
 func (s *Selector) Usable(server string, conn net.Conn) bool {
 	t, tunneled := conn.(tunneledConn)
-	if !tunneled && !s.disturbed.Load() {
-		return true
+	if !tunneled {
+		return !s.DirectHangs(server)
+	}
+	return (s.onDetour(server) || s.Reach.Isolated()) && slices.ContainsFunc(s.Peers(), func(b member.Box) bool { return b.Name == t.Peer() })
+}
+
+// DirectHangs reports whether open direct connections to a server may hang.
+func (s *Selector) DirectHangs(server string) bool {
+	if !s.disturbed.Load() {
+		return false
 	}
 	s.mu.Lock()
 	p := s.servers[server]
-	detour := p != nil && p.detour
-	hangs := detour && !p.refused
+	hangs := p != nil && p.detour && !p.refused
 	s.mu.Unlock()
-	isolated := s.Reach.Isolated()
-	if !tunneled {
-		return !hangs && !isolated
-	}
-	return (detour || isolated) && slices.ContainsFunc(s.Peers(), func(b member.Box) bool { return b.Name == t.Peer() })
+	return hangs || s.Reach.Isolated()
 }
 
 // RecordAnswer implements exchange.Paths.
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -90,6 +90,9 @@
 	AccountShares *accountshare.Tracker
 	// RetryPriority knows the callers that have priority after a refusal. It may be nil.
 	RetryPriority *retrypriority.Tracker
+	// PathDown, if set, reports whether open connections of this box to a server may hang, as its path is
+	// down.
+	PathDown func(server string) bool
 	// LoadChanged, if set, is called when this box's part of an engine's load has changed.
 	LoadChanged func()
 	// Staleness is the age of the box's state for the decision log. It and Metrics may be nil.
--- a/internal/streaming/stall.go
+++ b/internal/streaming/stall.go
@@ -44,13 +44,19 @@
 	if x.answer == nil || x.switchover != nil || x.move != nil || now.Before(x.nextSwitch) {
 		return
 	}
-	if x.backup == nil || !x.usable(x.backup) {
+	hasCopy := x.backup != nil && x.usable(x.backup)
+	if !hasCopy && !x.unreached() {
 		return
 	}
 	x.nextSwitch = now.Add(switchRetryDelay)
 	c := &switchover{done: make(chan struct{})}
 	x.switchover = c
-	go x.switchOver(c, x.answer)
+	source := x.backupCopy
+	if !hasCopy {
+		engine := x.engine
+		source = func() *copyRef { return x.stopUnreached(engine) }
+	}
+	go x.switchOver(c, x.answer, source)
 }
 
 // usable reports whether an engine may take over the stream.
@@ -58,11 +64,11 @@
 	return x.relay.Directory.CanContinue(s.ID) && !x.relay.Evidence.Assess(s.ID).Ejected
 }
 
-// switchOver resumes a stalled stream at the engine that holds its copy. The old stream is given up
-// only when that engine has accepted it.
-func (x *run) switchOver(c *switchover, old *answer) {
+// switchOver resumes a stalled stream at the engine that holds its copy, which source returns. The old
+// stream is given up only when that engine has accepted it.
+func (x *run) switchOver(c *switchover, old *answer, source func() *copyRef) {
 	defer close(c.done)
-	a, err := x.continueAt(x.ctx, x.backupCopy())
+	a, err := x.continueAt(x.ctx, source())
 	if err != nil {
 		x.switchFailed(c)
 		return
