--- a/internal/serverpath/race.go
+++ b/internal/serverpath/race.go
@@ -37,6 +37,9 @@
 	// confirmed is set when a peer found that the server accepts no connection.
 	confirmed bool
 	errs      []error
+	// won is the connection of the winner. waiting is that of a peer which gives the direct attempt more
+	// time.
+	won, waiting net.Conn
 }
 
 // result is the outcome of one attempt; peer is empty for the direct one.
@@ -70,27 +73,48 @@
 	if r.eager {
 		r.launch(attempts)
 	}
-	for r.pending > 0 {
+	for r.pending > 0 && r.won == nil {
 		select {
 		case got := <-r.results:
 			r.pending--
-			if got.err == nil {
-				r.finish(cancel, errOvertaken)
-				return got.conn, nil
+			if !r.record(got) {
+				r.launch(attempts)
+				timer.Reset(attemptDelay)
 			}
-			r.failed(got)
-			r.launch(attempts)
-			timer.Reset(attemptDelay)
 		case <-timer.Chan():
-			r.launch(attempts)
-			timer.Reset(attemptDelay)
+			if r.won = r.waiting; r.won == nil {
+				r.launch(attempts)
+				timer.Reset(attemptDelay)
+			}
 		case <-ctx.Done():
 			r.finish(cancel, context.Cause(ctx))
 			return nil, r.error(context.Cause(ctx))
 		}
 	}
-	cancel(nil)
-	return nil, r.error(nil)
+	if r.won == nil {
+		cancel(nil)
+		return nil, r.error(nil)
+	}
+	r.finish(cancel, errOvertaken)
+	return r.won, nil
+}
+
+// record records the result of an attempt, and reports whether no other one needs to start.
+func (r *race) record(got result) bool {
+	switch {
+	case got.err != nil:
+		r.failed(got)
+		if r.waiting == nil {
+			return false
+		}
+		r.won = r.waiting
+	case r.eager && r.directTried && got.peer != "" && r.directErr == nil && r.waiting == nil:
+		// Both began at once: a peer that is ahead by little does not mean that the direct path is down.
+		r.waiting = got.conn
+	default:
+		r.won = got.conn
+	}
+	return true
 }
 
 // launch starts the next attempt, if there is one.
@@ -141,6 +165,9 @@
 // overtaken or runs out of time has failed.
 func (r *race) finish(cancel context.CancelCauseFunc, cause error) {
 	cancel(cause)
+	if r.waiting != nil && r.waiting != r.won {
+		_ = r.waiting.Close() // nothing was sent on it
+	}
 	if r.directTried && r.directErr == nil {
 		r.directErr = cause
 	}
--- a/internal/serverpath/selector_test.go
+++ b/internal/serverpath/selector_test.go
@@ -174,6 +174,9 @@
 	case "hangs":
 		<-ctx.Done()
 		return nil, context.Cause(ctx)
+	case "late":
+		time.Sleep(50 * time.Millisecond)
+		return newConn(via), nil
 	case "late-unreachable":
 		time.Sleep(150 * time.Millisecond)
 		return nil, tunnel.ErrServerUnreachable
