--- a/internal/exchange/dial.go
+++ b/internal/exchange/dial.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/dalebend/dalebend/internal/tcpopt"
 )
 
@@ -27,17 +29,24 @@
 	keepAliveCount = 2
 )
 
-// dial opens a connection. The timeout runs on the client's clock; the deadline of ctx is hidden
-// from the dialer, which would compare it with the system clock.
+// dial opens a connection.
 func (c *Client) dial(ctx context.Context, t Target, connect connectFunc) (net.Conn, error) {
+	bounded, cancel := WithDialTimeout(ctx, c.Clock, c.DialTimeout)
+	defer cancel()
+	return connect(bounded, t.Key, func(ctx context.Context) (net.Conn, error) { return c.DialDirect(ctx, t.Addr) })
+}
+
+// WithDialTimeout returns a context for one dial, which ends with ErrDialTimeout by the clock. It has no
+// deadline: a dialer would compare it with the system clock.
+func WithDialTimeout(ctx context.Context, clock clockwork.Clock, limit time.Duration) (context.Context, context.CancelFunc) {
 	bounded, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	defer cancel(nil)
 	stop := context.AfterFunc(ctx, func() { cancel(contextError(ctx)) })
-	defer stop()
-	timer := c.Clock.AfterFunc(c.DialTimeout, func() { cancel(ErrDialTimeout) })
-	defer timer.Stop()
-
-	return connect(bounded, t.Key, func(ctx context.Context) (net.Conn, error) { return c.DialDirect(ctx, t.Addr) })
+	timer := clock.AfterFunc(limit, func() { cancel(ErrDialTimeout) })
+	return bounded, func() {
+		timer.Stop()
+		stop()
+		cancel(nil)
+	}
 }
 
 // connectFunc is a method of Paths.
--- a/internal/serverpath/probe.go
+++ b/internal/serverpath/probe.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
-	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/exchange"
 )
 
@@ -72,11 +70,11 @@
 
 // probeDirect reports whether a server is reached directly.
 func (s *Selector) probeDirect(server string, direct exchange.DialFunc) bool {
-	ctx, cancel := clockctx.WithTimeout(context.Background(), s.Clock, probeTimeout)
+	ctx, cancel := exchange.WithDialTimeout(context.Background(), s.Clock, probeTimeout)
 	defer cancel()
 	conn, err := direct(ctx)
 	if err != nil {
-		s.Reach.RecordFailure(server, errors.Join(context.Cause(ctx), err))
+		s.Reach.RecordFailure(server, err)
 		return false
 	}
 	_ = conn.Close() // nothing was sent on it
@@ -87,7 +85,7 @@
 
 // probeAll reports whether a server is reached on any path.
 func (s *Selector) probeAll(server string, direct exchange.DialFunc) bool {
-	ctx, cancel := clockctx.WithTimeout(context.Background(), s.Clock, probeTimeout)
+	ctx, cancel := exchange.WithDialTimeout(context.Background(), s.Clock, probeTimeout)
 	defer cancel()
 	r := s.newRace(server, direct, true)
 	conn, err := r.run(ctx)
--- a/internal/serverpath/selector_test.go
+++ b/internal/serverpath/selector_test.go
@@ -82,8 +82,7 @@
 		case "check":
 			require.Equal(w.t, strings.Join(f[2:], " "), w.check(f[1]), line)
 		case "for-peer":
-			conn, err := w.selector.ConnectForPeer(w.t.Context(), f[1], w.dialDirect(f[1]))
-			require.Equal(w.t, strings.Join(f[2:], " "), outcome(conn, err), line)
+			require.Equal(w.t, strings.Join(f[2:], " "), w.connectForPeer(f[1]), line)
 		case "usable":
 			require.Equal(w.t, f[3], yesNo(w.selector.Usable(f[1], newConn(f[2]))), line)
 		case "isolated":
@@ -142,6 +141,12 @@
 	return strings.TrimSpace(outcome(conn, err) + " " + took.String() + " " + strings.Join(w.asked, ","))
 }
 
+func (w *world) connectForPeer(server string) string {
+	ctx, cancel := context.WithTimeoutCause(w.t.Context(), dialTimeout, exchange.ErrDialTimeout)
+	defer cancel()
+	return outcome(w.selector.ConnectForPeer(ctx, server, w.dialDirect(server)))
+}
+
 func (w *world) check(server string) string {
 	ctx, cancel := context.WithTimeout(w.t.Context(), 300*time.Millisecond)
 	defer cancel()
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -12,6 +13,9 @@
 	"github.com/dalebend/dalebend/internal/member"
 )
 
+// maxReasonBytes bounds the reason of a refusal, which is logged.
+const maxReasonBytes = 512
+
 // readBufferBytes is the size of a tunnel's read buffer: several events of a token stream.
 const readBufferBytes = 4 << 10
 
@@ -76,14 +80,15 @@
 	if err != nil {
 		return err
 	}
-	// A refusal's body ends with the connection, which the caller closes.
-	_ = resp.Body.Close()
-	switch resp.StatusCode {
-	case http.StatusSwitchingProtocols:
-		return nil
-	case http.StatusBadGateway:
-		return ErrServerUnreachable
-	default:
-		return fmt.Errorf("%w: status %d", ErrPeerUnable, resp.StatusCode)
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return resp.Body.Close()
+	}
+	reason, err := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes))
+	if err = errors.Join(err, resp.Body.Close()); err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusBadGateway {
+		return fmt.Errorf("%w: %s", ErrServerUnreachable, reason)
 	}
+	return fmt.Errorf("%w: status %d: %s", ErrPeerUnable, resp.StatusCode, reason)
 }
--- a/internal/tunnel/endpoint/server.go
+++ b/internal/tunnel/endpoint/server.go
@@ -15,7 +15,6 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/telemetry"
@@ -121,7 +120,7 @@
 	if !s.reserve() {
 		return nil, errTooMany
 	}
-	bounded, cancel := clockctx.WithTimeout(ctx, s.Clock, dialTimeout)
+	bounded, cancel := exchange.WithDialTimeout(ctx, s.Clock, dialTimeout)
 	defer cancel()
 	far, err := s.Dial(bounded, server)
 	if err != nil {
--- a/internal/tunnel/endpoint/server_test.go
+++ b/internal/tunnel/endpoint/server_test.go
@@ -25,7 +25,7 @@
 
 // rig is a peer that opens tunnels to one server.
 type rig struct {
-	t      *testing.T
+	t      testing.TB
 	server *endpoint.Server
 	peer   *member.Box
 	// backend accepts the connections to the server.
@@ -35,7 +35,7 @@
 	stop    context.CancelFunc
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	r := &rig{t: t, backend: listen(t)}
 	ln := listen(t)
 	r.peer = &member.Box{Name: "b", CallAddr: ln.Addr().String()}
@@ -63,7 +63,7 @@
 	return r
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
