--- a/internal/backend/condition.go
+++ b/internal/backend/condition.go
@@ -12,6 +12,8 @@
 	// HoldOff is how long the box that got the answer must not send requests to the server, which
 	// turned the request away.
 	HoldOff time.Duration
+	// Brittle is how many requests the server can turn away.
+	Brittle Brittle
 	// Unreadable lists the parts that could not be parsed. They have no effect.
 	Unreadable []Unreadable
 }
@@ -24,6 +26,13 @@
 	PerSecond float64
 }
 
+// Brittle says that a server falls over when it has to turn away too many requests.
+type Brittle struct {
+	// Stated is set if the server says so; PerSecond is how many requests it can turn away in a second.
+	Stated    bool
+	PerSecond float64
+}
+
 // ConditionKind is a part of a Condition.
 type ConditionKind string
 
@@ -32,6 +41,7 @@
 	KindLimit   ConditionKind = "limit"
 	KindLeaving ConditionKind = "leaving"
 	KindHoldOff ConditionKind = "hold-off"
+	KindBrittle ConditionKind = "brittle"
 )
 
 // Unreadable is a condition that could not be parsed.
@@ -52,5 +62,5 @@
 
 // IsZero reports whether the answer states no condition.
 func (c *Condition) IsZero() bool {
-	return !c.Limit.Stated && !c.Leaving && c.HoldOff == 0 && len(c.Unreadable) == 0
+	return !c.Limit.Stated && !c.Leaving && c.HoldOff == 0 && !c.Brittle.Stated && len(c.Unreadable) == 0
 }
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -20,6 +20,7 @@
 	"github.com/dalebend/dalebend/internal/atomictime"
 	"github.com/dalebend/dalebend/internal/backend"
 	"github.com/dalebend/dalebend/internal/boxsettings"
+	"github.com/dalebend/dalebend/internal/brittle"
 	"github.com/dalebend/dalebend/internal/condition"
 	"github.com/dalebend/dalebend/internal/decodetime"
 	"github.com/dalebend/dalebend/internal/departure"
@@ -129,6 +130,8 @@
 	// to hold off, and conditions combines these with the limits.
 	departures *departure.Tracker
 	holdOffs   *holdoff.Tracker
+	// brittle tracks the servers that fall over when they turn away too many requests.
+	brittle    *brittle.Tracker
 	conditions *condition.Tracker
 	streams    *streaming.Relay
 	front      *front.Server
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -8,6 +8,7 @@
 	"github.com/dalebend/dalebend/internal/accountshare"
 	"github.com/dalebend/dalebend/internal/arrival"
 	"github.com/dalebend/dalebend/internal/boxsettings"
+	"github.com/dalebend/dalebend/internal/brittle"
 	"github.com/dalebend/dalebend/internal/bufferlimit"
 	"github.com/dalebend/dalebend/internal/coldstart"
 	"github.com/dalebend/dalebend/internal/condition"
@@ -75,8 +76,12 @@
 	b.holdOffs = &holdoff.Tracker{
 		Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics, Draw: b.random(randForHoldOffs).Float64,
 	}
+	b.brittle = &brittle.Tracker{
+		Clock: b.Clock, Logger: b.Logger, Box: b.Settings.Box, Live: b.liveNames, Demand: b.retryBudget.FirstAttemptRates,
+	}
 	b.conditions = &condition.Tracker{
 		Logger: b.Logger, Metrics: b.Metrics, Limits: b.serverLimits, Departures: b.departures, HoldOffs: b.holdOffs,
+		Brittle: b.brittle,
 	}
 }
 
--- a/internal/box/metrics.go
+++ b/internal/box/metrics.go
@@ -26,6 +26,7 @@
 	m.Isolated.Compute(b.isolated)
 	m.ServersByPeer.Compute(func() float64 { return float64(b.paths.NumDetours()) })
 	m.Tunnels.Compute(func() float64 { return float64(b.tunnels.Open()) })
+	m.ServersBrittle.Compute(func() float64 { return float64(b.brittle.NumBrittle()) })
 	m.ServersLimited.Compute(func() float64 { return float64(b.serverLimits.NumLimited()) })
 	m.ServersLeaving.Compute(func() float64 { return float64(b.departures.NumLeaving()) })
 	m.ServersHeldOff.Compute(func() float64 { return float64(b.holdOffs.NumHeldOff()) })
--- a/internal/condition/accept.go
+++ b/internal/condition/accept.go
@@ -15,6 +15,12 @@
 	return !b.Departures.IsLeaving(server) && b.HoldOffs.Accepts(server) && b.Limits.Accepts(server, service, priority)
 }
 
+// HasRoom reports whether this box may have one more request in flight at a server of a service with a
+// number of slots.
+func (b *Tracker) HasRoom(server, service string, slots, inFlight int) bool {
+	return b == nil || b.Brittle.HasRoom(server, service, slots, inFlight)
+}
+
 // Reserve counts a request of this priority that is assigned to a server.
 func (b *Tracker) Reserve(server string, priority int) {
 	if b == nil {
--- a/internal/condition/reader/reader.go
+++ b/internal/condition/reader/reader.go
@@ -43,6 +43,7 @@
 	}
 	r.Tracker.RecordAnswer(t.Key, condition.Answer{
 		Condition: r.Codec.Condition(resp.Status, resp.Header), Sent: sent, Verified: r.Codec.Authentic(resp.Header),
+		NotRun: r.Codec.NotRun(resp.Status, resp.Header),
 	})
 	return resp, nil
 }
--- a/internal/condition/reader/reader_test.go
+++ b/internal/condition/reader/reader_test.go
@@ -24,6 +24,8 @@
 // Wait for a limit of 3, a leaving server, and a hold-off of a second.
 type codec struct{ backend.Codec }
 
+func (codec) NotRun(status int, _ http.Header) bool { return status == http.StatusServiceUnavailable }
+
 func (codec) Misdirected(status int) bool  { return status == http.StatusMisdirectedRequest }
 func (codec) Authentic(h http.Header) bool { return h.Get("Proof") != "" }
 func (codec) Condition(_ int, h http.Header) backend.Condition {
--- a/internal/condition/tracker.go
+++ b/internal/condition/tracker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dalebend/dalebend/internal/backend"
+	"github.com/dalebend/dalebend/internal/brittle"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/departure"
 	"github.com/dalebend/dalebend/internal/holdoff"
@@ -25,6 +26,7 @@
 	Limits     *serverlimit.Tracker
 	Departures *departure.Tracker
 	HoldOffs   *holdoff.Tracker
+	Brittle    *brittle.Tracker
 
 	mu sync.Mutex
 	// unreadable holds the conditions already logged as unreadable, by server instance.
@@ -36,8 +38,9 @@
 	backend.Condition
 
 	Sent time.Time
-	// Verified is set if the answer is proven to come from the server itself.
-	Verified bool
+	// Verified is set if the answer is proven to come from the server itself, NotRun if the server turned
+	// the request away.
+	Verified, NotRun bool
 }
 
 // RecordAnswer applies what an answer of a server instance reports. A condition that cannot be
@@ -55,9 +58,21 @@
 	if a.Leaving {
 		b.Departures.RecordAnswer(server)
 	}
+	if !a.IsUnreadable(backend.KindBrittle) {
+		b.Brittle.RecordAnswer(server, brittle.Answer{Stated: a.Brittle.Stated, PerSecond: a.Brittle.PerSecond, Verified: a.Verified})
+	}
 	if !a.IsUnreadable(backend.KindHoldOff) {
-		b.HoldOffs.RecordAnswer(server, a.HoldOff, a.Sent)
+		b.HoldOffs.RecordAnswer(server, b.rest(server, a), a.Sent)
+	}
+}
+
+// rest returns for how long the box must not send anything to a server after an answer: as long as the
+// server asks for, and longer if it is brittle and turned the request away.
+func (b *Tracker) rest(server string, a Answer) time.Duration {
+	if !a.NotRun {
+		return a.HoldOff
 	}
+	return max(a.HoldOff, b.Brittle.Rest(server))
 }
 
 // RecordSent counts a request that is sent to a server.
@@ -72,6 +87,7 @@
 	b.Limits.Retain(known)
 	b.Departures.Retain(known)
 	b.HoldOffs.Retain(known)
+	b.Brittle.Retain(known)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for server := range b.unreadable {
--- a/internal/condition/tracker_test.go
+++ b/internal/condition/tracker_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dalebend/dalebend/internal/backend"
+	"github.com/dalebend/dalebend/internal/brittle"
 	"github.com/dalebend/dalebend/internal/condition"
 	"github.com/dalebend/dalebend/internal/departure"
 	"github.com/dalebend/dalebend/internal/holdoff"
@@ -79,3 +80,25 @@
 	(*condition.Tracker)(nil).RecordAnswer("s", a)
 	(&condition.Tracker{}).RecordAnswer("s", a)
 }
+
+// TestBrittleRest: a request that a brittle server turned away makes the box rest, for longer than the server
+// asks for; one that any other server turned away does not.
+func TestBrittleRest(t *testing.T) {
+	var out strings.Builder
+	clock := clockwork.NewFakeClock()
+	b := newTracker(clock, &out)
+	b.Brittle = &brittle.Tracker{
+		Clock: clock, Logger: b.Logger, Box: "a", Live: func() []string { return []string{"a", "b"} },
+	}
+	turned := condition.Answer{NotRun: true, Sent: clock.Now()}
+	b.RecordAnswer("s1", turned)
+	require.True(t, b.Accepts("s1", "service", 0))
+	turned.Brittle = backend.Brittle{Stated: true, PerSecond: 5}
+	turned.HoldOff = 100 * time.Millisecond
+	b.RecordAnswer("s1", turned)
+	require.False(t, b.Accepts("s1", "service", 0))
+	clock.Advance(499 * time.Millisecond)
+	require.False(t, b.Accepts("s1", "service", 0), "two boxes, 5 a second, and a quarter more")
+	clock.Advance(time.Millisecond)
+	require.True(t, b.Accepts("s1", "service", 0))
+}
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -94,6 +94,10 @@
 
 func pathEvents() []Declaration {
 	return []Declaration{
+		warn(ServerBrittle, "a server says that it falls over when it has to turn away more than so many requests in a second",
+			KeyServer, KeyPerSecond),
+		info(ServerSturdy, "a server does not say that any more, after the time away_ms",
+			KeyServer, KeyAway),
 		warn(ServersUnreachable, "dials to so many servers in a row failed, and nothing came from any server between them: the box's own paths appear to be down",
 			KeyServers, KeyCause),
 		info(ServersReachable, "a server answered on a direct path again, after the time away_ms",
--- a/internal/decisionlog/event/document.go
+++ b/internal/decisionlog/event/document.go
@@ -30,7 +30,7 @@
 	b.WriteString(documentHead)
 	writeTable(&b, "Process", processEvents())
 	writeTable(&b, "Dependencies and beliefs", stateEvents())
-	writeTable(&b, "Paths to backend servers", pathEvents())
+	writeTable(&b, "Paths to backend servers, and brittle ones", pathEvents())
 	writeTable(&b, "Requests", requestEvents())
 	writeTable(&b, "Streams", streamEvents())
 	return b.String()
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -43,6 +43,8 @@
 	ServerLeaving    Name = "server-leaving"
 	ServerHeldOff    Name = "server-held-off"
 	ServerResumed    Name = "server-resumed"
+	ServerBrittle    Name = "server-brittle"
+	ServerSturdy     Name = "server-sturdy"
 	ConditionRefused Name = "condition-refused"
 	EngineDeparts    Name = "engine-departs"
 	EngineStarted    Name = "engine-started"
--- a/internal/picker/conditions.go
+++ b/internal/picker/conditions.go
@@ -33,7 +33,7 @@
 // accepts reports whether a server may get a request of a priority from this box now. The lock must
 // be held.
 func (c *Picker) accepts(m *registry.Member, priority int) bool {
-	if !c.Conditions.Accepts(m.ID, m.Service, priority) {
+	if !c.Conditions.Accepts(m.ID, m.Service, priority) || !c.Conditions.HasRoom(m.ID, m.Service, m.Slots, c.inFlight[m.ID]) {
 		return false
 	}
 	if c.ColdGate == nil || !m.Cold(c.Directory.Clock.Now()) {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -110,6 +110,8 @@
 	// down, and Tunnels the number of connections to servers that are open for other boxes.
 	ServersByPeer *gauge
 	Tunnels       *gauge
+	// ServersBrittle is the number of servers that fall over when they turn away too many requests.
+	ServersBrittle *gauge
 	// ShutdownNotice is the notice that engines are expected to give, ShutdownsSeen the number of
 	// ended engines behind the estimate.
 	ShutdownNotice *gauge
@@ -199,6 +201,7 @@
 	m.ServersLimited = m.gauge("servers_limited", "backend servers that name such a limit")
 	m.ServersLeaving = m.gauge("servers_leaving", "backend servers that say in their answers that they leave")
 	m.ServersHeldOff = m.gauge("servers_held_off", "backend servers that want nothing from this box for a time, or have not answered since")
+	m.ServersBrittle = m.gauge("servers_brittle", "backend servers that say that they fall over when they turn away too many requests")
 	m.Isolated = m.gauge("isolated", "1 while the box appears to have lost its own paths to all backend servers")
 	m.ServersByPeer = m.gauge("servers_by_peer", "backend servers that are reached through other boxes, as the direct path is down")
 	m.Tunnels = m.gauge("tunnels", "connections to backend servers that are open for other boxes")
