--- a/internal/box/isolated_test.go
+++ b/internal/box/isolated_test.go
@@ -37,13 +37,15 @@
 	cut, other                *rig
 	partition, otherPartition *partition.Dialer
 	servers                   []*standin.BackendServer
-	calls                     int
+	// timeout is how long callers wait.
+	timeout time.Duration
+	calls   int
 }
 
 // newPair starts two boxes and servers of a service, and waits until the boxes know each other. Engines
 // answer by themselves unless their configuration is changed.
 func newPair(t *testing.T, service string, change ...func(*standin.ConfigEngine)) *pair {
-	p := &pair{cut: newRig(t)}
+	p := &pair{cut: newRig(t), timeout: 10 * time.Second}
 	c := config(1)
 	for _, f := range change {
 		f(c.Services[1].Engine)
@@ -154,7 +156,7 @@
 	p.calls++
 	reply, err := standin.Send(r.t.Context(), r.settings.Front, standin.Call{
 		ID: fmt.Sprintf("q%d", p.calls), Method: http.MethodPost, Host: host, URI: "/a", Body: "b",
-		Timeout: 10 * time.Second, PromptTokens: 100, MaxTokens: 400,
+		Timeout: p.timeout, PromptTokens: 100, MaxTokens: 400,
 	})
 	if err != nil {
 		return asked{err: err}
@@ -324,3 +326,24 @@
 	require.Equal(t, 1, p.cut.engines.FreshRuns("stream"))
 	p.partition.Cut(partition.None)
 }
+
+// TestPeerEndsMidRequest checks that a request that may not be repeated, and whose peer ends while a server
+// has it, is neither sent again nor reported as not run.
+func TestPeerEndsMidRequest(t *testing.T) {
+	p := newPair(t, "plain")
+	p.timeout = time.Minute
+	p.partition.Cut(partition.Reset)
+	require.Equal(t, http.StatusOK, p.ask(p.cut, "once.test"))
+	for _, e := range p.servers {
+		e.SetAnswers(standin.NoAnswer)
+	}
+	done := make(chan asked, 1)
+	go func() { done <- p.askOnce(p.cut, "once.test") }()
+	require.Eventually(t, func() bool { return p.runs("q2") == 1 }, time.Minute, time.Millisecond)
+	p.other.end()
+	got := <-done
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Equal(t, 1, p.runs("q2"))
+	p.partition.Cut(partition.None)
+}
