--- a/internal/soak/check/limits.go
+++ b/internal/soak/check/limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dalebend/dalebend/internal/soak/history"
+	"github.com/dalebend/dalebend/internal/soak/schedule"
 )
 
 const (
@@ -37,7 +38,7 @@
 func (c *Case) overLimit(server string, limits []history.Limit) (Violation, bool) {
 	came := c.fromTold(server, limits[0].From)
 	counts := limits[0].From + c.bounds.Contact + c.bounds.Slack
-	until := limits[len(limits)-1].To
+	until := c.namedUntil(server, limits)
 	for i, at := range came {
 		if at < counts || at > until {
 			continue
@@ -52,6 +53,17 @@
 	return Violation{}, false
 }
 
+// namedUntil returns until when a server named its limits: one that starts again names none any more.
+func (c *Case) namedUntil(server string, limits []history.Limit) time.Duration {
+	until := limits[len(limits)-1].To
+	for _, t := range c.Troubles {
+		if t.Kind == schedule.ServerRestarts && t.Target == server && t.From > limits[0].From {
+			until = min(until, t.From)
+		}
+	}
+	return until
+}
+
 // highest returns the highest of the limits in force at some moment from one time to another.
 func highest(limits []history.Limit, from, to time.Duration) float64 {
 	most := 0.0
--- a/internal/soak/check/limits_test.go
+++ b/internal/soak/check/limits_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dalebend/dalebend/internal/soak/history"
+	"github.com/dalebend/dalebend/internal/soak/schedule"
 )
 
 // TestLimits: a server that names 3 a second from 10 s on gets 23 in 4 s at most, from 3.5 s later on.
@@ -27,8 +28,14 @@
 		"too many, late":               {first: 18100, every: 50, count: 60},
 		"by a box that was not told":   {first: 10050, every: 50, count: 150, untold: true},
 		"told by an answer that broke": {first: 10050, every: 50, count: 150, unpassed: true},
-		"by a box that was paused":     {first: 10050, every: 50, count: 150, troubles: []history.Trouble{trouble(history.OnBox, "a", 10500, 10600)}},
-		"by a box without the store":   {first: 10050, every: 50, count: 150, troubles: []history.Trouble{trouble(history.OnStoreLink, "a", 10500, 10600)}, broken: true},
+		"by a box whose server starts again": {first: 10050, every: 50, count: 150, troubles: []history.Trouble{
+			{Kind: schedule.ServerRestarts, Scope: history.OnServer, Target: "s", From: ms(12000), To: ms(12100)},
+		}},
+		"too many before it starts again": {first: 10050, every: 50, count: 150, broken: true, troubles: []history.Trouble{
+			{Kind: schedule.ServerRestarts, Scope: history.OnServer, Target: "s", From: ms(15000), To: ms(15100)},
+		}},
+		"by a box that was paused":                           {first: 10050, every: 50, count: 150, troubles: []history.Trouble{trouble(history.OnBox, "a", 10500, 10600)}},
+		"by a box without the store":                         {first: 10050, every: 50, count: 150, troubles: []history.Trouble{trouble(history.OnStoreLink, "a", 10500, 10600)}, broken: true},
 		"as many as the higher one allows, until it is over": {first: 10050, every: 180, count: 43, later: 1},
 		"more than a lower one allows":                       {first: 10050, every: 200, count: 60, later: 1, broken: true},
 	} {
