--- a/internal/soak/backends/backends.go
+++ b/internal/soak/backends/backends.go
@@ -23,6 +23,9 @@
 
 // Fleet is all backend servers. Set the exported fields before Prepare.
 type Fleet struct {
+	// Host is the loopback address that servers listen on, 127.0.0.1 if empty. On a shared one, another
+	// socket may get the port of a server that is about to start again.
+	Host  string
 	Store *standin.Store
 	// Domains are the failure domains, dealt in turn.
 	Domains []string
@@ -57,6 +60,7 @@
 func (f *Fleet) Prepare() {
 	f.proxies = make(map[string]*proxy.Proxy)
 	f.engines = &standin.Fleet{
+		Host:  f.Host,
 		Store: f.Store, AdvertiseAddr: f.front, OnRequest: f.seen, PaddingBytes: padding, Clock: f.Clock,
 		CrashesOn: func(body string) bool { return body == DeadlyBody }, OnCrash: f.endedUnder,
 	}
--- a/internal/soak/run/loopback.go
+++ b/internal/soak/run/loopback.go
@@ -47,5 +47,8 @@
 // store returns the address of the store, with any free port.
 func (l *loopback) store() string { return l.part + "1:0" }
 
+// servers returns the address of the backend servers.
+func (l *loopback) servers() string { return l.part + "2" }
+
 // close gives the addresses back.
 func (l *loopback) close() error { return l.claim.Close() }
--- a/internal/soak/run/start.go
+++ b/internal/soak/run/start.go
@@ -101,6 +101,7 @@
 // plain services.
 func (r *Run) startServers(ctx context.Context) error {
 	r.fleet = &backends.Fleet{
+		Host:  r.loopback.servers(),
 		Store: r.store, Domains: domains(), Clock: r.Clock, Record: r.record, Logger: r.Logger, Group: r.group, Context: ctx,
 	}
 	r.fleet.Prepare()
