review: a stalled generation runs at two engines at once

Cause: a stream that pauses for 140 ms is sent to the engine that holds its copy before the first engine is stopped, and the wait for that answer has no bound. If the answer is lost, both engines work on the generation, and the events of the first one are held back from the client, which gives up.

Nothing of the program is changed.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(r *Record, trouble bool) (int, error){
 	"garble": runGarble,
+	"switch": runSwitch,
 }
 
 func main() {
--- /dev/null
+++ b/review/_rig/switch.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	switchStreams = 27
+	// holdUp is how long a long prompt holds up the tokens beside it.
+	holdUp = 430 * time.Millisecond
+	// overlapBound is from the rule: the previous server may work on for that long.
+	overlapBound = 400 * time.Millisecond
+)
+
+// runSwitch has an engine hold up its streams once, as beside a long prompt, while the answers of what begins
+// on the other engines are lost.
+func runSwitch(record *Record, trouble bool) (int, error) {
+	w, err := NewWorld(record)
+	if err != nil {
+		return failed, err
+	}
+	defer w.Close()
+	w.PutConfig(7, []Route{streamRoute(), plainRoute()})
+	zones := []string{"kumamoto-hall", "saga-hall", "miyazaki-hall"}
+	var engines []*Server
+	for i, zone := range zones {
+		e, err := w.StartServer(fmt.Sprintf("i-engine%d", i+1), llmService, zone, true)
+		if err != nil {
+			return failed, err
+		}
+		engines = append(engines, e)
+		if _, err := w.StartServer(fmt.Sprintf("i-plain%d", i+1), plainService, zone, false); err != nil {
+			return failed, err
+		}
+	}
+	if err := w.StartBoxes(zones...); err != nil {
+		return failed, err
+	}
+	time.Sleep(3 * time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	var all sync.WaitGroup
+	replies := make([]*Reply, switchStreams)
+	for i := range replies {
+		all.Go(func() {
+			replies[i] = Stream(ctx, w.boxes[i%len(w.boxes)].Front(), fmt.Sprintf("%016x", uint64(0x9c41d07b00000000)+uint64(i)), 500, 600, record)
+		})
+		time.Sleep(60 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		victim := engines[0]
+		for _, e := range engines {
+			if len(e.Runs()) > len(victim.Runs()) {
+				victim = e
+			}
+		}
+		// LOSE=0 leaves the lost answers out, and keeps the pause.
+		for _, e := range engines {
+			e.LoseAnswers(e != victim && os.Getenv("LOSE") != "0")
+		}
+		victim.HoldUp(holdUp)
+		time.Sleep(holdUp + 200*time.Millisecond)
+		for _, e := range engines {
+			e.LoseAnswers(false)
+		}
+	}
+	all.Wait()
+	return judgeSwitch(record, engines, replies), nil
+}
+
+func judgeSwitch(record *Record, engines []*Server, replies []*Reply) int {
+	byID := make(map[string][]*Run)
+	for _, e := range engines {
+		for _, r := range e.Runs() {
+			byID[r.ID] = append(byID[r.ID], r)
+		}
+	}
+	code, resumed := held, 0
+	for id, runs := range byID {
+		for _, next := range runs {
+			if !next.Resumed {
+				continue
+			}
+			resumed++
+			for _, before := range runs {
+				if before == next || before.From.After(next.From) {
+					continue
+				}
+				_, to := before.Span()
+				over := to.Sub(next.From)
+				record.Add("request %s: %s went on with it from %.3f, %s worked on it until %.3f, %d ms longer", id, next.Server.ID,
+					record.At(next.From), before.Server.ID, record.At(to), over.Milliseconds())
+				made := 0
+				for _, t := range before.Events() {
+					if t.After(next.From.Add(overlapBound)) {
+						made++
+					}
+				}
+				if over > overlapBound && made > 0 {
+					record.Add("TWICE: request %s ran at %s and, %d ms later, still at %s, which made %d more events", id, next.Server.ID,
+						over.Milliseconds(), before.Server.ID, made)
+					code = broken
+				}
+			}
+		}
+	}
+	whole := 0
+	for _, r := range replies {
+		if r.Whole && len(r.Events) == 150 {
+			whole++
+		}
+	}
+	record.Add("%d of %d streams reached their clients whole; %d went on at another server", whole, len(replies), resumed)
+	return code
+}
