review: boxes act on an old state when all followers lose the store

Cause: one box of each failure domain follows the store for the others. When all of these are cut off from it at once, the others take them to be in contact until their watches have run out, which takes longer than the 2 s that a draining server and a new configuration allow, although the store is one call away.

Nothing of the program is changed.

--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -21,8 +21,9 @@
 )
 
 var cases = map[string]func(r *Record, trouble bool) (int, error){
-	"garble": runGarble,
 	"switch": runSwitch,
+	"cut":    runCut,
+	"garble": runGarble,
 }
 
 func main() {
