--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -21,9 +21,11 @@
 )
 
 var cases = map[string]func(r *Record, trouble bool) (int, error){
-	"switch": runSwitch,
-	"cut":    runCut,
-	"garble": runGarble,
+	"switch":  runSwitch,
+	"cut":     runCut,
+	"era":     runEra,
+	"leaving": runLeaving,
+	"garble":  runGarble,
 }
 
 func main() {
--- a/review/_rig/server.go
+++ b/review/_rig/server.go
@@ -26,17 +26,18 @@
 
 	ln net.Listener
 
-	mu       sync.Mutex
-	conns    map[net.Conn]struct{}
-	heldTo   time.Time // no events are made before, as beside a long prompt
-	loseNext bool      // answers of the requests that begin from now on are lost
-	closed   bool
-	garble   string // written in place of the body of one in each answers to lookups, while it is set
-	each     int
-	lookups  int
-	running  map[string]*Run
-	runs     []*Run
-	arrivals []Arrival
+	mu        sync.Mutex
+	conns     map[net.Conn]struct{}
+	heldTo    time.Time   // no events are made before, as beside a long prompt
+	extra     http.Header // added to the answers
+	refuse503 bool        // turns everything away, with extra
+	closed    bool
+	garble    string // written in place of the body of one in each answers to lookups, while it is set
+	each      int
+	lookups   int
+	running   map[string]*Run
+	runs      []*Run
+	arrivals  []Arrival
 }
 
 // Arrival is a request that reached a server.
@@ -125,7 +126,7 @@
 	if err != nil {
 		panic(err)
 	}
-	s.World.Store.Put("servers", s.ID, string(text))
+	s.World.put("servers", s.ID, string(text))
 	now := time.Now()
 	s.World.Record.Add("server %s (%s at %s): its entry says %q, the store has acknowledged it", s.ID, s.Service, s.Addr, state)
 	return now
@@ -158,11 +159,30 @@
 	s.garble, s.each = text, each
 }
 
-// LoseAnswers sets whether the server runs what begins from now on without its answers getting out.
-func (s *Server) LoseAnswers(is bool) {
+// Announce sets headers that all answers carry from now on, and whether requests are turned away.
+func (s *Server) Announce(h http.Header, refuse bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loseNext = is
+	s.extra, s.refuse503 = h, refuse
+}
+
+// LoseAnswers sets how many of the next requests that begin at any server but one are run without their
+// answers getting out.
+func (w *World) LoseAnswers(n int, but *Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lose, w.loseBut = n, but
+}
+
+// loses takes one lost answer, if the server is to lose one.
+func (w *World) loses(s *Server) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lose == 0 || s == w.loseBut {
+		return false
+	}
+	w.lose--
+	return true
 }
 
 // Runs returns all runs.
@@ -241,8 +261,12 @@
 		return s.refuse(c, id, 400)
 	}
 	s.mu.Lock()
-	s.arrivals[at].Ran = true
+	refuse := s.refuse503
+	s.arrivals[at].Ran = !refuse
 	s.mu.Unlock()
+	if refuse {
+		return s.refuse(c, id, 503)
+	}
 	if !s.Model {
 		return s.plain(c, id, r)
 	}
@@ -255,9 +279,19 @@
 	if status == 421 {
 		h.Set("Instance-Id", s.ID)
 	}
+	s.announce(h)
 	return write(c, status, h, "")
 }
 
+// announce adds what the server says of itself to the headers of an answer.
+func (s *Server) announce(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, values := range s.extra {
+		h[name] = values
+	}
+}
+
 func (s *Server) seal(id string) string { return "seal." + s.ID + "." + id }
 
 // plain runs a plain request.
@@ -280,14 +314,16 @@
 		time.Sleep(50 * time.Millisecond)
 		return false
 	}
-	return write(c, 200, http.Header{"Attempt-Id": {id}, "Response-Seal": {s.seal(id)}}, "answer of "+s.ID+" to "+id)
+	h := http.Header{"Attempt-Id": {id}, "Response-Seal": {s.seal(id)}}
+	s.announce(h)
+	return write(c, 200, h, "answer of "+s.ID+" to "+id)
 }
 
 func (s *Server) begin(id string, resumed bool) *Run {
 	run := &Run{ID: id, Server: s, From: time.Now(), Resumed: resumed, drop: make(chan struct{})}
+	run.lost = s.World.loses(s)
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
-	run.lost = s.loseNext
 	s.mu.Unlock()
 	return run
 }
--- a/review/_rig/switch.go
+++ b/review/_rig/switch.go
@@ -16,8 +16,8 @@
 	overlapBound = 400 * time.Millisecond
 )
 
-// runSwitch has an engine hold up its streams once, as beside a long prompt, while the answers of what begins
-// on the other engines are lost.
+// runSwitch has an engine hold up its streams once, as beside a long prompt. One answer of another engine is
+// lost: that of the first request that begins there from then on.
 func runSwitch(record *Record, trouble bool) (int, error) {
 	w, err := NewWorld(record)
 	if err != nil {
@@ -59,15 +59,11 @@
 				victim = e
 			}
 		}
-		// LOSE=0 leaves the lost answers out, and keeps the pause.
-		for _, e := range engines {
-			e.LoseAnswers(e != victim && os.Getenv("LOSE") != "0")
+		// LOSE=0 leaves the lost answer out, and keeps the pause.
+		if os.Getenv("LOSE") != "0" {
+			w.LoseAnswers(1, victim)
 		}
 		victim.HoldUp(holdUp)
-		time.Sleep(holdUp + 200*time.Millisecond)
-		for _, e := range engines {
-			e.LoseAnswers(false)
-		}
 	}
 	all.Wait()
 	return judgeSwitch(record, engines, replies), nil
--- a/review/_rig/world.go
+++ b/review/_rig/world.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,6 +26,10 @@
 type World struct {
 	Record *Record
 	Store  *standin.Store
+	// Handler, if set, answers the calls to the store in place of Store, and PutObject writes an object in its
+	// place.
+	Handler   atomic.Pointer[eraStore]
+	PutObject func(kind, name, spec string)
 
 	dir   string
 	part  string
@@ -35,6 +40,8 @@
 	mu      sync.Mutex
 	servers map[string]*Server
 	copies  map[string]*memory
+	lose    int
+	loseBut *Server
 	closers []func()
 }
 
@@ -56,12 +63,29 @@
 		return nil, err
 	}
 	w.store = ln.Addr().String()
-	server := &http.Server{Handler: w.Store, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: http.HandlerFunc(w.serveStore), ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(ln) }()
 	w.closers = append(w.closers, func() { _ = server.Close() })
 	return w, nil
 }
 
+func (w *World) serveStore(rw http.ResponseWriter, r *http.Request) {
+	if e := w.Handler.Load(); e != nil {
+		e.ServeHTTP(rw, r)
+		return
+	}
+	w.Store.ServeHTTP(rw, r)
+}
+
+// put writes an object of the operator or of a server.
+func (w *World) put(kind, name, spec string) {
+	if w.PutObject != nil {
+		w.PutObject(kind, name, spec)
+		return
+	}
+	w.Store.Put(kind, name, spec)
+}
+
 // claimLoopback finds a part of the loopback network that no other run uses.
 func (w *World) claimLoopback() error {
 	for n := 40; n < 100; n++ {
@@ -340,7 +364,7 @@
 	if err != nil {
 		panic(err)
 	}
-	w.Store.Put("config", "main", string(text))
+	w.put("config", "main", string(text))
 	now := time.Now()
 	w.Record.Add("operator: configuration %d is acknowledged; further keys %v", version, keys)
 	return now
