review: case 1 is shown also beside load

Change: its clients begin 3 s before the disruption, at different moments, and their prompts take longer; after a refusal they wait.

--- a/review/_rig/garble.go
+++ b/review/_rig/garble.go
@@ -21,6 +21,8 @@
 	spoilEach     = 25
 	// lostBound is from the rule: a machine in touch may close so many kept connections without an answer.
 	lostBound = 3
+	// refusedPause is how long a client waits after a refusal.
+	refusedPause = 300 * time.Millisecond
 	// startAgain is the short delay after which the platform starts a process that has ended.
 	startAgain = 300 * time.Millisecond
 	// wrongBytes is a chunked body whose second size is wrong.
@@ -63,7 +65,7 @@
 		if err != nil {
 			return failed, err
 		}
-		e.Prefill = 400 * time.Millisecond
+		e.Prefill = 800 * time.Millisecond
 	}
 	if err := w.StartBoxes("kumamoto-hall", "saga-hall", "miyazaki-hall"); err != nil {
 		return failed, err
@@ -74,14 +76,18 @@
 	var all sync.WaitGroup
 	for i, b := range w.boxes {
 		all.Go(func() { k.keepRunning(ctx, b) })
-		for n := range 6 {
-			all.Go(func() { k.send(ctx, b, fmt.Sprintf("g%d-%d", i, n), "generation") })
+		for n := range 8 {
+			all.Go(func() {
+				// Not all at the same moment of their generations.
+				sleep(ctx, time.Duration(n)*110*time.Millisecond)
+				k.send(ctx, b, fmt.Sprintf("g%d-%d", i, n), "generation")
+			})
 		}
 		for n := range 2 {
 			all.Go(func() { k.send(ctx, b, fmt.Sprintf("l%d-%d", i, n), "lookup") })
 		}
 	}
-	time.Sleep(time.Second)
+	time.Sleep(contactBound)
 	if trouble {
 		for _, s := range plain[:faultyServers] {
 			s.Garble(wrongBytes, spoilEach)
@@ -140,7 +146,11 @@
 				k.closings = append(k.closings, closing{id: id, box: b.Name, at: now, inTouch: now.Sub(started) > contactBound})
 			}
 			k.mu.Unlock()
-			if err != nil || !sleep(ctx, 20*time.Millisecond) {
+			pause := 20 * time.Millisecond
+			if status == http.StatusServiceUnavailable {
+				pause = refusedPause
+			}
+			if err != nil || !sleep(ctx, pause) {
 				break
 			}
 		}
