--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -21,11 +21,10 @@
 )
 
 var cases = map[string]func(r *Record, trouble bool) (int, error){
-	"switch":  runSwitch,
-	"cut":     runCut,
-	"era":     runEra,
-	"leaving": runLeaving,
-	"garble":  runGarble,
+	"switch": runSwitch,
+	"cut":    runCut,
+	"era":    runEra,
+	"garble": runGarble,
 }
 
 func main() {
--- a/review/_rig/server.go
+++ b/review/_rig/server.go
@@ -26,18 +26,16 @@
 
 	ln net.Listener
 
-	mu        sync.Mutex
-	conns     map[net.Conn]struct{}
-	heldTo    time.Time   // no events are made before, as beside a long prompt
-	extra     http.Header // added to the answers
-	refuse503 bool        // turns everything away, with extra
-	closed    bool
-	garble    string // written in place of the body of one in each answers to lookups, while it is set
-	each      int
-	lookups   int
-	running   map[string]*Run
-	runs      []*Run
-	arrivals  []Arrival
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	heldTo   time.Time // no events are made before, as beside a long prompt
+	closed   bool
+	garble   string // written in place of the body of one in each answers to lookups, while it is set
+	each     int
+	lookups  int
+	running  map[string]*Run
+	runs     []*Run
+	arrivals []Arrival
 }
 
 // Arrival is a request that reached a server.
@@ -159,13 +157,6 @@
 	s.garble, s.each = text, each
 }
 
-// Announce sets headers that all answers carry from now on, and whether requests are turned away.
-func (s *Server) Announce(h http.Header, refuse bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.extra, s.refuse503 = h, refuse
-}
-
 // LoseAnswers sets how many of the next requests that begin at any server but one are run without their
 // answers getting out.
 func (w *World) LoseAnswers(n int, but *Server) {
@@ -261,12 +252,8 @@
 		return s.refuse(c, id, 400)
 	}
 	s.mu.Lock()
-	refuse := s.refuse503
-	s.arrivals[at].Ran = !refuse
+	s.arrivals[at].Ran = true
 	s.mu.Unlock()
-	if refuse {
-		return s.refuse(c, id, 503)
-	}
 	if !s.Model {
 		return s.plain(c, id, r)
 	}
@@ -279,19 +266,9 @@
 	if status == 421 {
 		h.Set("Instance-Id", s.ID)
 	}
-	s.announce(h)
 	return write(c, status, h, "")
 }
 
-// announce adds what the server says of itself to the headers of an answer.
-func (s *Server) announce(h http.Header) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name, values := range s.extra {
-		h[name] = values
-	}
-}
-
 func (s *Server) seal(id string) string { return "seal." + s.ID + "." + id }
 
 // plain runs a plain request.
@@ -314,9 +291,7 @@
 		time.Sleep(50 * time.Millisecond)
 		return false
 	}
-	h := http.Header{"Attempt-Id": {id}, "Response-Seal": {s.seal(id)}}
-	s.announce(h)
-	return write(c, 200, h, "answer of "+s.ID+" to "+id)
+	return write(c, 200, http.Header{"Attempt-Id": {id}, "Response-Seal": {s.seal(id)}}, "answer of "+s.ID+" to "+id)
 }
 
 func (s *Server) begin(id string, resumed bool) *Run {
