--- a/review/_rig/server.go
+++ b/review/_rig/server.go
@@ -28,7 +28,8 @@
 
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
-	heldTo   time.Time // no events are made before, as beside a long prompt
+	slowTo   time.Time // until then it works slowBy times as long
+	slowBy   int
 	closed   bool
 	garble   string // written in place of the body of one in each answers to lookups, while it is set
 	each     int
@@ -51,8 +52,8 @@
 	ID     string
 	Server *Server
 	From   time.Time
-	// Resumed is set if it went on from a copy.
-	Resumed bool
+	// Resumed is set if it went on from a copy, and Copied if another server keeps one.
+	Resumed, Copied bool
 
 	mu     sync.Mutex
 	to     time.Time // zero while it lasts
@@ -141,12 +142,22 @@
 	}
 }
 
-// HoldUp makes no events for a while, as beside a long prompt.
-func (s *Server) HoldUp(d time.Duration) {
+// SlowDown makes the server work x times as long for a while.
+func (s *Server) SlowDown(x int, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heldTo = time.Now().Add(d)
-	s.World.Record.Add("server %s: all its tokens are held up for %d ms", s.ID, d.Milliseconds())
+	s.slowTo, s.slowBy = time.Now().Add(d), x
+	s.World.Record.Add("server %s works %d times as long for %d ms", s.ID, x, d.Milliseconds())
+}
+
+// stepNow returns the time of an event.
+func (s *Server) stepNow() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.slowTo) {
+		return s.Step * time.Duration(s.slowBy)
+	}
+	return s.Step
 }
 
 // Garble sets what the server writes in place of the body of one in each of its answers to lookups; empty for
@@ -183,6 +194,19 @@
 	return append([]*Run(nil), s.runs...)
 }
 
+// Copied returns how many runs under way have a copy at another server.
+func (s *Server) Copied() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, r := range s.running {
+		if r.Copied {
+			n++
+		}
+	}
+	return n
+}
+
 // Arrivals returns all requests that reached the server.
 func (s *Server) Arrivals() []Arrival {
 	s.mu.Lock()
@@ -349,6 +373,9 @@
 	s.mu.Unlock()
 	backup := r.Header.Get("Kv-Backup")
 	if backup != "" {
+		s.mu.Lock()
+		run.Copied = true
+		s.mu.Unlock()
 		s.World.addCopy(backup+"/"+id, &memory{id: id, at: backup, from: run})
 	}
 	s.World.Record.Add("server %s runs request %s from event %d (backup %q, from copy %q, answer lost %t)",
@@ -372,19 +399,7 @@
 			return "its connection closed"
 		case <-run.drop:
 			return "stopped for a move"
-		case <-time.After(s.Step):
-		}
-		s.mu.Lock()
-		held := time.Until(s.heldTo)
-		s.mu.Unlock()
-		if held > 0 {
-			select {
-			case <-left:
-				return "its connection closed"
-			case <-run.drop:
-				return "stopped for a move"
-			case <-time.After(held):
-			}
+		case <-time.After(s.stepNow()):
 		}
 		run.mu.Lock()
 		run.last++
--- a/review/_rig/switch.go
+++ b/review/_rig/switch.go
@@ -9,15 +9,17 @@
 )
 
 const (
-	switchStreams = 27
-	// holdUp is how long a long prompt holds up the tokens beside it.
-	holdUp = 430 * time.Millisecond
+	switchStreams = 40
+	// slowFactor and slowTime are how many times as long one of the four engines works, and for how long: twice
+	// the bench's usual factor, and less than its usual time.
+	slowFactor = 8
+	slowTime   = 2 * time.Second
 	// overlapBound is from the rule: the previous server may work on for that long.
 	overlapBound = 400 * time.Millisecond
 )
 
-// runSwitch has an engine hold up its streams once, as beside a long prompt. One answer of another engine is
-// lost: that of the first request that begins there from then on.
+// runSwitch has one of four engines turn slow for a while. One answer of another engine is lost: that of the first
+// request that begins there from then on.
 func runSwitch(record *Record, trouble bool) (int, error) {
 	w, err := NewWorld(record)
 	if err != nil {
@@ -26,8 +28,9 @@
 	defer w.Close()
 	w.PutConfig(7, []Route{streamRoute(), plainRoute()})
 	zones := []string{"kumamoto-hall", "saga-hall", "miyazaki-hall"}
+	servers := append([]string{"kumamoto-hall"}, zones...)
 	var engines []*Server
-	for i, zone := range zones {
+	for i, zone := range servers {
 		e, err := w.StartServer(fmt.Sprintf("i-engine%d", i+1), llmService, zone, true)
 		if err != nil {
 			return failed, err
@@ -55,15 +58,15 @@
 	if trouble {
 		victim := engines[0]
 		for _, e := range engines {
-			if len(e.Runs()) > len(victim.Runs()) {
+			if e.Copied() > victim.Copied() {
 				victim = e
 			}
 		}
-		// LOSE=0 leaves the lost answer out, and keeps the pause.
+		// LOSE=0 leaves the lost answer out; the engine turns slow all the same.
 		if os.Getenv("LOSE") != "0" {
 			w.LoseAnswers(1, victim)
 		}
-		victim.HoldUp(holdUp)
+		victim.SlowDown(slowFactor, slowTime)
 	}
 	all.Wait()
 	return judgeSwitch(record, engines, replies), nil
--- a/review/_rig/world.go
+++ b/review/_rig/world.go
@@ -34,6 +34,8 @@
 	dir   string
 	part  string
 	claim net.Listener
+	// port is the first port of the boxes, the same on all of them.
+	port  int
 	store string
 	boxes []*Box
 
@@ -86,17 +88,51 @@
 	w.Store.Put(kind, name, spec)
 }
 
-// claimLoopback finds a part of the loopback network that no other run uses.
+// Ports of a box, counted from its first one. They are alike on all boxes.
+const (
+	lastPort    = 15
+	frontPort   = 16
+	controlPort = 17
+	readyPort   = 18
+	portsOfBox  = 19
+)
+
+// metricsPort stands in the deploy file.
+const metricsPort = 9464
+
+// claimLoopback finds a part of the loopback network that no other run uses, and ports that are free there.
 func (w *World) claimLoopback() error {
 	for n := 40; n < 100; n++ {
 		part := fmt.Sprintf("127.%d.9.", n)
 		ln, err := net.Listen("tcp", part+"1:7198")
-		if err == nil {
-			w.part, w.claim = part, ln
-			return nil
+		if err != nil {
+			continue
+		}
+		for port := 7300; port < 8300; port += portsOfBox {
+			if areFree(part+"10", port) {
+				w.part, w.claim, w.port = part, ln, port
+				return nil
+			}
 		}
+		_ = ln.Close()
 	}
-	return fmt.Errorf("no loopback addresses are free")
+	return errors.New("no loopback addresses are free")
+}
+
+// areFree reports whether the ports of a box are free at an address.
+func areFree(ip string, first int) bool {
+	ports := []int{metricsPort}
+	for n := range portsOfBox {
+		ports = append(ports, first+n)
+	}
+	for _, port := range ports {
+		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = ln.Close()
+	}
+	return true
 }
 
 // Close ends every process and listener.
@@ -124,6 +160,8 @@
 	Store *Proxy
 
 	settings, log string
+	// port is the first of its ports.
+	port int
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -132,10 +170,12 @@
 }
 
 // Front is the address for clients.
-func (b *Box) Front() string { return b.IP + ":8740" }
+func (b *Box) Front() string { return fmt.Sprintf("%s:%d", b.IP, b.port+frontPort) }
 
 // Ready is the address that the platform asks.
-func (b *Box) Ready() string { return "http://" + b.IP + ":8749/dalebend/ready" }
+func (b *Box) Ready() string {
+	return fmt.Sprintf("http://%s:%d/dalebend/ready", b.IP, b.port+readyPort)
+}
 
 // Kill ends the process and waits for its end.
 func (b *Box) Kill() {
@@ -179,8 +219,8 @@
 ip = %q
 zone = %q
 region = "kyushu"
-port_range = [7200,7215]
-seeds = [%s]
+port_range = [%[6]d,%[7]d]
+seeds = [%[4]s]
 bootstrap = true
 counts_as_loss = false
 discovery = "platform"
@@ -192,9 +232,9 @@
 saga-hall = "kyushu"
 miyazaki-hall = "kyushu"
 [listen]
-front = "%[2]s:8740"
-ready = "%[2]s:8749"
-control = "%[2]s:8748"
+front = "%[2]s:%[8]d"
+ready = "%[2]s:%[9]d"
+control = "%[2]s:%[10]d"
 [limits]
 cpu_share = 0.4
 cpu_cores = 1
@@ -241,12 +281,12 @@
 func (w *World) StartBoxes(zones ...string) error {
 	var seeds []string
 	for i := range min(3, len(zones)) {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s%d:8748", w.part, 10+i)))
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s%d:%d", w.part, 10+i, w.port+controlPort)))
 	}
 	count := make(map[string]int)
 	for i, zone := range zones {
 		count[zone]++
-		b := &Box{Name: fmt.Sprintf("edge-%s-%d", zone, count[zone]), Zone: zone, IP: fmt.Sprintf("%s%d", w.part, 10+i)}
+		b := &Box{Name: fmt.Sprintf("edge-%s-%d", zone, count[zone]), Zone: zone, IP: fmt.Sprintf("%s%d", w.part, 10+i), port: w.port}
 		proxy, err := NewProxy(fmt.Sprintf("%s%d:0", w.part, 100+i), w.store)
 		if err != nil {
 			return err
@@ -254,7 +294,8 @@
 		b.Store = proxy
 		w.closers = append(w.closers, proxy.Close)
 		w.boxes = append(w.boxes, b)
-		text := fmt.Sprintf(settingsText, b.Name, b.IP, b.Zone, strings.Join(seeds, ","), proxy.Addr())
+		text := fmt.Sprintf(settingsText, b.Name, b.IP, b.Zone, strings.Join(seeds, ","), proxy.Addr(),
+			w.port, w.port+lastPort, w.port+frontPort, w.port+readyPort, w.port+controlPort)
 		b.settings, b.log = filepath.Join(w.dir, b.Name+".toml"), filepath.Join(w.dir, b.Name+".log")
 		if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
 			return err
