exchange: a chunk size near 2^63 does not overflow the reader's slice

Cause: chunkReader.Read added the stated size, up to 2^63-1, to what the same call had already read. The sum overflowed and the slice expression panicked; a hedged request is read in a goroutine that nothing recovers.

Evidence: the last words of the boxes name the slice expression; the size in the first position, where nothing was read before, does not end them. No seed had a second chunk with a large size.

Change: the buffer is cut first and compared with the rest of the chunk, so that the size stands alone in the comparison and no sum is formed.

--- a/internal/exchange/chunked.go
+++ b/internal/exchange/chunked.go
@@ -32,7 +32,8 @@
 				return n, err
 			}
 		}
-		part := p[n:min(int64(len(p)), int64(n)+c.left)]
+		part := p[n:]
+		part = part[:min(int64(len(part)), c.left)]
 		m, err := c.br.Read(part)
 		n += m
 		c.left -= int64(m)
--- a/internal/exchange/fuzz_test.go
+++ b/internal/exchange/fuzz_test.go
@@ -30,6 +30,8 @@
 		"HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
 		"HTTP/1.1 200 OK\nContent-Length: 1\n\nx",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n7fffffffffffffff\r\nb",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\nx",
 	} {
 		f.Add([]byte(seed), false)
 		f.Add([]byte(seed), true)
