exchange: a panic while an answer is read releases its connection

Callers saw: nothing at once.

Cause: a connection is counted against its server until its exchange is finished, which Client.Do and the body did after errors only, not after a panic of what reads the answer.

Change: run and Read finish the exchange whenever they end without a result.

Result: TestPanicReleasesConnection fails before (one connection still counted) and passes now.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -39,12 +39,19 @@
 		client: c,
 		conn:   conn,
 		addr:   addr,
+		sent:   &sending{},
 		stop:   context.AfterFunc(ctx, conn.close),
 	}
 }
 
 // run sends the request and reads the head of its answer.
-func (x *exchange) run(r *Request) (*Response, error) {
+func (x *exchange) run(r *Request) (resp *Response, err error) {
+	defer func() {
+		if resp == nil {
+			// Already done after an error, but not after a panic.
+			x.finish(false)
+		}
+	}()
 	x.sent = x.send(r)
 	if x.sent.done == nil && x.sent.err != nil && x.sent.n == 0 {
 		return nil, x.fail(NotSent, x.sent.err)
--- a/internal/exchange/response.go
+++ b/internal/exchange/response.go
@@ -43,7 +43,16 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	returned := false
+	defer func() {
+		if !returned {
+			// A panic must not leave the connection in use: it counts against the server's limit.
+			b.err = errBodyClosed
+			b.x.finish(false)
+		}
+	}()
 	n, err := b.in.Read(p)
+	returned = true
 	if err != nil {
 		b.err = b.end(err)
 	}
