panics: a panic in the work for one request ends this request, not the process

Cause: net/http recovers panics of handlers, but a handler's request goes on in further goroutines that nothing recovered: hedged attempts, switches and moves of streams, releases of copies, polls of engines, dials and tunnels. Where net/http did recover, the caller got no answer, the log nothing above debug, and no metric counted it.

Change: each goroutine that works for one request, engine or peer runs under panics.Catch. The panic is logged as work-panicked with its stack and request and counted as dalebend_panics_total; the attempt counts as perhaps run; a caller that has got nothing yet gets 502, the stream of one that has is cut off. Loops on shared state (members, store, configuration) are not caught: their state could be wrong afterwards.

--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -18,6 +18,10 @@
 	return Declaration{Name: n, Level: slog.LevelWarn, Meaning: meaning, Keys: keys}
 }
 
+func failure(n Name, meaning string, keys ...string) Declaration {
+	return Declaration{Name: n, Level: slog.LevelError, Meaning: meaning, Keys: keys}
+}
+
 func processEvents() []Declaration {
 	return []Declaration{
 		info(Start, "the process has read its settings and begins to listen",
@@ -36,6 +40,8 @@
 			KeyCause),
 		warn(Suspended, "the machine was suspended, as its boot clock shows: what the box knew before is older by that",
 			KeyAway),
+		failure(WorkPanicked, "a defect of the program ended the work for one request, server or peer; the process goes on, and the request counts as perhaps run",
+			KeyWork, KeyCause, KeyStack, KeyRequest, KeyServer, KeyPeer, KeyRoute, KeyAccount, KeyConfigVersion, KeyElapsed),
 		warn(LinesDropped, "lines are missing since the last such line: the reader was slow, or an event came more often than its budget",
 			KeyQueueFull, KeyOverBudget, KeyByEvent),
 	}
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -19,6 +19,7 @@
 	SettingsRefused  Name = "settings-refused"
 	LinesDropped     Name = "log-lines-dropped"
 	Suspended        Name = "suspended"
+	WorkPanicked     Name = "work-panicked"
 )
 
 // Events of a box's dependencies and of its state.
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -8,7 +8,7 @@
 	KeyBox = "box"
 	// KeyTime is the wall clock time of the box, in UTC.
 	KeyTime = "time"
-	// KeyLevel is INFO, or WARN if something was lost or refused.
+	// KeyLevel is INFO, WARN if something was lost or refused, or ERROR after a defect of the program.
 	KeyLevel = "level"
 
 	KeyRequest = "request"
@@ -110,6 +110,10 @@
 	KeyAddress  = "address"
 	KeyKind     = "kind"
 
+	// KeyWork is what a goroutine did when it panicked, KeyStack its stack.
+	KeyWork  = "work"
+	KeyStack = "stack"
+
 	KeyQueueFull  = "queue_full"
 	KeyOverBudget = "over_budget"
 	KeyByEvent    = "by_event"
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/dalebend/dalebend/internal/callerconn"
 	"github.com/dalebend/dalebend/internal/clockctx"
 	"github.com/dalebend/dalebend/internal/condition"
+	"github.com/dalebend/dalebend/internal/panics"
 	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -33,8 +34,36 @@
 	account routetable.Account
 	// counted is set once the outcome was counted.
 	counted bool
+	// begun is set once the head of an answer was passed to net/http, abort if the connection must be
+	// closed because the answer ended early.
+	begun, abort bool
 }
 
+// run answers the request, whatever happens.
+func (x *exchange) run() {
+	if p := panics.Catch(x.answer); p != nil {
+		x.panicked(p)
+	}
+	if x.abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// panicked ends a request whose work panicked. A server may have run it.
+func (x *exchange) panicked(p *panics.Error) {
+	p.Report(x.server.Logger, x.server.Metrics, panics.Handling, x.requestAttrs()...)
+	if x.begun {
+		x.recordBroken(p, 0)
+		x.abort = true
+		return
+	}
+	x.logGivenUp(http.StatusBadGateway, p)
+	x.writeRefusal(refusal{status: http.StatusBadGateway, reason: errDefect.Error()})
+}
+
+// errDefect is all that a caller is told of a panic.
+var errDefect = errors.New("a defect of the box ended the request")
+
 func (x *exchange) answer() {
 	x.buffers = x.conn.Buffers().BeginRequest()
 	defer x.buffers.End()
@@ -108,7 +137,8 @@
 	}
 	if s.begun {
 		x.recordBroken(err, s.events)
-		panic(http.ErrAbortHandler)
+		x.abort = true
+		return
 	}
 	x.failed(ctx, err)
 }
--- a/internal/front/log.go
+++ b/internal/front/log.go
@@ -136,9 +136,14 @@
 
 // log writes a decision log line about the request.
 func (x *exchange) log(name event.Name, attrs ...slog.Attr) {
+	attrs = append(attrs, x.requestAttrs()...)
+	x.server.Logger.LogAttrs(context.Background(), name.Level(), string(name), attrs...)
+}
+
+// requestAttrs returns the attributes of the request for a line about it.
+func (x *exchange) requestAttrs() []slog.Attr {
 	elapsed := x.server.Clock.Since(x.req.Arrived)
-	attrs = append(attrs,
-		slog.String(event.KeyRequest, x.req.ID), slog.Int64(event.KeyElapsed, elapsed.Milliseconds()))
+	attrs := []slog.Attr{slog.String(event.KeyRequest, x.req.ID), slog.Int64(event.KeyElapsed, elapsed.Milliseconds())}
 	if x.route != nil {
 		attrs = append(attrs, slog.String(event.KeyRoute, x.route.Name))
 	}
@@ -148,5 +153,5 @@
 	if x.table != nil {
 		attrs = append(attrs, slog.Int64(event.KeyConfigVersion, x.table.Version()))
 	}
-	x.server.Logger.LogAttrs(context.Background(), name.Level(), string(name), attrs...)
+	return attrs
 }
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -60,6 +60,7 @@
 		x.server.Logger.Error("error response could not be encoded", "error", err)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.begun = true
 	x.w.WriteHeader(r.status)
 	if _, err := x.w.Write(body); err != nil {
 		x.recordAborted(0)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -231,7 +231,7 @@
 		x.refuse(stoppingRefusal())
 		return
 	}
-	x.answer()
+	x.run()
 }
 
 // connKey is the context key of a request's connection.
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -106,6 +106,7 @@
 
 func (s *sink) begin() {
 	s.begun = true
+	s.x.begun = true
 	to := s.x.w.Header()
 	// Otherwise net/http would guess a type for an answer that has none.
 	to["Content-Type"] = nil
--- a/internal/serverpath/race.go
+++ b/internal/serverpath/race.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"syscall"
 
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/member"
+	"github.com/dalebend/dalebend/internal/panics"
 	"github.com/dalebend/dalebend/internal/tunnel"
 )
 
@@ -135,8 +138,13 @@
 func (r *race) start(peer string, dial func() (net.Conn, error)) {
 	r.pending++
 	go func() {
-		conn, err := dial()
-		r.results <- result{peer: peer, conn: conn, err: err}
+		got := result{peer: peer}
+		if p := panics.Catch(func() { got.conn, got.err = dial() }); p != nil {
+			p.Report(r.selector.Logger, r.selector.Metrics, panics.Dial,
+				slog.String(event.KeyServer, r.server), slog.String(event.KeyPeer, peer))
+			got.err = p
+		}
+		r.results <- got
 	}()
 }
 
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/dalebend/dalebend/internal/backend"
 	"github.com/dalebend/dalebend/internal/clockctx"
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/drainplan"
+	"github.com/dalebend/dalebend/internal/panics"
 	"github.com/dalebend/dalebend/internal/registry"
 )
 
@@ -29,7 +32,7 @@
 		r.ShutdownNotice.RecordLeaving(id)
 	}
 	for _, e := range r.evacuations(leaving) {
-		go r.drainEngine(e.engine, e.runs)
+		go r.catch(panics.Move, func() { r.drainEngine(e.engine, e.runs) }, slog.String(event.KeyServer, e.engine.ID))
 	}
 }
 
@@ -202,7 +205,7 @@
 	if name == "" {
 		// In the background, so that the stream can resume without delay. No other copy of it is
 		// made.
-		go x.discard(source, &a)
+		go x.catch(panics.Release, func() { x.discard(source, &a) })
 		m.tooLate = errors.Is(err, backend.ErrNotRunning)
 		x.failMove(m, source, target, err)
 		return
--- a/internal/streaming/fleet_stream_test.go
+++ b/internal/streaming/fleet_stream_test.go
@@ -31,6 +31,9 @@
 	wholeRead bool
 }
 
+// errDefect stands for a defect of the program that an answer brings out.
+var errDefect = errors.New("a defect in reading the answer")
+
 // piece is the next output of a stream: bytes or an end.
 type piece struct {
 	data []byte
@@ -107,6 +110,9 @@
 	defer s.leave()
 	select {
 	case got := <-s.pieces:
+		if errors.Is(got.err, errDefect) {
+			panic(got.err)
+		}
 		s.wholeRead = s.wholeRead || errors.Is(got.err, io.EOF) && !s.stopped
 		return copy(p, got.data), got.err
 	case <-s.closed:
--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -150,6 +150,8 @@
 	case "reset":
 		f.backUp(h, run)
 		return nil, errReset
+	case "panic":
+		panic(errDefect)
 	case "unproven":
 		return plain(http.StatusOK, "X-Other"), nil
 	case "failed":
--- a/internal/streaming/poll.go
+++ b/internal/streaming/poll.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dalebend/dalebend/internal/backend"
 	"github.com/dalebend/dalebend/internal/clockctx"
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/panics"
 	"github.com/dalebend/dalebend/internal/periodic"
 	"github.com/dalebend/dalebend/internal/registry"
 )
@@ -50,7 +53,7 @@
 	g.SetLimit(maxConcurrentPolls)
 	for _, engine := range r.enginesToPoll() {
 		g.Go(func() error {
-			r.poll(ctx, engine)
+			r.catch(panics.Poll, func() { r.poll(ctx, engine) }, slog.String(event.KeyServer, engine.ID))
 			return nil
 		})
 	}
--- a/internal/streaming/pump.go
+++ b/internal/streaming/pump.go
@@ -12,8 +12,11 @@
 // pump passes events on until the stream has ended, resuming it on other engines as needed.
 func (x *run) pump(ctx context.Context) error {
 	buf := make([]byte, readBufferBytes)
+	var a *answer
+	// Closes the answer after a panic too; otherwise it is closed already.
+	defer func() { a.close() }()
 	for {
-		a := x.current()
+		a = x.current()
 		if err := x.awaitCaller(ctx); err != nil {
 			a.close()
 			return &Broken{cause: err}
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -26,6 +26,7 @@
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/outputlength"
+	"github.com/dalebend/dalebend/internal/panics"
 	"github.com/dalebend/dalebend/internal/picker"
 	"github.com/dalebend/dalebend/internal/prefilltime"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -128,12 +129,15 @@
 	x := &run{ctx: ctx, relay: r, job: j, sink: sink, expected: r.expected(j), began: j.Request.Arrived}
 	r.add(x)
 	defer r.remove(x)
-	err := x.serve(ctx)
+	var err error
+	if p := x.catch(panics.Stream, func() { err = x.serve(ctx) }); p != nil {
+		err = &Broken{cause: p}
+	}
 	cancel()
 	x.awaitSwitch()
 	if err != nil {
 		// After awaitSwitch, as a switch to the backup may have been pending.
-		go x.freeBackup()
+		go x.catch(panics.Release, x.freeBackup)
 	}
 	return err
 }
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -37,6 +37,7 @@
 //	moves ENGINE MODE...         outcomes of the next copy calls to the engine
 //	say ENGINE N / part ENGINE [N]   the engine's newest stream sends N events / N and a part of one
 //	end ENGINE / break ENGINE    it ends cleanly / breaks
+//	panic ENGINE                 reading it panics
 //	old say|end|break ENGINE     the same for the stream before the newest
 //	mute ENGINE                  it answers no call to free a copy
 //	release ENGINE               its hanging calls continue
@@ -225,6 +226,8 @@
 		stream.end(io.EOF)
 	case "break":
 		stream.end(io.ErrUnexpectedEOF)
+	case "panic":
+		stream.end(errDefect)
 	default:
 		s.t.Fatalf("unknown action %q", what)
 	}
--- a/internal/streaming/stall.go
+++ b/internal/streaming/stall.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/dalebend/dalebend/internal/panics"
 	"github.com/dalebend/dalebend/internal/periodic"
 	"github.com/dalebend/dalebend/internal/registry"
 )
@@ -68,7 +70,9 @@
 // stream is given up only when that engine has accepted it.
 func (x *run) switchOver(c *switchover, old *answer, source func() *copyRef) {
 	defer close(c.done)
-	a, err := x.continueAt(x.ctx, source())
+	var a *answer
+	err := errPanicked
+	x.catch(panics.Switch, func() { a, err = x.continueAt(x.ctx, source()) })
 	if err != nil {
 		x.switchFailed(c)
 		return
@@ -78,6 +82,9 @@
 	old.giveUp()
 }
 
+// errPanicked stands until a switch has returned.
+var errPanicked = errors.New("a defect of the box ended the switch")
+
 // switchFailed allows the next switch. The failure is already logged.
 func (x *run) switchFailed(c *switchover) {
 	x.mu.Lock()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -55,6 +55,8 @@
 	TunnelRequests *counters
 	// PeerConnections counts connections to servers through other boxes.
 	PeerConnections *counters
+	// Panics counts recovered panics by the work that they ended.
+	Panics *counters
 	// Ejections counts ejections of backend servers, by cause.
 	Ejections *counters
 
@@ -184,6 +186,7 @@
 	m.TunnelRequests = m.counters("tunnel_requests_total", "connections to backend servers that other boxes asked for", "result")
 	m.PeerConnections = m.counters("peer_connections_total", "connections to backend servers that were opened through other boxes")
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
+	m.Panics = m.counters("panics_total", "defects of the program that ended the work for one request, server or peer, by the work", "work")
 	m.QuarantineChanges = m.counters("quarantined_total", "changes of what is known of requests under which servers ended", "change")
 	m.LimitedSends = m.counters("limited_sends_total", "requests given to servers that name a limit", "server")
 	m.UnreadableConditions = m.counters("words_unreadable_total", "words of servers on themselves, in their answers, that cannot be read", "word")
--- a/internal/tunnel/endpoint/server.go
+++ b/internal/tunnel/endpoint/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/panics"
 	"github.com/dalebend/dalebend/internal/telemetry"
 	"github.com/dalebend/dalebend/internal/tunnel"
 )
@@ -71,7 +72,11 @@
 		if err != nil {
 			return fmt.Errorf("accept tunnels: %w", err)
 		}
-		s.done.Go(func() { s.serve(ctx, conn) })
+		s.done.Go(func() {
+			if p := panics.Catch(func() { s.serve(ctx, conn) }); p != nil {
+				p.Report(s.Logger, s.Metrics, panics.Tunnel, slog.String(event.KeyPeer, conn.RemoteAddr().String()))
+			}
+		})
 	}
 }
 
--- a/internal/unary/hedge.go
+++ b/internal/unary/hedge.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
+	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/panics"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/runerr"
 )
@@ -56,9 +59,15 @@
 	return f.tried[0]
 }
 
+// runLeg runs in a goroutine of its own, outside the recovery of the request's handler. After a panic a
+// server may have run the request.
 func (f *flight) runLeg(ctx context.Context, results chan<- legResult, why resend) {
-	answer, err := f.sendInTurn(ctx, why)
-	results <- legResult{answer: answer, err: err}
+	var r legResult
+	if p := panics.Catch(func() { r.answer, r.err = f.sendInTurn(ctx, why) }); p != nil {
+		p.Report(f.sender.Logger, f.sender.Metrics, panics.Attempt, slog.String(event.KeyRequest, f.job.Request.ID))
+		r = legResult{err: &runerr.PerhapsRun{Cause: p}}
+	}
+	results <- r
 }
 
 // bestResult returns the first answer that is not a failure, or else the most informative result:
--- a/internal/unary/servers_test.go
+++ b/internal/unary/servers_test.go
@@ -120,6 +120,8 @@
 	f.runs++
 	body := io.Reader(strings.NewReader("answer of " + id))
 	switch mode {
+	case "panic":
+		panic("a defect in reading the answer")
 	case "reset":
 		return nil, errReset
 	case "torn":
