--- a/internal/quarantine/note.go
+++ b/internal/quarantine/note.go
@@ -156,7 +156,7 @@
 		t.ends = append(t.ends, End{Server: server, At: at, Account: w.Account, Request: t.fingerprint})
 	}
 	if w.TriedForMs > 0 {
-		t.triedUntil = now.Add(min(maxAttemptTime, time.Duration(w.TriedForMs)*time.Millisecond))
+		t.triedUntil = now.Add(time.Duration(min(maxAttemptTime.Milliseconds(), w.TriedForMs)) * time.Millisecond)
 	}
 	return t, nil
 }
--- a/internal/unary/read.go
+++ b/internal/unary/read.go
@@ -48,10 +48,11 @@
 	return n, err
 }
 
-// unreadBytes estimates how much of the answer the server still holds.
+// unreadBytes estimates how much of the answer the server still holds. No more than maxAnswerBytes is
+// read, whatever length a server states.
 func (c *countedReader) unreadBytes() int {
 	if c.from.ContentLength >= 0 {
-		return max(0, int(c.from.ContentLength)-c.read)
+		return max(0, int(min(c.from.ContentLength, maxAnswerBytes))-c.read)
 	}
 	return max(minUnreadBytes, c.read)
 }
