streaming: a stalled stream is handed over in bounded time

Cause: a switch sent the generation to the engine with its copy and stopped the first one only after an answer, for which it waited as long as the request lasted. Events of the first one were held back for the whole wait.

Evidence: of the hypotheses (the stop is never sent; it is sent and not seen; the wait has no bound) the traces show the last: with LOSE=0 the first engine stops 30 ms after the second began; with the lost answer the box writes nothing between the send and the caller's end.

Change: the generation counts as being at the second engine from its send. The first one is stopped when the second accepts, when it may have begun and failed, or 200 ms after the send, half of what users allow. It goes on if the second refuses; if it sends an event while the connection is still being opened, nothing is sent; if it completes the stream first, that answer counts. Its events are passed on as they come, and as many are skipped of the second's. Each switch writes stream-stalled and stream-switch-ended, and is counted by outcome in dalebend_stream_switches_total.

Two stories of before changed: events of the stalled engine arrive sooner, and a stream that it completes ends at once.

--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -83,6 +83,8 @@
 const (
 	StreamBackupChosen Name = "stream-backup-chosen"
 	StreamBroke        Name = "stream-broke"
+	StreamStalled      Name = "stream-stalled"
+	StreamSwitchEnded  Name = "stream-switch-ended"
 	StreamMoved        Name = "stream-moved"
 	StreamMoveFailed   Name = "stream-move-failed"
 	StreamCopyFreed    Name = "stream-copy-freed"
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -65,6 +65,9 @@
 	KeyEvents = "events"
 	KeyMoves  = "moves"
 	KeyPause  = "pause_ms"
+	// KeySilent is the time since a stream's last event, KeyOutcome how a switch to another engine ended.
+	KeySilent  = "silent_ms"
+	KeyOutcome = "outcome"
 
 	// KeyBound names a bound on buffered bytes, KeyBytes is the buffered size for one connection
 	// and KeyKept for all; KeyIdle is the time without progress of the caller.
--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -20,12 +20,14 @@
 	pending []byte
 	lastID  string
 	events  int
+	skip    int // events to drop
 }
 
 // Add buffers bytes of the stream and returns the complete events so far, or nil. The slice is
 // valid until the next call. ok is false if an event is too large.
 func (s *Splitter) Add(p []byte) (events []byte, ok bool) {
 	s.pending = append(s.pending, p...)
+	s.dropSkipped()
 	end := bytes.LastIndex(s.pending, eventEnd)
 	if end < 0 {
 		return nil, len(s.pending) <= maxEventBytes
@@ -43,9 +45,12 @@
 	s.pending = s.pending[:rest]
 }
 
-// count counts an event and stores its id. Blank lines alone are no event.
+// isBlank reports whether a part of the stream is no event, but blank lines alone.
+func isBlank(part []byte) bool { return len(bytes.Trim(part, "\n")) == 0 }
+
+// count counts an event and stores its id.
 func (s *Splitter) count(event []byte) {
-	if len(bytes.Trim(event, "\n")) == 0 {
+	if isBlank(event) {
 		return
 	}
 	s.events++
@@ -56,8 +61,25 @@
 	}
 }
 
-// DropPartial discards an incomplete event.
-func (s *Splitter) DropPartial() { s.pending = s.pending[:0] }
+// Skip drops the next n events of the stream, which were passed on before. Nothing may be buffered.
+func (s *Splitter) Skip(n int) { s.skip = n }
+
+// dropSkipped drops the events to skip.
+func (s *Splitter) dropSkipped() {
+	for s.skip > 0 {
+		event, rest, complete := bytes.Cut(s.pending, eventEnd)
+		if !complete {
+			return
+		}
+		if !isBlank(event) {
+			s.skip--
+		}
+		s.pending = s.pending[:copy(s.pending, rest)]
+	}
+}
+
+// DropPartial discards an incomplete event, as the stream begins anew after the last complete one.
+func (s *Splitter) DropPartial() { s.pending, s.skip = s.pending[:0], 0 }
 
 // Partial reports whether an incomplete event is buffered.
 func (s *Splitter) Partial() bool { return len(s.pending) > 0 }
--- a/internal/streaming/answer.go
+++ b/internal/streaming/answer.go
@@ -10,12 +10,12 @@
 // which interrupts a pending read.
 type answer struct {
 	*exchange.Response
-	giveUp context.CancelFunc
+	giveUp context.CancelCauseFunc
 }
 
 func (a *answer) close() {
 	// Closing the body before cancelling keeps the connection for reuse if the answer was read to
 	// its end.
 	_ = a.Body.Close() // never fails for a body of package exchange
-	a.giveUp()
+	a.giveUp(nil)
 }
--- a/internal/streaming/cause.go
+++ b/internal/streaming/cause.go
@@ -39,6 +39,7 @@
 	{errUnproven, stageForeign},
 	{backend.ErrNoCapacity, "no-room"},
 	{backend.ErrNotRunning, "not-running"},
+	{errSilent, "silent"},
 	{context.Canceled, "caller-left"},
 	{context.DeadlineExceeded, "deadline"},
 }
--- a/internal/streaming/errors.go
+++ b/internal/streaming/errors.go
@@ -13,6 +13,7 @@
 	errNoEvent       = errors.New("no event was passed on, and it would run a second time")
 	errSilent        = errors.New("the stream fell silent")
 	errReplaced      = errors.New("the engine has started again and holds nothing of it")
+	errWithdrawn     = errors.New("the present engine needs no replacement any more")
 	errSwitched      = errors.New("the stream went on at another engine")
 )
 
--- a/internal/streaming/evacuate.go
+++ b/internal/streaming/evacuate.go
@@ -32,7 +32,10 @@
 		r.ShutdownNotice.RecordLeaving(id)
 	}
 	for _, e := range r.evacuations(leaving) {
-		go r.catch(panics.Move, func() { r.drainEngine(e.engine, e.runs) }, slog.String(event.KeyServer, e.engine.ID))
+		go func() {
+			// A panic is already logged.
+			_ = r.catch(panics.Move, func() { r.drainEngine(e.engine, e.runs) }, slog.String(event.KeyServer, e.engine.ID))
+		}()
 	}
 }
 
@@ -205,7 +208,7 @@
 	if name == "" {
 		// In the background, so that the stream can resume without delay. No other copy of it is
 		// made.
-		go x.catch(panics.Release, func() { x.discard(source, &a) })
+		x.background(panics.Release, func() { x.discard(source, &a) })
 		m.tooLate = errors.Is(err, backend.ErrNotRunning)
 		x.failMove(m, source, target, err)
 		return
--- a/internal/streaming/fleet_stream_test.go
+++ b/internal/streaming/fleet_stream_test.go
@@ -1,7 +1,6 @@
 package streaming_test
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +17,8 @@
 	next   int
 	pieces chan piece
 	ended  <-chan struct{}
+	// cause returns why the request ended.
+	cause  func() error
 	closed chan struct{}
 
 	mu      sync.Mutex
@@ -118,7 +119,7 @@
 	case <-s.closed:
 		return 0, errors.New("read on a closed body")
 	case <-s.ended:
-		return 0, context.Canceled
+		return 0, s.cause()
 	}
 }
 
--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/dalebend/dalebend/internal/backend"
 	"github.com/dalebend/dalebend/internal/exchange"
@@ -32,6 +33,10 @@
 	log  []string
 	// faults are violations of a contract by the relay.
 	faults []string
+	// now is the time of the test.
+	now func() time.Time
+	// works are the runs at engines, in the order of their beginnings.
+	works []*work
 }
 
 // engine is one model engine.
@@ -52,6 +57,56 @@
 	streams []*stream
 }
 
+// overlapBound is how long an engine may go on with a run that has begun at another one.
+const overlapBound = 400 * time.Millisecond
+
+// work is a run at one engine, from its beginning until the engine sees the end of the request's connection.
+type work struct {
+	run    int
+	engine string
+	began  time.Time
+	active func() bool
+}
+
+// checkOverlap finds runs that two engines work on for too long.
+func (f *fleet) checkOverlap() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, earlier := range f.works {
+		for _, later := range f.works[i+1:] {
+			if later.run == earlier.run && later.engine != earlier.engine && earlier.active() &&
+				f.now().Sub(later.began) > overlapBound {
+				f.faults = append(f.faults, fmt.Sprintf("%s works on run %d long after %s has begun", earlier.engine, earlier.run, later.engine))
+			}
+		}
+	}
+}
+
+// lose runs a generation whose answer is lost, until its connection ends.
+func (f *fleet) lose(ctx context.Context, e *engine, h http.Header) (*exchange.Response, error) {
+	f.mu.Lock()
+	run, _, ok := f.begin(e, h)
+	if ok {
+		f.works = append(f.works, &work{run: run, engine: e.id, began: f.now(), active: func() bool { return !isOver(ctx.Done()) }})
+	}
+	f.mu.Unlock()
+	if !ok {
+		return plain(http.StatusServiceUnavailable, headerNotRun), nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// isOver reports whether a channel is closed.
+func isOver(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // memory is a copy of a run's memory.
 type memory struct {
 	run int
@@ -101,6 +156,22 @@
 	mode, held := next(&e.answers), e.held
 	f.note("%s -> %s%s", e.id, mode, describe(r.Header))
 	f.mu.Unlock()
+	if rest, dials := strings.CutPrefix(mode, "dial-"); dials {
+		mode = rest
+		select {
+		case <-held:
+		case <-ctx.Done():
+			return nil, f.notSent
+		}
+	}
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.note("%s gets nothing: %v", e.id, err)
+			return nil, f.notSent
+		}
+	}
 	if rest, hangs := strings.CutPrefix(mode, "hang-"); hangs {
 		mode = rest
 		select {
@@ -109,6 +180,9 @@
 			return nil, ctx.Err()
 		}
 	}
+	if mode == "lost" {
+		return f.lose(ctx, e, r.Header)
+	}
 	if rest, late := strings.CutPrefix(mode, "late-"); late {
 		// The answer was already on its way when the caller left.
 		mode = rest
@@ -159,9 +233,10 @@
 	}
 	s := &stream{
 		fleet: f, engine: e.id, run: run, next: after + 1, pieces: make(chan piece),
-		ended: ctx.Done(), closed: make(chan struct{}),
+		ended: ctx.Done(), cause: func() error { return context.Cause(ctx) }, closed: make(chan struct{}),
 	}
 	e.streams = append(e.streams, s)
+	f.works = append(f.works, &work{run: run, engine: e.id, began: f.now(), active: func() bool { return !s.isOver() && !isOver(s.ended) }})
 	f.backUp(h, run)
 	return &exchange.Response{Status: http.StatusOK, Header: http.Header{headerProof: {"1"}}, Body: s}, nil
 }
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -118,6 +118,27 @@
 	return idOf(x.engine), idOf(x.backup), x.split.Events()
 }
 
+func (x *run) logSwitchBegins(c *switchover) {
+	engine, backup, events := x.engineAndEvents()
+	x.log(event.StreamStalled,
+		slog.String(event.KeyServer, engine), slog.String(event.KeyBackup, backup), slog.Int(event.KeyEvents, events),
+		slog.Int64(event.KeySilent, c.silent.Milliseconds()))
+}
+
+// logSwitchEnded logs the outcome of a switch. The lock must be held.
+func (x *run) logSwitchEnded(c *switchover, o offerResult) {
+	outcome := c.outcome(o)
+	x.relay.Metrics.OrDiscard().Switches.Inc(outcome)
+	attrs := []slog.Attr{
+		slog.String(event.KeyServer, idOf(x.engine)), slog.String(event.KeyOutcome, outcome),
+		slog.Int64(event.KeySilent, x.relay.Clock.Since(c.began).Milliseconds()+c.silent.Milliseconds()),
+	}
+	if o.err != nil {
+		attrs = append(attrs, slog.String(event.KeyCause, o.err.Error()))
+	}
+	x.log(event.StreamSwitchEnded, attrs...)
+}
+
 func (x *run) logBroke(cause error) {
 	engine, backup, events := x.engineAndEvents()
 	x.log(event.StreamBroke,
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -186,7 +186,7 @@
 		x.logResent(t.from, c.Server, t.made+1, t.cause)
 	}
 	x.logSent(t.made+1, c, choice)
-	return x.offer(ctx, c.Server, backup, nil)
+	return x.offer(ctx, c.Server, backup, nil, nil)
 }
 
 // offerResult is the result of an offer to an engine.
@@ -201,14 +201,16 @@
 	err     error
 }
 
-// offer sends the generation to an engine and waits for the head of the answer.
-func (x *run) offer(ctx context.Context, engine, backup *registry.Server, from *backend.ResumePoint) offerResult {
+// offer sends the generation to an engine and waits for the head of the answer. beforeSend may be nil.
+func (x *run) offer(ctx context.Context, engine, backup *registry.Server, from *backend.ResumePoint, beforeSend func() error) offerResult {
 	start := x.relay.Clock.Now()
 	target := exchange.Target{Key: engine.ID, Addr: engine.Addr, MaxConns: x.job.Service.MaxConns}
-	bounded, giveUp := context.WithCancel(ctx)
-	resp, err := x.relay.Exchanger.Do(bounded, target, x.exchangeRequest(start, engine, backup, from))
+	bounded, giveUp := context.WithCancelCause(ctx)
+	request := x.exchangeRequest(start, engine, backup, from)
+	request.BeforeSend = beforeSend
+	resp, err := x.relay.Exchanger.Do(bounded, target, request)
 	if err != nil {
-		giveUp()
+		giveUp(nil)
 		o := x.offerFailed(ctx, engine, err)
 		o.refused = !o.arrived && x.relay.Clock.Since(start) <= immediateRefusal
 		return o
--- a/internal/streaming/poll.go
+++ b/internal/streaming/poll.go
@@ -53,7 +53,8 @@
 	g.SetLimit(maxConcurrentPolls)
 	for _, engine := range r.enginesToPoll() {
 		g.Go(func() error {
-			r.catch(panics.Poll, func() { r.poll(ctx, engine) }, slog.String(event.KeyServer, engine.ID))
+			// A panic is already logged.
+			_ = r.catch(panics.Poll, func() { r.poll(ctx, engine) }, slog.String(event.KeyServer, engine.ID))
 			return nil
 		})
 	}
--- a/internal/streaming/pump.go
+++ b/internal/streaming/pump.go
@@ -22,13 +22,13 @@
 			return &Broken{cause: err}
 		}
 		n, err := a.Body.Read(buf)
-		passErr := x.pass(ctx, buf[:n])
+		passErr := x.pass(buf[:n])
 		if err == nil && passErr == nil {
 			continue
 		}
 		a.close()
 		if passErr == nil {
-			passErr = x.endAnswer(ctx)
+			passErr = x.endAnswer(ctx, err)
 		}
 		if errors.Is(passErr, errSwitched) {
 			continue
@@ -46,14 +46,18 @@
 	}
 }
 
-// endAnswer clears the present answer, so that no switch starts before the stream resumes. It waits
-// for a pending switch.
-func (x *run) endAnswer(ctx context.Context) error {
-	if err := x.lockUnswitched(ctx); err != nil {
+// endAnswer clears the present answer, which ended with the given error, so that no switch starts before
+// the stream resumes. It waits for a pending switch.
+func (x *run) endAnswer(ctx context.Context, ended error) error {
+	if err := x.awaitSwitchover(ctx, ended); err != nil {
 		return err
 	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.answer = nil
-	x.mu.Unlock()
 	return nil
 }
 
@@ -63,17 +67,24 @@
 	return x.answer
 }
 
-// pass hands complete events to the sink. It first waits for a pending switch; if the switch
-// succeeded, the new engine sends these events again and the error is errSwitched.
-func (x *run) pass(ctx context.Context, p []byte) error {
+// pass hands complete events to the sink, or returns errSwitched if the stream has switched to another
+// engine, which sends them again.
+func (x *run) pass(p []byte) error {
 	if len(p) == 0 {
 		return nil
 	}
 	x.lastEvent.Store(x.relay.Clock.Now())
-	if err := x.lockUnswitched(ctx); err != nil {
-		return err
-	}
+	x.mu.Lock()
 	defer x.mu.Unlock()
+	if c := x.switchover; c != nil {
+		if c.answer != nil {
+			x.adopt(c)
+			return errSwitched
+		}
+		if !c.sent && !c.stops {
+			c.withdraw()
+		}
+	}
 	events, ok := x.split.Add(p)
 	if !ok {
 		return errors.New("an event is too large")
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -134,10 +134,10 @@
 		err = &Broken{cause: p}
 	}
 	cancel()
-	x.awaitSwitch()
+	x.cancelSwitch()
 	if err != nil {
-		// After awaitSwitch, as a switch to the backup may have been pending.
-		go x.catch(panics.Release, x.freeBackup)
+		// After cancelSwitch, as a switch to the backup may have been pending.
+		x.background(panics.Release, x.freeBackup)
 	}
 	return err
 }
--- a/internal/streaming/resume.go
+++ b/internal/streaming/resume.go
@@ -15,18 +15,20 @@
 	x.logBroke(cause)
 	at := x.movedCopy(ctx)
 	if at == nil || x.replaced(at.server) {
-		x.relay.ShutdownNotice.RecordStreamBreak(idOf(x.currentEngine()))
+		if !errors.Is(cause, errSilent) {
+			x.relay.ShutdownNotice.RecordStreamBreak(idOf(x.currentEngine()))
+		}
 		at = x.backupCopy()
 	}
-	a, err := x.continueAt(ctx, at)
-	if err != nil {
-		x.logLost(errors.Join(cause, err))
-		return errors.Join(cause, err)
+	o := x.continueAt(ctx, at, nil)
+	if o.err != nil {
+		x.logLost(errors.Join(cause, o.err))
+		return errors.Join(cause, o.err)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.split.DropPartial()
-	x.answer = a
+	x.answer = o.answer
 	return nil
 }
 
@@ -65,44 +67,49 @@
 }
 
 // continueAt sends the generation to the engine that holds a copy of its memory, to resume after
-// the last event that the caller has.
-func (x *run) continueAt(ctx context.Context, at *copyRef) (*answer, error) {
+// the last event that the caller has. c is set if the stream still runs at another engine.
+func (x *run) continueAt(ctx context.Context, at *copyRef, c *switchover) offerResult {
 	if at == nil {
-		return nil, errNoCopy
+		return offerResult{err: errNoCopy}
 	}
 	if x.replaced(at.server) {
-		return nil, errReplaced
+		return offerResult{err: errReplaced}
 	}
 	x.mu.Lock()
 	from := x.engine
 	last := x.split.LastID()
 	events := x.split.Events()
+	var beforeSend func() error
+	if c != nil {
+		c.resumeAfter = events
+		beforeSend = c.beforeSend
+	}
 	x.mu.Unlock()
 	if events == 0 {
-		return nil, errNoEvent
+		return offerResult{err: errNoEvent}
 	}
 	if !at.retryTaken && !x.relay.RetryBudget.TakeRetry(x.job.Service.Name) {
-		return nil, errBudgetSpent
+		return offerResult{err: errBudgetSpent}
 	}
 	if !x.relay.Picker.CanContinue(at.server, at.counted) {
-		return nil, errHeldOff
+		return offerResult{err: errHeldOff}
 	}
 	start := x.relay.Clock.Now()
 	need := &picker.Requirements{PromptTokens: x.job.Request.PromptTokens, ExpectedTokens: x.expected, Homes: x.job.Regions, Avoid: []string{from.ID}}
 	choice := x.chooseBackup(at.server, need)
 	resumePoint := &backend.ResumePoint{Holder: at.holder, Copy: at.name, LastEvent: last}
-	o := x.offer(ctx, at.server, choice.server, resumePoint)
+	o := x.offer(ctx, at.server, choice.server, resumePoint, beforeSend)
 	if o.err == nil && o.answer.Status != okStatus {
 		o.answer.close()
-		o.err = errNotContinued
+		o = offerResult{arrived: true, err: errNotContinued}
 	}
 	if o.err != nil {
 		x.logMoveFailed(from, at.server, o.err)
-		return nil, o.err
+		return o
 	}
 	x.recordResumed(from, at, choice)
 	x.logMoved(from, at, x.relay.Clock.Since(start))
-	return o.answer, nil
+	return o
 }
 
 // recordResumed accounts for the generation at the engine where it resumed.
--- a/internal/streaming/rig_test.go
+++ b/internal/streaming/rig_test.go
@@ -78,6 +78,7 @@
 
 func newRig(f *fleet, tm terms, ids ...string) *rig {
 	r := &rig{fleet: f, clock: clockwork.NewFakeClockAt(time.Unix(1000, 0)), servers: make(map[string]registry.Server)}
+	f.now = r.clock.Now
 	r.service = &routetable.Service{Name: "chat", Engine: &routetable.Engine{
 		Slots: 20, MemoryTokens: 100000, Moves: true, Backups: tm.backups, TokensPerEvent: 4,
 		CopyTTL: 2 * time.Second, TokenBytes: 160000, LinkMbps: float64(tm.linkMbps),
@@ -174,6 +175,7 @@
 	for left := d; left > 0; left -= step {
 		r.clock.Advance(min(left, step))
 		synctest.Wait()
+		r.fleet.checkOverlap()
 	}
 }
 
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -33,7 +33,8 @@
 //	new [no-backups] [retries=N] [expected=N] [most=N] [link=MBPS] [objective=DURATION] [urgent=DURATION] ENGINE...
 //	                             a relay; engines are picked in this order
 //	start [within=DURATION]      the caller sends its generation
-//	answers ENGINE MODE...       outcomes of the next requests to the engine
+//	answers ENGINE MODE...       outcomes of the next requests to the engine: dial-MODE hangs before the request
+//	                             is sent, hang-MODE before it begins, lost ones run without an answer
 //	moves ENGINE MODE...         outcomes of the next copy calls to the engine
 //	say ENGINE N / part ENGINE [N]   the engine's newest stream sends N events / N and a part of one
 //	end ENGINE / break ENGINE    it ends cleanly / breaks
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -25,6 +25,8 @@
 	StreamsMoved *counters
 	// MovesFailed counts streams that a server failed to continue, by cause.
 	MovesFailed *counters
+	// Switches counts switches of stalled streams to the engine with their copy, by outcome.
+	Switches *counters
 	// CopiesFreed counts copies that are no longer needed, by whether their memory was freed.
 	CopiesFreed *counters
 	// StreamsLost counts streams that were cut at the caller, by cause.
@@ -176,6 +178,7 @@
 	m.Resends = m.counters("resends_total", "attempts repeated on another server", "cause")
 	m.StreamsMoved = m.counters("streams_moved_total", "streams that went on from another server", "way")
 	m.MovesFailed = m.counters("stream_moves_failed_total", "streams that a server could not take over", "cause")
+	m.Switches = m.counters("stream_switches_total", "switches of stalled streams to the server with their copy", "outcome")
 	m.CopiesFreed = m.counters("copies_freed_total", "copies that no stream goes on from", "result")
 	m.StreamsLost = m.counters("streams_lost_total", "streams cut at the caller", "cause")
 	m.OverloadRefusals = m.counters("crowded_total", "generations refused as no engine would begin them in time", "route")
