front: TestBodyByteByByte moves its clock once the box waits for the caller

Cause, of the test: the last byte is counted before the box begins to wait for the next one. Moved in between, the clock gave the caller no idle time, so that nobody was slow enough to be dropped, and it was not moved again.

Change: the test's listener shows when everything sent was read and a read for more has begun, which is after the wait has. The checks are the same, and what is counted is compared as well.

--- a/internal/front/slow_test.go
+++ b/internal/front/slow_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,7 +26,12 @@
 
 // newSlowRig has large answers and buffer limits.
 func newSlowRig(t *testing.T, limits bufferlimit.Limits) *rig {
-	r := newRigWith(t, time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC), limits)
+	return newSlowRigOn(t, limits, func(ln net.Listener) net.Listener { return smallListener{ln} })
+}
+
+// newSlowRigOn wraps the listener.
+func newSlowRigOn(t *testing.T, limits bufferlimit.Limits, wrap func(net.Listener) net.Listener) *rig {
+	r := startRig(t, time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC), limits, wrap)
 	s := spec()
 	s.HasAccounts = true
 	s.Keys = map[string]routetable.Account{"kb": {Name: "big"}, "ks": {Name: "small"}}
@@ -199,19 +205,66 @@
 	require.Equal(t, "good", r.call().send(head+body).read().text)
 }
 
+// pendingReads counts the reads of its connections that have begun, and those that have ended.
+type pendingReads struct {
+	net.Listener
+
+	begun, ended atomic.Int64
+	// bytes is what was read.
+	bytes atomic.Int64
+}
+
+func (l *pendingReads) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{TCPConn: nc.(*net.TCPConn), reads: l}, nil
+}
+
+// waits reports whether everything that was sent, so many bytes, was read, and a read for more has begun.
+func (l *pendingReads) waits(sent int) bool {
+	return l.bytes.Load() == int64(sent) && l.begun.Load() > l.ended.Load()
+}
+
+type countedConn struct {
+	*net.TCPConn
+
+	reads *pendingReads
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	c.reads.begun.Add(1)
+	n, err := c.TCPConn.Read(p)
+	c.reads.ended.Add(1)
+	c.reads.bytes.Add(int64(n))
+	return n, err
+}
+
 // TestBodyByteByByte: a body that arrives one byte a second is read as long as there is buffer
 // capacity. When another caller needs it, the slow one is told that its request has not run.
 func TestBodyByteByByte(t *testing.T) {
-	r := newSlowRig(t, bufferlimit.Limits{Box: 1 << 20})
+	reads := &pendingReads{}
+	r := newSlowRigOn(t, bufferlimit.Limits{Box: 1 << 20}, func(ln net.Listener) net.Listener {
+		reads.Listener = ln
+		return reads
+	})
 	jobs := r.capture()
-	c := r.call().send("POST / HTTP/1.1\nHost: plain.test\nX-Wait: 1h\nContent-Length: 2000000\n\n" + strings.Repeat("b", 1000<<10))
+	head := "POST / HTTP/1.1\r\nHost: plain.test\r\nX-Wait: 1h\r\nContent-Length: 2000000\r\n\r\n"
+	c := r.call()
+	_, err := io.WriteString(c.Conn, head+strings.Repeat("b", 1000<<10))
+	require.NoError(t, err)
+	sent := len(head) + 1000<<10
 	for n := range 30 {
-		r.await(func() bool { kept, _ := r.Buffers.Buffered(); return kept == int64(1000<<10+n) })
+		// The box waits for the caller only from the read for the next byte on.
+		r.await(func() bool { return reads.waits(sent + n) })
 		r.clock.Advance(time.Second)
 		_, err := io.WriteString(c.Conn, "b")
 		require.NoError(t, err)
 	}
-	r.await(func() bool { kept, _ := r.Buffers.Buffered(); return kept == 1000<<10+30 })
+	r.await(func() bool { return reads.waits(sent + 30) })
+	kept, _ := r.Buffers.Buffered()
+	require.Equal(t, int64(1000<<10+30), kept)
 	require.Equal(t, 1, r.OpenRequests())
 	r.clock.Advance(time.Second)
 	body := strings.Repeat("c", 100<<10)
