soak/check: a request that ends at its route's timeout was not cut by a planned stop

Cause: engines that turn slow let streams reach their route's 6 s, which the soak never saw before.

The history has each request's timeout now, and Kept leaves out what took that long or longer.

Result: TestKeptInAPlannedStop has both sides of the bound, and passes.

--- a/internal/soak/callers/traffic.go
+++ b/internal/soak/callers/traffic.go
@@ -71,7 +71,7 @@
 	o := &order{wait: plainWait, Request: history.Request{
 		ID: id, Method: methods[rng.IntN(len(methods))], Host: host, Key: key, Account: operator.Account(key),
 		URI:        fmt.Sprintf("/a%%2F%d|b/?q=%%20%d&q", rng.IntN(100), rng.IntN(100)),
-		Repeatable: host != operator.OnceHost && host != operator.ChatHost,
+		Repeatable: host != operator.OnceHost && host != operator.ChatHost, Timeout: operator.Timeout(host),
 	}}
 	if o.Method != http.MethodGet {
 		o.chunked = rng.IntN(2) == 0
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -328,6 +328,12 @@
 		h.Troubles = append(h.Troubles, d)
 		kept(t, Kept, h)
 	}
+	// It ended at its route's timeout, or shortly before.
+	h = stopping()
+	h.Requests[0].Timeout = h.Requests[0].Done - h.Requests[0].Sent
+	kept(t, Kept, h)
+	h.Requests[0].Timeout++
+	broken(t, Kept, h)
 	// It was not passed on and may have crossed the end of the connection.
 	h = stopping()
 	h.Arrivals = nil
--- a/internal/soak/history/events.go
+++ b/internal/soak/history/events.go
@@ -18,6 +18,8 @@
 	Repeatable bool `json:"repeatable,omitempty"`
 	// Events is the number of events of a whole stream; 0 is a single answer.
 	Events int `json:"events,omitempty"`
+	// Timeout is how long its route lets it take; 0 is no bound.
+	Timeout time.Duration `json:"timeout,omitempty"`
 	// Segments are the prompt segments that other requests have too.
 	Segments []string `json:"segments,omitempty"`
 
--- a/internal/soak/operator/operator.go
+++ b/internal/soak/operator/operator.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/dalebend/dalebend/internal/soak/history"
 	"github.com/dalebend/dalebend/platform/standin"
@@ -138,6 +139,11 @@
 	return c
 }
 
+// Timeout returns how long the route of a host lets a request take.
+func Timeout(host string) time.Duration {
+	return time.Duration(route(host, "").TimeoutMs) * time.Millisecond
+}
+
 // route returns the route of a host, whose type goes by the host.
 func route(host, service string) standin.ConfigRoute {
 	r := standin.ConfigRoute{
