soak/check: a stream whose answer the engine lost was broken off by the server

Traced: call-1-12 goes on from a stalled engine at server-5, whose answer is one of those that the soak loses (its work ends at 4.481 s, the box's line at the same time: unanswered: EOF); its first engine had to stop 200 ms after the send, the retry budget was spent, and the stream was cut at 4.482 s.

The history says which engines sent nothing of their answer.

Result: TestKeptInAPlannedStop has a stream that such an engine went on with, and another one's; it passes.

--- a/internal/soak/backends/serve.go
+++ b/internal/soak/backends/serve.go
@@ -68,7 +68,7 @@
 
 // generate runs a generation to its end and writes it down.
 func (f *Fleet) generate(server string, r *standin.Generation) {
-	work := history.Work{ID: r.ID, Server: server, Continued: r.Continued, From: f.Record.Now()}
+	work := history.Work{ID: r.ID, Server: server, Continued: r.Continued, AnswerLost: r.AnswerLost, From: f.Record.Now()}
 	for r.Generated() < Events(r.ID) && f.awaitEvent(server, r) {
 		if err := r.Emit(1); err != nil {
 			f.Logger.Debug("generation ends early", "id", r.ID, "error", err)
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -334,6 +334,12 @@
 	kept(t, Kept, h)
 	h.Requests[0].Timeout++
 	broken(t, Kept, h)
+	// The engine that went on with it gave no answer, or did so to another request.
+	h = stopping()
+	h.Works = []history.Work{{ID: h.Requests[0].ID, Continued: true, AnswerLost: true}}
+	kept(t, Kept, h)
+	h.Works[0].ID = "another"
+	broken(t, Kept, h)
 	// It was not passed on and may have crossed the end of the connection.
 	h = stopping()
 	h.Arrivals = nil
--- a/internal/soak/history/events.go
+++ b/internal/soak/history/events.go
@@ -94,11 +94,13 @@
 
 // Work is a generation at one engine, from its beginning there to its end.
 type Work struct {
-	ID        string        `json:"id"`
-	Server    string        `json:"server"`
-	Continued bool          `json:"continued,omitempty"`
-	From      time.Duration `json:"from"`
-	To        time.Duration `json:"to"`
+	ID        string `json:"id"`
+	Server    string `json:"server"`
+	Continued bool   `json:"continued,omitempty"`
+	// AnswerLost is set if the engine sends nothing of its answer.
+	AnswerLost bool          `json:"answerLost,omitempty"`
+	From       time.Duration `json:"from"`
+	To         time.Duration `json:"to"`
 }
 
 // Version is a version of the configuration, once the store has taken it.
