--- /dev/null
+++ b/internal/soak/check/kept_test.go
@@ -0,0 +1,59 @@
+package check
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/dalebend/dalebend/internal/soak/history"
+)
+
+func TestKeptInAPlannedStop(t *testing.T) {
+	kept(t, Kept, calm())
+	h := stopping()
+	broken(t, Kept, h)
+	h.Troubles = append(h.Troubles, trouble(history.OnStore, "", 10000, 10050), trouble(history.OnStoreLink, "a", 10000, 10050))
+	broken(t, Kept, h)
+	for _, d := range []history.Trouble{trouble(history.OnBox, "a", 7200, 7300), trouble(history.OnServer, "s", 7200, 7300)} {
+		h := stopping()
+		h.Troubles = append(h.Troubles, d)
+		kept(t, Kept, h)
+	}
+	// It ended at its route's timeout, or shortly before.
+	h = stopping()
+	h.Requests[0].Timeout = h.Requests[0].Done - h.Requests[0].Sent
+	kept(t, Kept, h)
+	h.Requests[0].Timeout++
+	broken(t, Kept, h)
+	// The engine that went on with it gave no answer, or did so to another request.
+	h = stopping()
+	h.Works = []history.Work{{ID: h.Requests[0].ID, Continued: true, AnswerLost: true}}
+	kept(t, Kept, h)
+	h.Works[0].ID = "another"
+	broken(t, Kept, h)
+	// It was not passed on and may have crossed the end of the connection.
+	h = stopping()
+	h.Arrivals = nil
+	kept(t, Kept, h)
+	h.Requests[0].Done = ms(10800)
+	broken(t, Kept, h)
+	h = stopping()
+	h.Requests[0].GivenUp = true
+	kept(t, Kept, h)
+	// Sent in time, and still at work in the last sixth of the grace.
+	h = stopping()
+	h.Requests[0].Done = ms(14500)
+	kept(t, Kept, h)
+	h.Requests[0].Sent = ms(12500)
+	broken(t, Kept, h)
+}
+
+func TestKeptAtOtherTimes(t *testing.T) {
+	h := calm()
+	for n := range lostMost + 1 {
+		kept(t, Kept, h)
+		id := fmt.Sprint("lost", n)
+		h.Requests = append(h.Requests, asked(id, cut))
+		h.Arrivals = append(h.Arrivals, came(id, nil))
+	}
+	broken(t, Kept, h)
+}
