decisionlog: a line names its request and its server first

The log now puts request and server before all other keys. TestCutLineNamesRequestAndServer failed before (1 of 1).

--- a/internal/decisionlog/event/document.go
+++ b/internal/decisionlog/event/document.go
@@ -12,7 +12,8 @@
 touches a request, every change of what the box believes, and the start, stop and
 reload of the process. Every line has ` + "`time`" + ` (the box's own clock, UTC, microseconds),
 ` + "`level`" + `, ` + "`event`" + ` and ` + "`box`" + `. Durations are whole milliseconds and end in ` + "`_ms`" + `;
-` + "`ms`" + ` is the time since the request arrived. A key that does not apply is left out.
+` + "`ms`" + ` is the time since the request arrived. A key that does not apply is left out. ` + "`request`" + ` and ` + "`server`" + ` come first, so
+that a line that is cut still names them.
 
 Writing never delays a request. Lines wait in a bounded queue; each event also has a
 budget of its own, so that a frequent one does not crowd out the others. Lines that
--- a/internal/decisionlog/log.go
+++ b/internal/decisionlog/log.go
@@ -162,7 +162,7 @@
 		return
 	}
 	// Only the queue's Write can fail.
-	if err := render.Handle(context.Background(), r); err != nil {
+	if err := render.Handle(context.Background(), ordered(r)); err != nil {
 		l.dropQueueFull(r.Message)
 	}
 }
--- a/internal/decisionlog/log_test.go
+++ b/internal/decisionlog/log_test.go
@@ -106,6 +106,17 @@
 `, out.String())
 }
 
+// TestCutLineNamesRequestAndServer: the first 200 bytes of a line tell which request and server it is about.
+func TestCutLineNamesRequestAndServer(t *testing.T) {
+	var out bytes.Buffer
+	log := decisionlog.New(&out, clockwork.NewFakeClockAt(start), "edge-kumamoto-hall-3")
+	stop := run(log)
+	log.Emit(event.RequestSent, slog.Int(event.KeyAttempt, 1), slog.String(event.KeyServer, "i-705bdab2~E-Ci"),
+		slog.String(event.KeyCause, strings.Repeat("x", 300)), slog.String(event.KeyRequest, "ab09865596a66307"))
+	stop()
+	require.Contains(t, out.String()[:200], `"request":"ab09865596a66307","server":"i-705bdab2~E-Ci","attempt":1,`)
+}
+
 // TestLevel checks that lines below the level are left out and not counted as dropped.
 func TestLevel(t *testing.T) {
 	for level, want := range map[slog.Level][]string{
