sendlog, freshness: a box logs from whom it learned that a server leaves, and each send near or after that

New lines: server-left names the state, who told, and how old the state was by which the box decided until then (server-left-late from half of the bound on); sent-before-left and sent-late name the requests that may have been sent after the server left, sent-to-leaving those that were; server-back a server that is believed again. The age is that of a contact all of whose versions the box has (package freshness): until now view_age_ms was the age of any box's contact. Notes name their sender. Decisions are unchanged.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -27,6 +27,7 @@
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/freshness"
 	"github.com/dalebend/dalebend/internal/front"
 	"github.com/dalebend/dalebend/internal/holdoff"
 	"github.com/dalebend/dalebend/internal/member"
@@ -42,6 +43,7 @@
 	"github.com/dalebend/dalebend/internal/retrybudget"
 	"github.com/dalebend/dalebend/internal/retrypriority"
 	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/sendlog"
 	"github.com/dalebend/dalebend/internal/serverlimit"
 	"github.com/dalebend/dalebend/internal/serverpath"
 	"github.com/dalebend/dalebend/internal/shutdownnotice"
@@ -146,6 +148,10 @@
 	stopping atomic.Bool
 	// outages tracks the contacts of all boxes with the store.
 	outages outage.Tracker
+	// fresh tells until when this box knows all changes of the store.
+	fresh freshness.Tracker
+	// sends records the sends to servers that leave.
+	sends *sendlog.Tracker
 	// contact is closed when the box first learns that some box reached the store.
 	contact     chan struct{}
 	contactOnce sync.Once
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -32,6 +32,7 @@
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/retrybudget"
 	"github.com/dalebend/dalebend/internal/retrypriority"
+	"github.com/dalebend/dalebend/internal/sendlog"
 	"github.com/dalebend/dalebend/internal/serverlimit"
 	"github.com/dalebend/dalebend/internal/shutdownnotice"
 	"github.com/dalebend/dalebend/internal/storewatch"
@@ -59,8 +60,11 @@
 
 // buildServers creates the directory of backend servers.
 func (b *Box) buildServers() {
+	b.sends = &sendlog.Tracker{
+		Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics, Bound: b.Settings.ChangeBound, Confirmed: b.fresh.Confirmed,
+	}
 	b.directory = &registry.Directory{
-		Clock: b.Clock, StoreReturned: b.outages.Returned, OnLeft: b.onServersLeft, ColdTime: b.coldTime,
+		Clock: b.Clock, StoreReturned: b.outages.Returned, OnLeft: b.onServersLeft, OnJoined: b.onServersJoined, ColdTime: b.coldTime,
 		// The rest of the bound is for the news to arrive.
 		ContinueGrace: b.Settings.ChangeBound / 2,
 	}
@@ -75,7 +79,7 @@
 	}
 	b.departures = &departure.Tracker{
 		Clock: b.Clock, Logger: b.Logger, Servers: b.directory, Box: b.Settings.Box, Live: b.liveNames,
-		Broadcast: b.broadcastNote, Draw: b.random(randForDepartures).Float64,
+		Broadcast: b.broadcastNote, Draw: b.random(randForDepartures).Float64, OnLeaving: b.onServerLeaving,
 	}
 	b.holdOffs = &holdoff.Tracker{
 		Clock: b.Clock, Logger: b.Logger, Metrics: b.Metrics, Draw: b.random(randForHoldOffs).Float64,
@@ -163,6 +167,7 @@
 func (b *Box) conditionReader() *reader.Reader {
 	return &reader.Reader{
 		Exchanger: b.Exchange, Clock: b.Clock, Codec: b.Platform.Codec, Servers: b.directory, Tracker: b.conditions,
+		Sends: b.sends,
 	}
 }
 
--- a/internal/box/contact.go
+++ b/internal/box/contact.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/freshness"
 )
 
 // onStoreContact is called after each answer of the store. Boxes that rely on this one ask the store
@@ -20,13 +21,16 @@
 	s := b.election.Store()
 	b.outages.RecordFailure(s.LastFailure)
 	b.outages.RecordContact(s.LastContact)
+	b.fresh.RecordReport(s.LastContact, b.heldVersions())
 }
 
 // recordPeerContact records a peer's last contact with the store, or its failure to reach it.
 func (b *Box) recordPeerContact(d *digest.Digest) {
 	now := b.Clock.Now()
 	if d.StoreReachable && d.StoreAgeMs >= 0 {
-		b.outages.RecordContact(now.Add(-time.Duration(d.StoreAgeMs) * time.Millisecond))
+		at := now.Add(-time.Duration(d.StoreAgeMs) * time.Millisecond)
+		b.outages.RecordContact(at)
+		b.fresh.RecordReport(at, freshness.Versions{Config: d.ConfigVersion, View: d.ViewRevision, Cordons: d.CordonRevision})
 	} else if d.StoreTried {
 		b.outages.RecordFailure(now)
 	}
--- a/internal/box/note_test.go
+++ b/internal/box/note_test.go
@@ -19,7 +19,7 @@
 	peer := &retrypriority.Tracker{Clock: clock, Broadcast: func(note []byte) { notes <- note }}
 	peer.RecordRefusal(7, "kiosk", time.Second)
 	clock.Advance(time.Second)
-	b.receiveNote(<-notes)
+	b.receiveNote("peer", <-notes)
 	require.True(t, b.retryPriority.Claim(7))
 }
 
@@ -32,7 +32,7 @@
 	peer := &accountshare.Tracker{Clock: clock, Broadcast: func(note []byte) { notes <- note }}
 	peer.RecordTokens("large", 10_000)
 	clock.Advance(time.Second)
-	b.receiveNote(<-notes)
+	b.receiveNote("peer", <-notes)
 	b.accountShares.RecordRefusal("small")
 	require.True(t, b.accountShares.OverShare("large"))
 }
--- a/internal/box/peers.go
+++ b/internal/box/peers.go
@@ -38,7 +38,7 @@
 func (b *Box) broadcastNote(note []byte) { b.node.BroadcastNote(note) }
 
 // receiveNote passes a peer's note to its tracker.
-func (b *Box) receiveNote(note []byte) {
+func (b *Box) receiveNote(from string, note []byte) {
 	switch {
 	case retrypriority.IsNote(note):
 		b.retryPriority.ReceiveNote(note)
@@ -51,7 +51,7 @@
 	case departure.IsNote(note):
 		b.departures.ReceiveNote(note)
 	default:
-		b.share.ReceiveChange(note)
+		b.share.ReceiveChange(from, note)
 	}
 }
 
--- a/internal/box/state.go
+++ b/internal/box/state.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/freshness"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
+	"github.com/dalebend/dalebend/internal/sendlog"
 	"github.com/dalebend/dalebend/internal/staleness"
 	"github.com/dalebend/dalebend/internal/viewshare"
 )
@@ -36,16 +38,24 @@
 	if v := b.share.View(); v != nil {
 		s.ViewRevision = v.Revision
 	}
-	contact := b.watcher.Status().LastContact
-	if at := b.outages.LastContact(); at.After(contact) {
-		contact = at
-	}
-	if !contact.IsZero() {
-		s.Age = max(0, b.Clock.Since(contact))
+	if at := b.fresh.Confirmed(); !at.IsZero() {
+		s.Age = max(0, b.Clock.Since(at))
 	}
 	return s
 }
 
+// heldVersions returns the versions that this box has.
+func (b *Box) heldVersions() freshness.Versions {
+	v := freshness.Versions{Cordons: b.directory.Cordons().Revision}
+	if t := b.share.Table(); t != nil {
+		v.Config = t.Version()
+	}
+	if view := b.share.View(); view != nil {
+		v.View = view.Revision
+	}
+	return v
+}
+
 // onConfigRead is called with each configuration read from the store.
 func (b *Box) onConfigRead(doc []byte) { b.share.OfferConfig(doc) }
 
@@ -62,6 +72,7 @@
 	if !b.directory.SetCordons(c) {
 		return
 	}
+	b.fresh.RecordHeld(b.heldVersions())
 	b.node.TriggerHeartbeat()
 	if before.Revision > 0 && slices.Equal(before.Domains, c.Domains) {
 		return
@@ -72,6 +83,7 @@
 
 // onTable is called when a newer configuration is in force.
 func (b *Box) onTable(t *routetable.Table) {
+	b.fresh.RecordHeld(b.heldVersions())
 	source, _ := b.share.Sources()
 	b.log(event.ConfigInForce, staleness.Source(b.knownState).AppendConfigAge([]slog.Attr{
 		slog.Int64(event.KeyVersion, t.Version()), slog.String(event.KeySource, source),
@@ -87,6 +99,7 @@
 	b.outages.RecordView(b.Clock.Now())
 	b.publishView()
 	b.directory.Set(&v)
+	b.fresh.RecordHeld(b.heldVersions())
 	b.forgetGoneServers()
 	b.gate.ServersChanged()
 	b.logView(&v)
@@ -108,6 +121,7 @@
 	b.prefillDemand.Retain(b.directory.Known)
 	b.conditions.Retain(b.directory.Known)
 	b.paths.Retain(b.directory.Known)
+	b.sends.Retain(b.directory.Known)
 }
 
 // publishView sends the peers at once a view that this box read from the store, and its first view.
@@ -125,9 +139,36 @@
 
 // onServersLeft is called when backend servers start to leave or are gone.
 func (b *Box) onServersLeft(ids []string) {
+	for _, id := range ids {
+		b.sends.RecordLeft(id, b.stateOf(id), b.share.Teller())
+	}
 	b.streams.Evacuate(ids)
 }
 
+// onServersJoined is called when backend servers become members.
+func (b *Box) onServersJoined(ids []string) {
+	for _, id := range ids {
+		b.sends.RecordBack(id, b.share.Teller())
+	}
+}
+
+// onServerLeaving is called when a backend server said in an answer that it leaves.
+func (b *Box) onServerLeaving(id, source string) {
+	b.sends.RecordLeft(id, sendlog.Declining, source)
+}
+
+// stateOf returns what is known of a server that has left.
+func (b *Box) stateOf(id string) sendlog.State {
+	switch s := b.directory.Lookup(id); {
+	case s == nil:
+		return sendlog.Gone
+	case s.State == registry.Draining:
+		return sendlog.Draining
+	default:
+		return sendlog.Departing
+	}
+}
+
 // unreachable is the only cause of ejections in the metrics.
 const unreachable = "unreachable"
 
--- a/internal/condition/reader/reader.go
+++ b/internal/condition/reader/reader.go
@@ -14,6 +14,7 @@
 	"github.com/dalebend/dalebend/internal/backend"
 	"github.com/dalebend/dalebend/internal/condition"
 	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/sendlog"
 )
 
 // Exchanger sends requests, and finds out whether a server accepts connections.
@@ -38,6 +39,8 @@
 	Codec   backend.Codec
 	Servers Servers
 	Tracker *condition.Tracker
+	// Sends records each request that is about to be written; it may be nil.
+	Sends *sendlog.Tracker
 }
 
 // errLeft means that a request is not sent because its server has begun to leave, or is gone.
@@ -49,10 +52,16 @@
 func (r *Reader) Do(ctx context.Context, t exchange.Target, request *exchange.Request) (*exchange.Response, error) {
 	beforeSend := request.BeforeSend
 	request.BeforeSend = func() error {
-		if err := r.checkSend(t.Key, request.Continues); err != nil || beforeSend == nil {
+		if err := r.checkSend(t.Key, request.Continues); err != nil {
 			return err
 		}
-		return beforeSend()
+		if beforeSend != nil {
+			if err := beforeSend(); err != nil {
+				return err
+			}
+		}
+		r.Sends.RecordSend(t.Key, request.ID)
+		return nil
 	}
 	sent := r.Clock.Now()
 	r.Tracker.RecordSent(t.Key)
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -105,6 +105,15 @@
 	// report.
 	KeyCondition = "word"
 	KeyAge       = "age_ms"
+	// KeyState is what a box learned of a server that leaves, KeyKnown the time since then. KeyUnconfirmed is how
+	// old the state was that the box decided by until then.
+	KeyState       = "state"
+	KeyKnown       = "known_ms"
+	KeyUnconfirmed = "unconfirmed_ms"
+	// KeySentAgo is the time since a send, KeyLateBy the longest time for which its server may have been
+	// leaving by then.
+	KeySentAgo = "sent_ago_ms"
+	KeyLateBy  = "late_ms"
 	// KeyPerSecond is a rate in requests per second.
 	KeyPerSecond = "per_second"
 	// KeyLeavesIn is the time until a server ends, as it reported.
--- a/internal/departure/tracker.go
+++ b/internal/departure/tracker.go
@@ -30,6 +30,9 @@
 	Live func() []string
 	// Broadcast sends a note to all other boxes. It must not block.
 	Broadcast func(note []byte)
+	// OnLeaving, if set, is called with each server that is new here, and with who told of it. It must not
+	// call the Tracker.
+	OnLeaving func(server, source string)
 	// Draw returns a random number from 0 to 1, by which live boxes spread their notes.
 	Draw func() float64
 
@@ -105,4 +108,7 @@
 	b.known.Store(int64(len(b.servers)))
 	b.Servers.Decline(d.server)
 	b.logLeaving(d)
+	if b.OnLeaving != nil {
+		b.OnLeaving(d.server, d.source)
+	}
 }
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -32,6 +32,8 @@
 	// Matches reports whether an answer with this header belongs to the request. Nil accepts any
 	// answer.
 	Matches func(http.Header) bool
+	// ID is the id that the caller gave the request, for logs; it is not sent by itself.
+	ID string
 	// Account is the client account that the request is made for, and Service the service that it is sent
 	// to. Model and Segments are the model that reads its prompt and the segments of that which other
 	// requests may have too. None of them is sent.
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -39,8 +39,9 @@
 	// OnPresent, if set, gets the names of boxes that are present and whose state has not changed.
 	// The list is read only.
 	OnPresent func(boxes []string)
-	// OnNote, if set, gets each note broadcast by another box, once.
-	OnNote func(data []byte)
+	// OnNote, if set, gets each note broadcast by another box, once. from is the name of that box, "" if it
+	// is not known here.
+	OnNote func(from string, data []byte)
 	// OnChange, if set, is called after the live boxes changed, with the names of those that were
 	// lost.
 	OnChange func(lost []string)
@@ -72,7 +73,7 @@
 	// pendingDigests and pendingNotes were taken from a datagram and go to OnDigest and OnNote
 	// next.
 	pendingDigests []*digest.Digest
-	pendingNotes   [][]byte
+	pendingNotes   []pendingNote
 	// noteSeq is the sequence number of this box's last note.
 	noteSeq uint64
 	// changed means that the live boxes have changed since publishLive.
@@ -100,6 +101,12 @@
 	reported time.Time
 }
 
+// pendingNote is a note and the name of the box that broadcast it.
+type pendingNote struct {
+	from string
+	data []byte
+}
+
 // datagram is a decoded datagram: either a digest or a bundle.
 type datagram struct {
 	digest *digest.Digest
--- a/internal/member/outbox.go
+++ b/internal/member/outbox.go
@@ -153,7 +153,7 @@
 	for _, item := range b.Items {
 		switch {
 		case item.Note != nil:
-			n.pendingNotes = append(n.pendingNotes, item.Note.Data)
+			n.pendingNotes = append(n.pendingNotes, pendingNote{from: n.nameOf(item.Note.Key), data: item.Note.Data})
 			n.out.add(item, b.Reach, true, now)
 		case item.Presence != nil:
 			n.receivePresence(item.Presence, b, now)
@@ -165,6 +165,14 @@
 	n.answerRequest(b)
 }
 
+// nameOf returns the name of the box with an incarnation key, "" if it is not known.
+func (n *Node) nameOf(key uint64) string {
+	if p := n.peers.byKey[key]; p != nil {
+		return p.box.Name
+	}
+	return ""
+}
+
 // receiveState applies a digest or update, and forwards it if it is new.
 func (n *Node) receiveState(item *digest.Item, b *digest.Bundle, now time.Time) {
 	old := n.currentState(item)
--- a/internal/member/receive.go
+++ b/internal/member/receive.go
@@ -124,9 +124,9 @@
 	}
 	clear(n.pendingDigests)
 	n.pendingDigests = n.pendingDigests[:0]
-	for _, data := range n.pendingNotes {
+	for _, note := range n.pendingNotes {
 		if n.OnNote != nil {
-			n.OnNote(data)
+			n.OnNote(note.from, note.data)
 		}
 	}
 	clear(n.pendingNotes)
--- a/internal/member/spread_test.go
+++ b/internal/member/spread_test.go
@@ -70,7 +70,7 @@
 	repeated int
 }
 
-func (b *teller) note(data []byte) {
+func (b *teller) note(_ string, data []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, ok := b.noted[string(data)]; ok {
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -28,6 +28,8 @@
 	StoreReturned func() time.Time
 	// OnLeft, if set, is called with the servers that have just begun to leave or are gone.
 	OnLeft func(ids []string)
+	// OnJoined, if set, is called with the servers that have just become members.
+	OnJoined func(ids []string)
 	// ColdTime, if set, returns how long a server of a service is cold after its start.
 	ColdTime func(service string) time.Duration
 	// ContinueGrace is how long after a server was first observed leaving the work that it holds may still go
@@ -56,15 +58,21 @@
 // Set applies a newer view.
 func (d *Directory) Set(v *View) {
 	d.mu.Lock()
-	left := d.rebuild(v)
+	c := d.rebuild(v)
 	d.mu.Unlock()
-	d.notifyLeft(left)
+	d.notify(c)
 }
 
-// notifyLeft calls OnLeft with servers that have just begun to leave or are gone.
-func (d *Directory) notifyLeft(left []string) {
-	if len(left) > 0 && d.OnLeft != nil {
-		d.OnLeft(left)
+// changes are the instances that a rebuild removed from the members and added to them.
+type changes struct{ left, joined []string }
+
+// notify calls OnLeft and OnJoined.
+func (d *Directory) notify(c changes) {
+	if len(c.left) > 0 && d.OnLeft != nil {
+		d.OnLeft(c.left)
+	}
+	if len(c.joined) > 0 && d.OnJoined != nil {
+		d.OnJoined(c.joined)
 	}
 }
 
@@ -77,12 +85,12 @@
 		return false
 	}
 	d.cordons.Store(&c)
-	var left []string
+	var ch changes
 	if v := d.View(); v != nil {
-		left = d.rebuild(v)
+		ch = d.rebuild(v)
 	}
 	d.mu.Unlock()
-	d.notifyLeft(left)
+	d.notify(ch)
 	return true
 }
 
@@ -97,10 +105,9 @@
 // Cordoned reports whether the servers of a failure domain get no new work.
 func (d *Directory) Cordoned(domain string) bool { return d.Cordons().Has(domain) }
 
-// rebuild replaces the listing by one for the given view, and returns the servers that left with
-// this change. reported are the instances that have just reported something. The lock must be held,
+// rebuild replaces the listing by one for the given view, and returns what changed. reported are the instances that have just reported something. The lock must be held,
 // so that an older view never replaces a newer one.
-func (d *Directory) rebuild(v *View, reported ...string) (left []string) {
+func (d *Directory) rebuild(v *View, reported ...string) (c changes) {
 	now := d.Clock.Now()
 	d.pruneReports()
 	d.pruneCold(now)
@@ -115,13 +122,16 @@
 		after := d.applyEntry(e, name, before, now)
 		e.replace(before, after)
 		if before != nil && (after == nil || after.ID != before.ID) {
-			left = append(left, before.ID)
+			c.left = append(c.left, before.ID)
 			d.recordLeft(before, now)
 		}
+		if after != nil && (before == nil || after.ID != before.ID) {
+			c.joined = append(c.joined, after.ID)
+		}
 	}
 	d.current.Store(e.listing())
 	d.rebuiltAt = now
-	return left
+	return c
 }
 
 // affected returns, sorted, the names of the servers whose member may differ between the old
--- a/internal/registry/instances.go
+++ b/internal/registry/instances.go
@@ -67,28 +67,27 @@
 		return s
 	}
 	d.mu.Lock()
-	current, left := d.resolveInstance(s, born)
+	current, c := d.resolveInstance(s, born)
 	d.mu.Unlock()
-	d.notifyLeft(left)
+	d.notify(c)
 	return current
 }
 
-// resolveInstance is ResolveInstance, and also returns the servers that left. The lock must be
-// held.
-func (d *Directory) resolveInstance(s *Server, born int64) (current *Server, left []string) {
+// resolveInstance is ResolveInstance, and also returns what changed. The lock must be held.
+func (d *Directory) resolveInstance(s *Server, born int64) (current *Server, c changes) {
 	l := d.current.Load()
 	if l == nil {
-		return s, nil
+		return s, changes{}
 	}
 	name := s.Name()
 	known, ok := d.newestInstance(l, name)
 	switch {
 	case !ok:
-		return s, nil
+		return s, changes{}
 	case born < known.server.Born:
-		return nil, nil
+		return nil, changes{}
 	case born == known.server.Born:
-		return &known.server, nil
+		return &known.server, changes{}
 	}
 	next := known.server
 	next.ID, next.Born, next.Warmup = InstanceID(name, born), born, 0
--- a/internal/registry/reports.go
+++ b/internal/registry/reports.go
@@ -15,12 +15,12 @@
 func (d *Directory) MarkDeparting(ids ...string) (added []string) {
 	d.mu.Lock()
 	added = recordReports(&d.departing, slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return !d.Stays(id) }), d.Clock.Now())
-	var left []string
+	var c changes
 	if len(added) > 0 {
-		left = d.rebuild(d.View(), added...)
+		c = d.rebuild(d.View(), added...)
 	}
 	d.mu.Unlock()
-	d.notifyLeft(left)
+	d.notify(c)
 	return added
 }
 
@@ -41,12 +41,12 @@
 func (d *Directory) Decline(ids ...string) {
 	d.mu.Lock()
 	added := recordReports(&d.declining, ids, d.Clock.Now())
-	var left []string
+	var c changes
 	if v := d.View(); v != nil && len(added) > 0 {
-		left = d.rebuild(v, added...)
+		c = d.rebuild(v, added...)
 	}
 	d.mu.Unlock()
-	d.notifyLeft(left)
+	d.notify(c)
 }
 
 // Declining returns the servers of a service that would get new work if they did not decline it.
--- a/internal/streaming/place.go
+++ b/internal/streaming/place.go
@@ -287,7 +287,7 @@
 		Method: r.Method, URI: r.URI, Host: r.Host,
 		Header: x.relay.Codec.RequestHeader(r, send),
 		Body:   r.Body, HasBody: r.HasBody, Matches: x.relay.Codec.AnswerMatcher(r), MaxIdle: maxConnIdle,
-		Account: x.job.Account, Service: x.job.Service.Name, Model: r.Model, Segments: r.SharedSegments,
+		ID: r.ID, Account: x.job.Account, Service: x.job.Service.Name, Model: r.Model, Segments: r.SharedSegments,
 		Continues: from != nil,
 	}
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -53,6 +53,9 @@
 	// HoldOffs counts answers with which servers asked this box to hold off for longer than before,
 	// by server.
 	HoldOffs *counters
+	// LeavingSends counts requests that were sent to servers that leave, by whether that was before or
+	// after this box knew.
+	LeavingSends *counters
 	// TunnelRequests counts connections to servers that other boxes asked this one for, by result.
 	TunnelRequests *counters
 	// PeerConnections counts connections to servers through other boxes.
@@ -69,6 +72,9 @@
 	// FirstEventDeviation is the difference between actual and expected time of the first event, by
 	// whether it was sooner or later.
 	FirstEventDeviation *histograms
+	// LeavingNews is how old the state of this box was when it learned that a server leaves, by what it
+	// learned.
+	LeavingNews *histograms
 	// MovePause is the pause for the caller while its stream moved, by way.
 	MovePause *histograms
 
@@ -188,6 +194,7 @@
 	m.ReturningCallers = m.counters("returned_total", "generations of callers that came back after a refusal and went first", "route")
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
 	m.SlowCallersDropped = m.counters("gave_way_total", "callers that were too slow for what was kept for them", "bound")
+	m.LeavingSends = m.counters("leaving_sends_total", "requests sent to backend servers that leave, perhaps before this box knew or surely after", "when")
 	m.TunnelRequests = m.counters("tunnel_requests_total", "connections to backend servers that other boxes asked for", "result")
 	m.PeerConnections = m.counters("peer_connections_total", "connections to backend servers that were opened through other boxes")
 	m.Ejections = m.counters("ejections_total", "times that a backend server was taken out of use for failures", "cause")
@@ -202,6 +209,7 @@
 	m.Answer = m.histograms("answer_seconds", "time from a request to the end of its answer", "kind")
 	m.FirstEvent = m.histograms("first_event_seconds", "time from a request to the first event of its stream", "kind")
 	m.FirstEventDeviation = m.histograms("first_event_off_seconds", "by how much a first event came sooner or later than expected", "way")
+	m.LeavingNews = m.histograms("leaving_news_seconds", "age of what this box knew of the servers when it learned that one leaves", "state")
 	m.MovePause = m.histograms("move_pause_seconds", "time in which the caller of a moved stream got nothing", "way")
 }
 
--- a/internal/unary/flight.go
+++ b/internal/unary/flight.go
@@ -219,7 +219,7 @@
 		Method: r.Method, URI: r.URI, Host: r.Host,
 		Header: f.sender.Codec.RequestHeader(r, send),
 		Body:   r.Body, HasBody: r.HasBody, Matches: f.sender.Codec.AnswerMatcher(r),
-		Account: f.job.Account, Service: f.job.Service.Name, Model: r.Model, Segments: r.SharedSegments,
+		ID: r.ID, Account: f.job.Account, Service: f.job.Service.Name, Model: r.Model, Segments: r.SharedSegments,
 	}
 	if f.job.Route.Repeat == routetable.Once {
 		x.MaxIdle = maxConnIdle
--- a/internal/viewshare/change.go
+++ b/internal/viewshare/change.go
@@ -50,15 +50,16 @@
 	}
 }
 
-// ReceiveChange applies a change, or part of one, sent by another box. A change that is not based
+// ReceiveChange applies a change, or part of one, sent by another box, whose name may be "". A change that is not based
 // on the current view is kept until the changes before it arrive; missed changes are fetched once a
 // peer's digest shows a newer revision.
-func (s *Share) ReceiveChange(data []byte) {
+func (s *Share) ReceiveChange(from string, data []byte) {
 	u, err := decode(data)
 	if err != nil {
 		s.Logger.Warn("change of the view refused", "err", err)
 		return
 	}
+	u.from = from
 	if u.Parts > 1 {
 		u = s.addPart(u)
 	}
@@ -92,7 +93,7 @@
 		s.Logger.Warn("change of the view refused", "err", err)
 		return nil
 	}
-	s.applyView(view, SourceNote)
+	s.applyView(view, viewSource{source: SourceNote, teller: u.from})
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
 	return s.early.next(view.Revision)
--- a/internal/viewshare/change_test.go
+++ b/internal/viewshare/change_test.go
@@ -27,7 +27,7 @@
 		s := newShare()
 		s.OfferView(viewAt(3))
 		for _, base := range order {
-			s.ReceiveChange(changes[base])
+			s.ReceiveChange("b", changes[base])
 		}
 		require.Equal(t, viewAt(9), *s.View(), "%v", order)
 		_, source := s.Sources()
@@ -41,15 +41,15 @@
 func TestMissedChange(t *testing.T) {
 	changes := changesOf(3, 5, 6, 9)
 	s := newShare()
-	s.ReceiveChange(changes[3])
+	s.ReceiveChange("b", changes[3])
 	require.Nil(t, s.View(), "nothing to change yet")
 	s.OfferView(viewAt(3))
-	s.ReceiveChange(changes[6])
+	s.ReceiveChange("b", changes[6])
 	require.Equal(t, int64(3), s.View().Revision)
-	s.applyView(viewAt(6), "peer")
-	s.ReceiveChange(changes[5])
+	s.applyView(viewAt(6), viewSource{source: "peer", teller: "peer"})
+	s.ReceiveChange("b", changes[5])
 	require.Equal(t, int64(6), s.View().Revision, "it is old")
-	s.ReceiveChange(changes[6])
+	s.ReceiveChange("b", changes[6])
 	require.Equal(t, viewAt(9), *s.View())
 }
 
@@ -61,9 +61,9 @@
 	other := viewAt(4)
 	other.Revision = 3
 	s.OfferView(other)
-	s.ReceiveChange(changes[3])
-	s.ReceiveChange([]byte("rubbish"))
-	s.ReceiveChange(nil)
+	s.ReceiveChange("b", changes[3])
+	s.ReceiveChange("b", []byte("rubbish"))
+	s.ReceiveChange("b", nil)
 	require.Equal(t, other, *s.View())
 }
 
@@ -74,8 +74,8 @@
 	s.OnChange = func([]byte) { published++ }
 	s.OfferView(viewAt(3))
 	require.Zero(t, published, "there is no earlier view")
-	s.applyView(viewAt(4), "peer")
-	s.ReceiveChange(changesOf(4, 5)[4])
+	s.applyView(viewAt(4), viewSource{source: "peer", teller: "peer"})
+	s.ReceiveChange("b", changesOf(4, 5)[4])
 	require.Equal(t, int64(5), s.View().Revision)
 	require.Zero(t, published)
 	s.OfferView(viewAt(6))
@@ -87,7 +87,7 @@
 	s := newShare()
 	s.OfferView(viewAt(1))
 	for revision := range int64(100) {
-		s.ReceiveChange(changesOf(revision+10, revision+11)[revision+10])
+		s.ReceiveChange("b", changesOf(revision+10, revision+11)[revision+10])
 	}
 	require.Len(t, s.early, maxEarly)
 }
--- a/internal/viewshare/fetch.go
+++ b/internal/viewshare/fetch.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	s.applyView(view, job.from.name)
+	s.applyView(view, viewSource{source: job.from.name, teller: job.from.name})
 	return nil
 }
 
--- a/internal/viewshare/parts_test.go
+++ b/internal/viewshare/parts_test.go
@@ -37,8 +37,8 @@
 	rand.New(rand.NewPCG(1, 2)).Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
 	for i, part := range parts {
 		require.LessOrEqual(t, len(part), most)
-		to.ReceiveChange(part)
-		to.ReceiveChange(part)
+		to.ReceiveChange("b", part)
+		to.ReceiveChange("b", part)
 		require.Equal(t, i == len(parts)-1, to.View().Revision == next.Revision)
 	}
 	require.Equal(t, next, *to.View())
--- a/internal/viewshare/share.go
+++ b/internal/viewshare/share.go
@@ -53,7 +53,7 @@
 
 	viewMu     sync.Mutex
 	view       atomic.Pointer[registry.View]
-	viewSource atomic.Pointer[string]
+	viewSource atomic.Pointer[viewSource]
 	// log holds the changes from older views to this one.
 	log  changeLog
 	sums checksums
@@ -67,6 +67,13 @@
 	pace pace
 }
 
+// viewSource is where the view came from.
+type viewSource struct {
+	source string
+	// teller is the name of the box that sent it, "store", or "" if it is not known.
+	teller string
+}
+
 // config is a configuration in both its forms, with its source.
 type config struct {
 	doc    []byte
@@ -101,11 +108,20 @@
 		table = c.source
 	}
 	if from := s.viewSource.Load(); from != nil {
-		view = *from
+		view = from.source
 	}
 	return table, view
 }
 
+// Teller returns the name of the box that sent the view, "store" if this box read it itself, and "" if it
+// is not known.
+func (s *Share) Teller() string {
+	if from := s.viewSource.Load(); from != nil {
+		return from.teller
+	}
+	return ""
+}
+
 // OfferConfig takes a configuration document if its version is higher than that of the held one. It
 // keeps doc, which must not be modified afterwards. A document that cannot be decoded is logged and
 // refused.
@@ -139,9 +155,11 @@
 
 // OfferView takes a view if its revision is higher than that of the held one. The view must not be
 // modified afterwards.
-func (s *Share) OfferView(v registry.View) { s.applyView(v, SourceStore) }
+func (s *Share) OfferView(v registry.View) {
+	s.applyView(v, viewSource{source: SourceStore, teller: SourceStore})
+}
 
-func (s *Share) applyView(v registry.View, source string) {
+func (s *Share) applyView(v registry.View, source viewSource) {
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
 	held := s.view.Load()
@@ -149,7 +167,7 @@
 		return
 	}
 	s.log.add(held, &v)
-	if source == SourceStore && held != nil && s.OnChange != nil {
+	if source.source == SourceStore && held != nil && s.OnChange != nil {
 		s.publishChange(held.Revision, &v)
 	}
 	s.view.Store(&v)
--- a/internal/viewshare/update.go
+++ b/internal/viewshare/update.go
@@ -25,6 +25,9 @@
 	// Part is the number of this part, from 0, and Parts the number of parts; both are 0 for an
 	// undivided change.
 	Part, Parts int
+
+	// from is the box that sent it, if known; it is not encoded.
+	from string
 }
 
 // newUpdate returns the update from a revision in the log, or from an empty view if base is 0.
--- a/internal/viewshare/update_test.go
+++ b/internal/viewshare/update_test.go
@@ -97,7 +97,7 @@
 			from, to := newShare(), newShare()
 			from.OfferView(view)
 			to.OfferView(view)
-			from.OnChange = to.ReceiveChange
+			from.OnChange = func(change []byte) { to.ReceiveChange("b", change) }
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
