--- a/internal/box/contact_test.go
+++ b/internal/box/contact_test.go
@@ -1,23 +1,26 @@
 package box
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dalebend/dalebend/internal/boxsettings"
 	"github.com/dalebend/dalebend/internal/digest"
 	"github.com/dalebend/dalebend/internal/member"
 	"github.com/dalebend/dalebend/internal/peerstate"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/storewatch"
+	"github.com/dalebend/dalebend/internal/viewshare"
 	"github.com/dalebend/dalebend/internal/watchelection"
 )
 
 // newContactBox returns a box that knows the store from one peer.
 func newContactBox(clock clockwork.Clock) *Box {
-	b := &Box{Clock: clock, peers: &peerstate.Table{Clock: clock}, contact: make(chan struct{})}
+	b := &Box{Clock: clock, peers: &peerstate.Table{Clock: clock}, contact: make(chan struct{}), share: &viewshare.Share{}}
 	b.election = &watchelection.Election{
 		Clock: clock, Peers: b.peers, Store: func() storewatch.Status { return storewatch.Status{} },
 		Live: func() []member.Box { return nil },
@@ -74,3 +77,64 @@
 	b.directory.Set(&registry.View{Revision: 2})
 	require.False(t, b.directory.Takes("a"))
 }
+
+// rankSecond names a box so that the peer "p" of its failure domain follows the store and it does not.
+func rankSecond(b *Box) {
+	follows := true
+	for n := 0; follows; n++ {
+		b.election.Self = member.Box{Name: fmt.Sprint(n), Domain: "x"}
+		live := []member.Box{{Name: "p", Domain: "x"}, b.election.Self}
+		b.election.Live = func() []member.Box { return live }
+		follows, _ = b.election.Decide()
+	}
+}
+
+// TestContactOfUnknownChangesIsNotRelied: a box asks the store itself, within the bound, while a peer that is in contact
+// has changes that do not arrive here.
+func TestContactOfUnknownChangesIsNotRelied(t *testing.T) {
+	for name, newer := range map[string]digest.Digest{
+		"servers": {ViewRevision: 5}, "configuration": {ConfigVersion: 5}, "cordons": {CordonRevision: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+			b := newContactBox(clock)
+			receiveContact(b, true)
+			rankSecond(b)
+			asked := time.Duration(0)
+			for since := 100 * time.Millisecond; asked == 0 && since < 2*time.Second; since += 100 * time.Millisecond {
+				clock.Advance(100 * time.Millisecond)
+				d := newer
+				d.Box, d.StoreTried, d.StoreReachable = "p", true, true
+				b.peers.Update(&d)
+				b.recordPeerContact(&d)
+				if follows, _ := b.election.Decide(); follows {
+					asked = since
+				}
+			}
+			require.Equal(t, 1300*time.Millisecond, asked)
+			require.Positive(t, b.election.Unconfirmed())
+		})
+	}
+}
+
+// TestContinuationsEndWithinTheBound: what goes on at a server that leaves ends within 2 s after it began to leave, also if
+// the box heard that late.
+func TestContinuationsEndWithinTheBound(t *testing.T) {
+	for _, late := range []time.Duration{0, 700 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(late.String(), func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+			b := newContactBox(clock)
+			b.Settings = &boxsettings.Settings{ChangeBound: 2 * time.Second}
+			b.buildServers()
+			b.directory.OnLeft = nil
+			known := registry.View{}.With([]registry.Change{{Server: registry.Server{ID: "a", Service: "chat"}}}, 1)
+			b.directory.Set(&known)
+			receiveContact(b, true)
+			clock.Advance(late)
+			leaving := known.With([]registry.Change{{Server: registry.Server{ID: "a", Service: "chat", State: registry.Draining}}}, 2)
+			b.directory.Set(&leaving)
+			clock.Advance(2*time.Second - late)
+			require.False(t, b.directory.MayContinue("a"))
+		})
+	}
+}
--- a/internal/registry/leaving_test.go
+++ b/internal/registry/leaving_test.go
@@ -62,3 +62,59 @@
 	d.Set(&registry.View{Revision: 3})
 	require.False(t, d.MayContinue("a"))
 }
+
+// instanceOf returns the entry of an instance of server "a".
+func instanceOf(born int64, state registry.State) registry.Server {
+	return registry.Server{ID: registry.InstanceID("a", born), Born: born, Service: "chat", State: state}
+}
+
+// TestLeavingIsBelievedWhateverTheStart: a server whose entry says that it leaves gets nothing, although the entry is of an
+// earlier start than the one that is known.
+func TestLeavingIsBelievedWhateverTheStart(t *testing.T) {
+	for name, entries := range map[string][]registry.Server{
+		"at once":                    {instanceOf(2_000_000, registry.Ready), instanceOf(1_000_000, registry.Draining)},
+		"after it was ready":         {instanceOf(2_000_000, registry.Ready), instanceOf(1_000_000, registry.Ready), instanceOf(1_000_000, registry.Draining)},
+		"after another entry was so": {instanceOf(3_000_000, registry.Ready), instanceOf(1_000_000, registry.Draining), instanceOf(2_000_000, registry.Draining)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+			d := &registry.Directory{Clock: clock, StoreReturned: func() time.Time { return time.Time{} }}
+			v := registry.View{}
+			for i, entry := range entries {
+				clock.Advance(time.Second)
+				v = v.With([]registry.Change{{Server: entry}}, int64(i+1))
+				d.Set(&v)
+			}
+			require.Empty(t, d.Service("chat"))
+			for _, entry := range entries {
+				require.False(t, d.Takes(entry.ID), entry.ID)
+			}
+			v = v.With([]registry.Change{{Server: entries[0]}}, 10)
+			d.Set(&v)
+			require.True(t, d.Takes(entries[0].ID), "a late write of an earlier start is over")
+		})
+	}
+}
+
+// TestLateWriteBringsNoLeavingServerBack: an instance that was leaving gets nothing more though its entry says again that
+// it is ready. Its next start gets requests.
+func TestLateWriteBringsNoLeavingServerBack(t *testing.T) {
+	for name, born := range map[string]int64{"start not told": 0, "start told": 2_000_000} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+			d := &registry.Directory{Clock: clock, StoreReturned: func() time.Time { return time.Time{} }}
+			v := registry.View{}
+			for i, state := range []registry.State{registry.Ready, registry.Draining, registry.Ready} {
+				clock.Advance(3 * time.Second)
+				v = v.With([]registry.Change{{Server: instanceOf(born, state)}}, int64(i+1))
+				d.Set(&v)
+			}
+			require.False(t, d.Takes(registry.InstanceID("a", born)))
+			require.Empty(t, d.Service("chat"))
+			next := instanceOf(3_000_000, registry.Ready)
+			v = v.With([]registry.Change{{Server: next}}, 4)
+			d.Set(&v)
+			require.True(t, d.Takes(next.ID))
+		})
+	}
+}
--- a/internal/storewatch/doubt_test.go
+++ b/internal/storewatch/doubt_test.go
@@ -133,3 +133,30 @@
 	r.awaitPause()
 	require.True(t, r.watcher.Status().LastContact.IsZero(), "the servers were never read")
 }
+
+// TestNoContactWhileOneWatchIsSilent: answers to the watch of the configuration are no word of the servers, nor the other
+// way round.
+func TestNoContactWhileOneWatchIsSilent(t *testing.T) {
+	for _, silent := range []string{"servers", "configuration"} {
+		t.Run(silent, func(t *testing.T) {
+			r := newRigWith(t, false, func(*Watcher) {})
+			defer r.stop()
+			r.active.Store(true)
+			r.watcher.Wake()
+			config, servers := r.start()
+			began := r.clock.Now()
+			for i := range 3 {
+				r.clock.Advance(600 * time.Millisecond)
+				if silent == "servers" {
+					config.answer(reply{at: int64(6 + i)})
+					config = <-r.watchConfig
+				} else {
+					servers.answer(reply{at: int64(6 + i)})
+					servers = <-r.watchServers
+				}
+				require.Equal(t, began, r.watcher.Status().LastContact)
+				require.True(t, r.watcher.Status().Reachable)
+			}
+		})
+	}
+}
