registry: a server that leaves is believed whatever start its entry names

Callers' requests reached a server up to 8 s after the store had acknowledged that it leaves, if it had started again with its clock behind: an entry of an earlier start than the known one counts as a late write, and was passed over for 10 s also when it said draining. Now such a server gets nothing until its next entry. TestLeavingIsBelievedWhateverTheStart failed on the code before in each of its cases (its first form reused one variable for all views, so that the directory saw no change; it is corrected here, and fails without the fix as well).

--- a/internal/registry/instances.go
+++ b/internal/registry/instances.go
@@ -33,6 +33,10 @@
 		e.entries.Delete(name)
 	case ok && known.server.NewerThan(&entry) && (entry == known.supersededEntry || now.Sub(known.reportedAt) < maxWriteLag):
 		d.keepInstance(name, known)
+		if entry.State == Draining && entry != known.supersededEntry {
+			// A late write, or a start at which the server's clock was behind: it may leave.
+			known.server.State = Draining
+		}
 		e.entries.Set(name, known.server)
 		return known.server, true
 	default:
--- a/internal/registry/leaving_test.go
+++ b/internal/registry/leaving_test.go
@@ -68,6 +68,13 @@
 	return registry.Server{ID: registry.InstanceID("a", born), Born: born, Service: "chat", State: state}
 }
 
+// set applies the view that follows from another one by an entry, and returns it.
+func set(d *registry.Directory, v registry.View, entry registry.Server, revision int64) registry.View {
+	next := v.With([]registry.Change{{Server: entry}}, revision)
+	d.Set(&next)
+	return next
+}
+
 // TestLeavingIsBelievedWhateverTheStart: a server whose entry says that it leaves gets nothing, although the entry is of an
 // earlier start than the one that is known.
 func TestLeavingIsBelievedWhateverTheStart(t *testing.T) {
@@ -79,18 +86,16 @@
 		t.Run(name, func(t *testing.T) {
 			clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
 			d := &registry.Directory{Clock: clock, StoreReturned: func() time.Time { return time.Time{} }}
-			v := registry.View{}
+			var v registry.View
 			for i, entry := range entries {
 				clock.Advance(time.Second)
-				v = v.With([]registry.Change{{Server: entry}}, int64(i+1))
-				d.Set(&v)
+				v = set(d, v, entry, int64(i+1))
 			}
 			require.Empty(t, d.Service("chat"))
 			for _, entry := range entries {
 				require.False(t, d.Takes(entry.ID), entry.ID)
 			}
-			v = v.With([]registry.Change{{Server: entries[0]}}, 10)
-			d.Set(&v)
+			set(d, v, entries[0], 10)
 			require.True(t, d.Takes(entries[0].ID), "a late write of an earlier start is over")
 		})
 	}
@@ -103,17 +108,15 @@
 		t.Run(name, func(t *testing.T) {
 			clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
 			d := &registry.Directory{Clock: clock, StoreReturned: func() time.Time { return time.Time{} }}
-			v := registry.View{}
+			var v registry.View
 			for i, state := range []registry.State{registry.Ready, registry.Draining, registry.Ready} {
 				clock.Advance(3 * time.Second)
-				v = v.With([]registry.Change{{Server: instanceOf(born, state)}}, int64(i+1))
-				d.Set(&v)
+				v = set(d, v, instanceOf(born, state), int64(i+1))
 			}
 			require.False(t, d.Takes(registry.InstanceID("a", born)))
 			require.Empty(t, d.Service("chat"))
 			next := instanceOf(3_000_000, registry.Ready)
-			v = v.With([]registry.Change{{Server: next}}, 4)
-			d.Set(&v)
+			set(d, v, next, 4)
 			require.True(t, d.Takes(next.ID))
 		})
 	}
