registry: an instance that was leaving gets no more work, whatever a later entry says

Callers' requests reached a leaving server when an older write of its entry was done late: a box took 'ready' after 'draining' for a change of mind, and sent requests until the next heartbeat, all boxes at once and without a line in the log. The directory keeps the instances whose entries said so. A server that does not tell when it started is taken for a new one once its entry has gone. TestLateWriteBringsNoLeavingServerBack failed in both cases before.

--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -41,6 +41,9 @@
 	// that they leave and want no new work. The values are the times of the reports. The view may
 	// be older than these reports.
 	departing, declining map[string]time.Time
+	// drained holds the instances whose entries said that they leave, with the times of that. It is final: an
+	// entry that says otherwise later was written before, and delayed.
+	drained map[string]time.Time
 	// cold maps instances to the time at which they stop being cold. Guarded by mu.
 	cold map[string]time.Time
 	// instances holds, by server name, the newest known instance of each server whose entry is
@@ -173,7 +176,7 @@
 		return d.member(before.Server, until)
 	}
 	d.updateCold(e.old, &s, now)
-	if s.State != Ready || d.isDeparting(s.ID) {
+	if s.State != Ready || d.isDeparting(s.ID) || d.hasDrained(s.ID) {
 		return nil
 	}
 	return d.member(&s, time.Time{})
@@ -185,6 +188,12 @@
 	return departs
 }
 
+// hasDrained reports whether an entry of an instance said that it leaves. The lock must be held.
+func (d *Directory) hasDrained(id string) bool {
+	_, drained := d.drained[id]
+	return drained
+}
+
 // member returns the member for a server; until is its LapsesAt. The lock must be held.
 func (d *Directory) member(s *Server, until time.Time) *Member {
 	_, declines := d.declining[s.ID]
--- a/internal/registry/instances.go
+++ b/internal/registry/instances.go
@@ -25,6 +25,13 @@
 	known, ok := d.newestInstance(e.old, name)
 	entry, exists := e.next.view.Servers.Get(name)
 	switch {
+	case exists && entry.State == Draining:
+		recordReports(&d.drained, []string{entry.ID}, now)
+	case !exists:
+		// A server that does not tell when it started may have started again. Its instances have its name.
+		delete(d.drained, name)
+	}
+	switch {
 	case !exists && ok && now.Sub(known.reportedAt) < maxWriteLag:
 		d.keepInstance(name, known)
 		e.entries.Delete(name)
--- a/internal/registry/reports.go
+++ b/internal/registry/reports.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// reportMemory is the minimum time for which a server's report is remembered: longer than a store
+// reportMemory is the minimum time for which a server's report, or an entry that says that it leaves, is remembered: longer than a store
 // outage. It is never forgotten while the view has the instance, as such a report ends only with
 // the instance. Later instances, which have other ids, are not affected.
 const reportMemory = 10 * time.Minute
@@ -84,7 +84,7 @@
 // The lock must be held.
 func (d *Directory) pruneReports() {
 	now := d.Clock.Now()
-	for _, reports := range []map[string]time.Time{d.departing, d.declining} {
+	for _, reports := range []map[string]time.Time{d.departing, d.declining, d.drained} {
 		for id, at := range reports {
 			if now.Sub(at) > reportMemory && !d.Known(id) {
 				delete(reports, id)
