storewatch: a contact is the time until which every watch has been answered

A contact is now the earliest of the last answers of all watches, recorded once what they brought is delivered. TestNoContactWhileBehind took an answer about the configuration for word of the servers and now asks for both; TestWatchOfTheServersIsAnsweredOften, which wanted the longer wait for the configuration, is TestWatchesAreAnsweredOften.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -181,7 +181,7 @@
 		RewatchDelay:  func(changes int) time.Duration { return b.election.RewatchDelay(changes) },
 		DeliveryDelay: func() time.Duration { return b.election.DeliveryDelay() },
 		NewestView:    b.share.View, Companion: b.heldRequests,
-		ServersWait:     func() time.Duration { return b.election.ServersWait() },
+		Wait:            func() time.Duration { return b.election.WatchWait() },
 		Unconfirmed:     func() int { return b.election.Unconfirmed() },
 		RecheckInterval: watchelection.RecheckInterval, OnContact: b.onStoreContact,
 	}
--- a/internal/storewatch/doubt_test.go
+++ b/internal/storewatch/doubt_test.go
@@ -51,12 +51,11 @@
 	r.start()
 }
 
-// TestWatchOfTheServersIsAnsweredOften: only the watch of the servers waits for the given time, less the delay before it, and
-// each answer is reported.
-func TestWatchOfTheServersIsAnsweredOften(t *testing.T) {
+// TestWatchesAreAnsweredOften: each watch waits for the given time, less the delay before it, and each answer is reported.
+func TestWatchesAreAnsweredOften(t *testing.T) {
 	contacts := make(chan time.Time, buffered)
 	r := newRigWith(t, false, func(w *Watcher) {
-		w.ServersWait = func() time.Duration { return testRest + 50*time.Millisecond }
+		w.Wait = func() time.Duration { return testRest + 50*time.Millisecond }
 		w.RewatchDelay = func(int) time.Duration { return testRest }
 		w.OnContact = func() { contacts <- w.Clock.Now() }
 	})
@@ -64,7 +63,7 @@
 	r.active.Store(true)
 	r.watcher.Wake()
 	config, servers := r.start()
-	require.Equal(t, WatchWait, config.wait)
+	require.Equal(t, testRest+50*time.Millisecond, config.wait)
 	require.Equal(t, testRest+50*time.Millisecond, servers.wait)
 	require.Len(t, contacts, 1, "once the whole state is read")
 
@@ -112,11 +111,15 @@
 	require.True(t, r.watcher.Status().Reachable)
 
 	r.clock.Advance(testRest - testRest/2)
-	<-r.watchServers
+	servers = <-r.watchServers
 	config.answer(reply{doc: []byte("v4"), at: 9})
 	<-r.docs
 	<-r.watchConfig
-	require.Equal(t, r.clock.Now(), r.watcher.Status().LastContact)
+	require.Equal(t, began, r.watcher.Status().LastContact, "watched, and not answered")
+	r.clock.Advance(minCycle)
+	servers.answer(reply{at: 9})
+	<-r.watchServers
+	require.Equal(t, r.clock.Now().Add(-minCycle), r.watcher.Status().LastContact, "the configuration was answered then")
 }
 
 // TestNoContactBeforeTheServersAreRead: a box that begins to follow the store has no contact before it knows all servers.
--- a/internal/storewatch/status.go
+++ b/internal/storewatch/status.go
@@ -18,8 +18,8 @@
 	// Reachable is set while every call is answered. It is not set before the first answer or while
 	// the watcher is inactive.
 	Reachable bool
-	// LastContact is the time of the last answer at which all changes until then were known, zero
-	// before the first.
+	// LastContact is the time until which all changes of each kind of state are known, by answers of the
+	// store, zero before the first.
 	LastContact time.Time
 	// ReachableSince is the time of the first answer after the last failure or inactive period,
 	// zero before the first. An unanswered watch is not a failure if the next call is answered.
@@ -50,17 +50,18 @@
 	return Status{}
 }
 
-// markAnswered records an answer.
-func (c *contact) markAnswered() {
+// markContact records a contact.
+func (c *contact) markContact(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
-	s := c.reached(now)
-	s.LastContact = now
-	c.status.Store(&s)
+	s := c.load()
+	if at.After(s.LastContact) {
+		s.LastContact = at
+		c.status.Store(&s)
+	}
 }
 
-// markReachable records an answer that is no contact.
+// markReachable records an answer.
 func (c *contact) markReachable() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dalebend/dalebend/internal/atomictime"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/staleness"
 )
@@ -71,9 +72,8 @@
 	// RewatchDelay returns the delay before the next watch after an answer with so many changes of
 	// the servers; a second at most. Nil means no delay.
 	RewatchDelay func(changes int) time.Duration
-	// ServersWait returns how long the next watch of the servers waits for a change. Nil means
-	// WatchWait.
-	ServersWait func() time.Duration
+	// Wait returns how long the next watch waits for a change. Nil means WatchWait.
+	Wait func() time.Duration
 	// DeliveryDelay returns how long a change of the servers is held back, so that another box that
 	// reads the same change publishes it first. Nil means no delay.
 	DeliveryDelay func() time.Duration
@@ -100,11 +100,10 @@
 	config  configFeed
 	servers serversFeed
 	cordons cordonsFeed
+	// feeds are the kinds of state of the present session.
+	feeds atomic.Pointer[[]*followed]
 	// answered is set when a watch has been answered since the last failure.
 	answered atomic.Bool
-	// behind is set while not the whole state is read, and while changes of the servers are not watched
-	// or held back.
-	behind atomic.Bool
 }
 
 func (w *Watcher) prepare() {
@@ -168,19 +167,16 @@
 // session reads the state and follows it until something fails.
 func (w *Watcher) session(ctx context.Context) error {
 	// Sequentially, so that one call finds out that the store is away.
-	feeds := []feed{&w.config, &w.servers}
+	feeds := []*followed{{feed: &w.config, delayAfter: noDelay}, {feed: &w.servers, delayAfter: w.rewatchDelay}}
 	if w.OnCordons != nil {
-		feeds = append(feeds, &w.cordons)
+		feeds = append(feeds, &followed{feed: &w.cordons, delayAfter: noDelay})
 	}
 	if err := w.readAll(ctx, feeds); err != nil {
 		return err
 	}
-	w.recordContact()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return w.follow(ctx, &w.config, defaultWait, noDelay) })
-	g.Go(func() error { return w.follow(ctx, &w.servers, w.serversWait, w.rewatchDelay) })
-	if w.OnCordons != nil {
-		g.Go(func() error { return w.follow(ctx, &w.cordons, defaultWait, noDelay) })
+	for _, f := range feeds {
+		g.Go(func() error { return w.follow(ctx, f) })
 	}
 	if w.Companion != nil {
 		g.Go(func() error { w.Companion.Follow(ctx); return nil })
@@ -189,56 +185,74 @@
 	return g.Wait()
 }
 
-// readAll reads the whole state. Until the last part is read, an answer is no contact.
-func (w *Watcher) readAll(ctx context.Context, feeds []feed) error {
-	w.behind.Store(true)
-	defer w.behind.Store(false)
+// followed is one of the kinds of state that a session follows.
+type followed struct {
+	feed
+
+	// delayAfter returns the delay before the next watch after so many changes.
+	delayAfter func(changes int) time.Duration
+	// knownAt is the time of the last answer after which all changes until then were delivered, zero before
+	// the first.
+	knownAt atomictime.Time
+}
+
+// readAll reads the whole state.
+func (w *Watcher) readAll(ctx context.Context, feeds []*followed) error {
+	w.feeds.Store(&feeds)
 	if w.Companion != nil {
 		if err := w.Companion.Load(ctx); err != nil {
 			return err
 		}
-		w.recordContact()
+		w.contact.markReachable()
 	}
 	for _, f := range feeds {
-		if err := f.read(ctx); err != nil {
+		if err := w.read(ctx, f); err != nil {
 			return err
 		}
-		w.recordContact()
 	}
 	return nil
 }
 
+// read reads one kind of state.
+func (w *Watcher) read(ctx context.Context, f *followed) error {
+	asked := w.Clock.Now()
+	if err := f.read(ctx); err != nil {
+		return err
+	}
+	w.recordKnown(f, asked)
+	return nil
+}
+
 // noDelay is the delay after a change of the configuration or the cordons. Both change rarely, and
 // the whole configuration is sent to every box: a single box would take long to send it to all.
 func noDelay(int) time.Duration { return 0 }
 
-// defaultWait is how long a watch of the configuration or the cordons waits for a change.
-func defaultWait() time.Duration { return WatchWait }
-
-// serversWait returns how long the next watch of the servers waits for a change.
-func (w *Watcher) serversWait() time.Duration {
-	if w.ServersWait == nil {
+// wait returns how long the next watch waits for a change.
+func (w *Watcher) wait() time.Duration {
+	if w.Wait == nil {
 		return WatchWait
 	}
-	return w.ServersWait()
+	return w.Wait()
 }
 
-// follow watches one kind of state until a call fails. wait returns how long a watch waits.
-func (w *Watcher) follow(
-	ctx context.Context, f feed, wait func() time.Duration, delayAfter func(changes int) time.Duration,
-) error {
+// follow watches one kind of state until a call fails.
+func (w *Watcher) follow(ctx context.Context, f *followed) error {
 	delay := time.Duration(0)
 	for w.Active() {
 		began := w.Clock.Now()
 		// The wait is shortened by the delay before it, so that the cycle is not longer.
-		changes, err := f.watch(ctx, max(wait()-delay, minCycle), w.recordContact)
+		var answeredAt time.Time
+		changes, err := f.watch(ctx, max(w.wait()-delay, minCycle), func() { answeredAt = w.Clock.Now() })
+		if err == nil {
+			w.recordKnown(f, answeredAt)
+		}
 		if err := w.handleResult(ctx, f, err); err != nil {
 			return err
 		}
 		delay = 0
 		if changes > 0 {
-			delay = delayAfter(changes)
-			w.rest(ctx, delay)
+			delay = f.delayAfter(changes)
+			w.sleep(ctx, delay)
 		} else {
 			w.sleep(ctx, minCycle-w.Clock.Since(began))
 		}
@@ -250,7 +264,7 @@
 }
 
 // handleResult records how a watch ended, and reads the whole state again if necessary.
-func (w *Watcher) handleResult(ctx context.Context, f feed, err error) error {
+func (w *Watcher) handleResult(ctx context.Context, f *followed, err error) error {
 	switch {
 	case err == nil:
 		w.answered.Store(true)
@@ -260,39 +274,33 @@
 		if errors.Is(err, ErrWatchSilent) {
 			w.contact.markDoubtful()
 		}
-		if err := f.read(ctx); err != nil {
-			return err
-		}
+		return w.read(ctx, f)
 	default:
 		return err
 	}
-	w.recordContact()
-	return nil
 }
 
-// recordContact records an answer of the store. Others take a contact for the word that this box
-// knew all changes then.
-func (w *Watcher) recordContact() {
-	if w.behind.Load() {
-		w.contact.markReachable()
+// recordKnown records that all changes of one kind until a time are delivered. A contact is the time until
+// which that holds for all kinds: others take it for the word that this box knew all changes then, and one
+// watch may be silent while the others are answered.
+func (w *Watcher) recordKnown(f *followed, at time.Time) {
+	f.knownAt.Store(at)
+	w.contact.markReachable()
+	contact := at
+	for _, other := range *w.feeds.Load() {
+		if known := other.knownAt.Load(); known.Before(contact) {
+			contact = known
+		}
+	}
+	if contact.IsZero() {
 		return
 	}
-	w.contact.markAnswered()
+	w.contact.markContact(contact)
 	if w.OnContact != nil {
 		w.OnContact()
 	}
 }
 
-// rest waits for a delay in which changes of the servers are not known.
-func (w *Watcher) rest(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	w.behind.Store(true)
-	defer w.behind.Store(false)
-	w.sleep(ctx, d)
-}
-
 func (w *Watcher) newestView() *registry.View {
 	if w.NewestView == nil {
 		return nil
@@ -303,7 +311,7 @@
 // awaitDelivery waits for the delivery delay.
 func (w *Watcher) awaitDelivery(ctx context.Context) {
 	if w.DeliveryDelay != nil {
-		w.rest(ctx, w.DeliveryDelay())
+		w.sleep(ctx, w.DeliveryDelay())
 	}
 }
 
--- a/internal/watchelection/bound.go
+++ b/internal/watchelection/bound.go
@@ -37,9 +37,9 @@
 	return min(d.changeBound()/100*freshPercent, MaxContactAge)
 }
 
-// ServersWait returns how long a watch of the servers may wait for a change. The watch of the box
-// that the others rely on is answered more often.
-func (d *Election) ServersWait() time.Duration {
+// WatchWait returns how long a watch may wait for a change. The watches of the box that the others
+// rely on are answered more often.
+func (d *Election) WatchWait() time.Duration {
 	if d.Leads() {
 		return min(d.changeBound()/100*contactPercent, storewatch.WatchWait)
 	}
--- a/internal/watchelection/bound_test.go
+++ b/internal/watchelection/bound_test.go
@@ -77,12 +77,12 @@
 	var waits []time.Duration
 	for _, self := range []member.Box{a, b} {
 		r := newRig(self, a, b)
-		waits = append(waits, r.election.ServersWait())
+		waits = append(waits, r.election.WatchWait())
 		require.Equal(t, waits[len(waits)-1] < storewatch.WatchWait, r.election.Leads())
 		r.peers.contact = false
-		require.Equal(t, 700*time.Millisecond, r.election.ServersWait())
+		require.Equal(t, 700*time.Millisecond, r.election.WatchWait())
 		r.election.ChangeBound = 1<<63 - 1
-		require.Equal(t, storewatch.WatchWait, r.election.ServersWait())
+		require.Equal(t, storewatch.WatchWait, r.election.WatchWait())
 	}
 	require.ElementsMatch(t, []time.Duration{700 * time.Millisecond, storewatch.WatchWait}, waits)
 }
@@ -134,7 +134,7 @@
 		LastContact: func() time.Time { return began }, Started: began.Add(-time.Minute),
 	}
 	w.Active = func() bool { follows, _ := e.Decide(); return follows }
-	w.Unconfirmed, w.Seekers, w.ServersWait = e.Unconfirmed, e.Seekers, e.ServersWait
+	w.Unconfirmed, w.Seekers, w.Wait = e.Unconfirmed, e.Seekers, e.WatchWait
 	first := live[0].Name
 	if first == rig.election.Self.Name {
 		first = live[1].Name
--- a/internal/watchelection/contact_test.go
+++ b/internal/watchelection/contact_test.go
@@ -87,7 +87,7 @@
 				Started: clock.Now().Add(-time.Minute),
 			}
 			w.Active = func() bool { follows, _ := e.Decide(); return follows }
-			w.Unconfirmed, w.Seekers, w.ServersWait = e.Unconfirmed, e.Seekers, e.ServersWait
+			w.Unconfirmed, w.Seekers, w.Wait = e.Unconfirmed, e.Seekers, e.WatchWait
 			watchers[i] = w
 			tables[i].Update(&digest.Digest{Box: gone, StoreTried: true, StoreReachable: true})
 		}
