watchelection: a peer's contact with the store counts once its versions have arrived

A box took the contact of another one for the word that it knew all changes itself. While the change did not arrive (a note and the fetch after it lost or slow), it went on to send requests to a leaving server and to accept keys that were gone, without a line in the log and for as long as the others were in contact; 404 and 401 were given for good in that state as well. A box now relies on contacts only while it has known, within the same time, all versions that they came with (package freshness), and else asks the store itself.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -191,7 +191,7 @@
 	b.election = &watchelection.Election{
 		Clock: b.Clock, Self: b.self(), Live: b.live, Store: b.watcher.Status, Peers: b.peers,
 		Started: b.started, Strength: relayStrength(b.Settings), Seed: isSeed(b.Settings),
-		ChangeBound: b.Settings.ChangeBound, LastContact: b.outages.LastContact,
+		ChangeBound: b.Settings.ChangeBound, LastContact: b.outages.LastContact, Confirmed: b.fresh.Confirmed,
 	}
 }
 
--- a/internal/box/contact_test.go
+++ b/internal/box/contact_test.go
@@ -23,7 +23,7 @@
 	b := &Box{Clock: clock, peers: &peerstate.Table{Clock: clock}, contact: make(chan struct{}), share: &viewshare.Share{}}
 	b.election = &watchelection.Election{
 		Clock: clock, Peers: b.peers, Store: func() storewatch.Status { return storewatch.Status{} },
-		Live: func() []member.Box { return nil },
+		Live: func() []member.Box { return nil }, LastContact: b.outages.LastContact, Confirmed: b.fresh.Confirmed,
 	}
 	b.directory = &registry.Directory{Clock: clock, StoreReturned: b.outages.Returned}
 	return b
--- a/internal/watchelection/election.go
+++ b/internal/watchelection/election.go
@@ -82,7 +82,10 @@
 	// LastContact returns when any box was last in contact with the store, as far as is known, zero
 	// if none was. Nil means zero.
 	LastContact func() time.Time
-	Started     time.Time
+	// Confirmed returns until when this box knows all changes of the store, zero if it never did. A peer's
+	// contact is no word of changes that have not arrived here. Nil means that they always have.
+	Confirmed func() time.Time
+	Started   time.Time
 	// Strength is the strength of this box, as reported to its peers.
 	Strength int32
 	// Seed means that starting boxes contact this box first.
@@ -104,7 +107,7 @@
 	first := d.first(d.ranking().domain)
 	following := d.Store().Reachable
 	settling := !following && d.Clock.Since(d.Started) < settleTime
-	if !d.Peers.InContact(d.freshAge()) {
+	if !d.informed(d.freshAge()) {
 		return d.decideWithoutContact(first, settling)
 	}
 	switch {
@@ -136,7 +139,7 @@
 // contact with it lately, and this box has not tried since the last one. It is 0 otherwise. That
 // boxes which follow the store have lost it does not tell whether this one reaches it.
 func (d *Election) Unconfirmed() int {
-	if d.LastContact == nil || d.Peers.InContact(d.freshAge()) {
+	if d.LastContact == nil || d.informed(d.freshAge()) {
 		return 0
 	}
 	last := d.LastContact()
@@ -146,6 +149,22 @@
 	return len(d.Live())
 }
 
+// informed reports whether a peer was in contact with the store within a time, and this box knew all
+// changes within that time.
+func (d *Election) informed(within time.Duration) bool {
+	if !d.Peers.InContact(within) {
+		return false
+	}
+	if d.Confirmed == nil {
+		return true
+	}
+	since := d.Started.Add(settleTime)
+	if at := d.Confirmed(); at.After(since) {
+		since = at
+	}
+	return d.Clock.Since(since) <= within
+}
+
 // Seekers returns how many boxes seek the store while none is in contact with it: all live ones. It
 // is 1 while another box is in contact, as the few boxes that follow the store need not wait for
 // each other.
@@ -225,11 +244,11 @@
 }
 
 // RecentContact reports whether this box or a live peer was in contact with the store within
-// MaxContactAge, so that the known state was current then.
+// MaxContactAge, and this box knew all changes within it.
 func (d *Election) RecentContact() bool {
 	s := d.Store()
 	if s.Reachable && d.Clock.Since(s.LastContact) < MaxContactAge {
 		return true
 	}
-	return d.Peers.InContact(MaxContactAge)
+	return d.informed(MaxContactAge)
 }
