registry: work goes on at a leaving server within the bound since it was last known to stay

A generation that its leaving engine had stopped was sent back there up to half of the bound after the box had heard, whenever that was: news that were 1.5 s old and 1 s more are past the bound of 2 s. Each of the two had its half, and nobody had added up what the news may take since a box asks the store itself after 60% of the bound. The time counts from the last confirmation of the view now, or from the return of the store, and may be longer for that (85% of the bound). TestContinuationsEndWithinTheBound failed before with news 1.5 s old.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -58,6 +58,10 @@
 	b.buildMetrics()
 }
 
+// continuePercent is the part of the bound for requests to leaving servers, in percent, within which work
+// that they hold may go on there. The rest is for a request on its way.
+const continuePercent = 85
+
 // buildServers creates the directory of backend servers.
 func (b *Box) buildServers() {
 	b.sends = &sendlog.Tracker{
@@ -65,8 +69,7 @@
 	}
 	b.directory = &registry.Directory{
 		Clock: b.Clock, StoreReturned: b.outages.Returned, OnLeft: b.onServersLeft, OnJoined: b.onServersJoined, ColdTime: b.coldTime,
-		// The rest of the bound is for the news to arrive.
-		ContinueGrace: b.Settings.ChangeBound / 2,
+		ContinueGrace: b.Settings.ChangeBound / 100 * continuePercent, Confirmed: b.fresh.Confirmed,
 	}
 }
 
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -32,9 +32,12 @@
 	OnJoined func(ids []string)
 	// ColdTime, if set, returns how long a server of a service is cold after its start.
 	ColdTime func(service string) time.Duration
-	// ContinueGrace is how long after a server was first observed leaving the work that it holds may still go
-	// on there; 0 means 1 s.
+	// ContinueGrace is how long after a server was last known to stay the work that it holds may still go on
+	// there; 0 means 1 s.
 	ContinueGrace time.Duration
+	// Confirmed returns until when all changes of the view are known, zero for never. Nil means now. It is
+	// called before OnLeft.
+	Confirmed func() time.Time
 
 	mu sync.Mutex
 	// departing holds instances that reported when they end; declining holds those that reported
@@ -50,7 +53,7 @@
 	// missing or belongs to an earlier instance. For all other servers the entry is the newest
 	// instance.
 	instances map[string]instance
-	// leftAt is when instances that left within ContinueGrace were first observed leaving. Guarded by mu.
+	// leftAt is until when instances that left were known to stay, within ContinueGrace. Guarded by mu.
 	leftAt map[string]time.Time
 	// rebuiltAt is when the current listing was built.
 	rebuiltAt time.Time
@@ -119,6 +122,10 @@
 	if old == nil {
 		old = &listing{}
 	}
+	stayed := now
+	if len(reported) == 0 {
+		stayed = d.staying(now)
+	}
 	e := newEdit(old, v, d.Cordons())
 	for _, name := range d.affected(old, v, reported) {
 		before, _ := old.members.Get(name)
@@ -126,7 +133,7 @@
 		e.replace(before, after)
 		if before != nil && (after == nil || after.ID != before.ID) {
 			c.left = append(c.left, before.ID)
-			d.recordLeft(before, now)
+			d.recordLeft(before, stayed)
 		}
 		if after != nil && (before == nil || after.ID != before.ID) {
 			c.joined = append(c.joined, after.ID)
