soak: servers leave as all boxes that follow the store are cut off, or as boxes are paused

Drain was never seen to fail: single boxes were cut off, and every leaving server said so in its answers, so that the first late request told all boxes. Two acts take four servers away that say it in their entries only, while all boxes but one or two lose the store (followers-cut) or are paused (boxes-sleep).

--- a/internal/soak/inject/injector.go
+++ b/internal/soak/inject/injector.go
@@ -82,6 +82,10 @@
 		i.disturb(ctx, a, history.OnBox, box.Process.Name, func() func() { return signal(box.Process, a.Kind) })
 	case a.Kind == schedule.BoxesIsolated:
 		return i.isolate(ctx, a)
+	case a.Kind == schedule.FollowersCut:
+		return i.leaveUnheard(ctx, a, history.OnStoreLink, func(b Box) func() { return impair(b.Store, schedule.Silent, a.Pick) })
+	case a.Kind == schedule.BoxesSleep:
+		return i.leaveUnheard(ctx, a, history.OnBox, func(b Box) func() { return b.Process.Pause() })
 	case onLink(a.Kind):
 		i.link(ctx, a, box)
 	case strings.HasPrefix(string(a.Kind), storePrefix):
--- a/internal/soak/inject/server.go
+++ b/internal/soak/inject/server.go
@@ -140,9 +140,12 @@
 // leave takes a server away, having announced it or not: it serves for as long as it
 // must, and a little longer.
 func (i *Injector) leave(ctx context.Context, a schedule.Act, e *standin.BackendServer) error {
-	if a.Kind == schedule.ServerVanishes {
+	switch a.Kind {
+	case schedule.ServerVanishes:
 		e.Deregister()
-	} else {
+	case schedule.FollowersCut, schedule.BoxesSleep:
+		e.SetDraining()
+	default:
 		e.AnnounceLeaving()
 		e.SetDraining()
 	}
--- /dev/null
+++ b/internal/soak/inject/unheard.go
@@ -0,0 +1,48 @@
+package inject
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dalebend/dalebend/internal/soak/history"
+	"github.com/dalebend/dalebend/internal/soak/pause"
+	"github.com/dalebend/dalebend/internal/soak/schedule"
+)
+
+const (
+	// mostSpared is how many boxes are left alone at most when a server leaves unheard.
+	mostSpared = 2
+	// leavers is how many servers leave, of each kind of service some, leaveWithin the longest time until they do.
+	leavers     = 4
+	leaveWithin = 500 * time.Millisecond
+)
+
+// leaveUnheard disturbs all boxes but one or two, so that those which tell the others are among them, and takes some
+// servers away right after that, which say so in their entries and not in their answers.
+func (i *Injector) leaveUnheard(ctx context.Context, a schedule.Act, scope history.Scope, begin func(b Box) (mend func())) error {
+	spared := 1 + a.Pick%mostSpared
+	var ends []func()
+	for n := range len(i.Boxes) - spared {
+		box := i.Boxes[(a.Target+n)%len(i.Boxes)]
+		over := i.Record.Trouble(a.Kind, scope, box.Process.Name)
+		ends = append(ends, begin(box), over)
+	}
+	var g errgroup.Group
+	for n := range leavers {
+		g.Go(func() error {
+			pause.For(ctx, i.Clock, time.Duration(a.Pick>>pickShift)*time.Millisecond%leaveWithin)
+			e, err := i.Fleet.Replace(a.Target + n)
+			if err != nil {
+				return err
+			}
+			return i.leave(ctx, a, e)
+		})
+	}
+	pause.For(ctx, i.Clock, a.Lasts)
+	for _, end := range ends {
+		end()
+	}
+	return g.Wait()
+}
--- a/internal/soak/run/hostile_test.go
+++ b/internal/soak/run/hostile_test.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	// hostileArg lets the test's own program be a hostile box.
+	// hostileArg lets the test's own program be a hostile box, staleArg one that knows only the servers of
+	// its start.
 	hostileArg = "hostile-box"
+	staleArg   = "stale-box"
 	// lastRequest is the number of the request at which a hostile box ends itself.
 	lastRequest = 40
 )
@@ -31,10 +33,12 @@
 type hostile struct {
 	servers []registry.Server
 	taken   atomic.Int64
+	// stale boxes do nothing else.
+	stale bool
 }
 
-// runHostile is the main of a hostile box.
-func runHostile() error {
+// runHostile is the main of a hostile box, or of a stale one.
+func runHostile(stale bool) error {
 	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return err
@@ -44,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	h := &hostile{}
+	h := &hostile{stale: stale}
 	for _, server := range view.Servers.All() {
 		h.servers = append(h.servers, server)
 	}
@@ -64,7 +68,7 @@
 // ServeHTTP answers one request, in a way that its number says.
 func (h *hostile) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n := h.taken.Add(1)
-	if n == lastRequest {
+	if n == lastRequest && !h.stale {
 		os.Exit(3)
 	}
 	model := r.Host == "chat.test"
@@ -75,12 +79,19 @@
 	candidates := slices.DeleteFunc(slices.Clone(h.servers), func(s registry.Server) bool {
 		return (s.Service == "chat") != model
 	})
+	if h.stale {
+		h.pass(w, r, string(body), candidates[n%int64(len(candidates))], untouched)
+		return
+	}
 	for range 2 {
 		h.pass(w, r, string(body), candidates[n%int64(len(candidates))], n)
 		n++
 	}
 }
 
+// untouched is a number with which an answer is not altered.
+const untouched = 3
+
 // pass passes a request on to a server, and its altered answer back.
 func (h *hostile) pass(w http.ResponseWriter, r *http.Request, body string, to registry.Server, n int64) {
 	onward := r.Clone(r.Context())
--- a/internal/soak/run/run_test.go
+++ b/internal/soak/run/run_test.go
@@ -15,8 +15,8 @@
 )
 
 func TestMain(m *testing.M) {
-	if len(os.Args) > 1 && os.Args[1] == hostileArg {
-		fmt.Fprintln(os.Stderr, runHostile())
+	if len(os.Args) > 1 && (os.Args[1] == hostileArg || os.Args[1] == staleArg) {
+		fmt.Fprintln(os.Stderr, runHostile(os.Args[1] == staleArg))
 		os.Exit(1)
 	}
 	os.Exit(m.Run())
@@ -46,3 +46,26 @@
 		require.NotZero(t, found[promise], promise)
 	}
 }
+
+// TestLateSendsAreFound: requests that boxes in touch send to servers that have left are found.
+func TestLateSendsAreFound(t *testing.T) {
+	program, err := os.Executable()
+	require.NoError(t, err)
+	b := bounds.Default()
+	b.Recovery = time.Second
+	b.Contact = 200 * time.Millisecond
+	r := &run.Run{
+		Seed: 6, Duration: 3 * time.Second, Boxes: 2, Servers: 4, Callers: 8, Program: program, Args: []string{staleArg},
+		Dir: t.TempDir(), Bounds: b, Clock: clockwork.NewRealClock(), Logger: logging.Discard(),
+	}
+	result, err := r.Do(t.Context())
+	require.NoError(t, err)
+	late := 0
+	for _, v := range result.Violations {
+		if v.Promise == "draining" {
+			late++
+		}
+	}
+	t.Log(late, "late of", len(result.History.Arrivals), "arrivals")
+	require.NotZero(t, late)
+}
--- a/internal/soak/schedule/kind.go
+++ b/internal/soak/schedule/kind.go
@@ -60,6 +60,10 @@
 	EnginesSlow history.Kind = "engines-slow"
 	// BoxesIsolated cuts some boxes off from all servers.
 	BoxesIsolated history.Kind = "boxes-isolated"
+	// FollowersCut cuts all boxes but one or two off from the store as a server begins to leave, and
+	// BoxesSleep pauses boxes for longer than the news of that may take.
+	FollowersCut history.Kind = "followers-cut"
+	BoxesSleep   history.Kind = "boxes-sleep"
 	// ServersFull lets all servers turn requests away.
 	ServersFull history.Kind = "servers-full"
 
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -77,6 +77,11 @@
 	oddStream = 22
 	oddIn     = 3
 	oddLasts  = 5 * time.Second
+	// unheardStream is that of boxes that are cut off from the store or paused as a server leaves, which lasts for
+	// unheardLasts at least, in all but one of unheardIn seeds.
+	unheardStream = 23
+	unheardIn     = 4
+	unheardLasts  = 2500 * time.Millisecond
 	// restartRest is left after a restart for what follows from it.
 	restartRest = time.Second
 )
@@ -112,6 +117,7 @@
 	acts = append(acts, word(seed, slowStream, burstIn, EnginesSlow, burstLasts, duration)...)
 	acts = append(acts, word(seed, isolateStream, isolateIn, BoxesIsolated, isolateLasts, duration)...)
 	acts = append(acts, word(seed, oddStream, oddIn, OddEntries, oddLasts, duration)...)
+	acts = append(acts, word(seed, unheardStream, unheardIn, unheard(seed), unheardLasts, duration)...)
 	slices.SortStableFunc(acts, func(a, b Act) int { return int(a.At - b.At) })
 	return acts
 }
@@ -178,6 +184,14 @@
 		word(seed, holdOffStream, wordsIn, ServerHoldsOff, wordLasts, duration)...)
 }
 
+// unheard returns why boxes do not hear of a server that leaves: the two would excuse each other.
+func unheard(seed uint64) history.Kind {
+	if seed%2 == 0 {
+		return FollowersCut
+	}
+	return BoxesSleep
+}
+
 // word draws when servers say something of themselves, or boxes are cut off, for a least time: once in all seeds but one of some, if the
 // run is long enough.
 func word(seed, stream uint64, of int, kind history.Kind, least, duration time.Duration) []Act {
--- a/internal/soak/schedule/schedule_test.go
+++ b/internal/soak/schedule/schedule_test.go
@@ -48,6 +48,6 @@
 			}
 		}
 	}
-	require.Len(t, seen, 43)
+	require.Len(t, seen, 45)
 	require.Greater(t, overlaps, 1000)
 }
