heldup: after a pause of the process requests wait until what arrived meanwhile is read

A box that was not run for a while sent requests to servers that had left meanwhile: when it runs again, the requests that wait are sent by what it knew before, and the news lie unread in its sockets. The check before each send looked at what the box knows and not at how old that is. A pause that the machine makes and nobody notes excuses nothing, ends for all boxes at once and leaves no line. A send waits 0.1 s after a pause of 0.25 s or more; held-up tells of it. TestNewsOfAPauseAreReadBeforeASend fails without the wait.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -29,6 +29,7 @@
 	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/freshness"
 	"github.com/dalebend/dalebend/internal/front"
+	"github.com/dalebend/dalebend/internal/heldup"
 	"github.com/dalebend/dalebend/internal/holdoff"
 	"github.com/dalebend/dalebend/internal/member"
 	"github.com/dalebend/dalebend/internal/outage"
@@ -92,6 +93,8 @@
 	Platform Platform
 	// Exchange sends requests to backend servers.
 	Exchange *exchange.Client
+	// HeldUp, if set, finds out that the process was not run.
+	HeldUp *heldup.Detector
 	// Seed seeds the random choices.
 	Seed uint64
 
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -47,6 +47,9 @@
 	b.started = b.Clock.Now()
 	b.contact = make(chan struct{})
 	b.stopGrace.Store(int64(b.Settings.StopGrace))
+	if b.HeldUp != nil {
+		b.HeldUp.OnHeldUp = b.onHeldUp
+	}
 	b.buildServers()
 	b.buildConditions()
 	b.buildEngineState()
@@ -170,7 +173,7 @@
 func (b *Box) conditionReader() *reader.Reader {
 	return &reader.Reader{
 		Exchanger: b.Exchange, Clock: b.Clock, Codec: b.Platform.Codec, Servers: b.directory, Tracker: b.conditions,
-		Sends: b.sends,
+		Sends: b.sends, HeldUp: b.HeldUp,
 	}
 }
 
@@ -236,7 +239,7 @@
 		Evidence: b.evidence, EngineLoad: b.engineLoad, AnswerLengths: &outputlength.Estimator{}, ShutdownNotice: b.shutdownNotice,
 		PrefillTime: b.picker.PrefillTime, DecodeTime: b.decodeTime,
 		Exchanger: b.gate, Codec: b.Platform.Codec, Mover: b.Platform.Mover, StatusReader: b.Platform.Reporter,
-		RetryBudget: b.retryBudget, RetryPriority: b.retryPriority, AccountShares: b.accountShares, LoadChanged: b.node.TriggerHeartbeat, PathDown: b.paths.DirectHangs, Staleness: b.knownState, Metrics: b.Metrics,
+		RetryBudget: b.retryBudget, RetryPriority: b.retryPriority, AccountShares: b.accountShares, LoadChanged: b.node.TriggerHeartbeat, OnCheck: b.HeldUp.Check, PathDown: b.paths.DirectHangs, Staleness: b.knownState, Metrics: b.Metrics,
 	}
 	b.front = &front.Server{
 		Clock: b.Clock, Logger: b.Logger, Codec: b.Platform.Wire,
--- a/internal/box/state.go
+++ b/internal/box/state.go
@@ -169,6 +169,11 @@
 	}
 }
 
+// onHeldUp is called when the process was not run for a while.
+func (b *Box) onHeldUp(d time.Duration) {
+	b.log(event.HeldUp, slog.Int64(event.KeyAway, d.Milliseconds()))
+}
+
 // unreachable is the only cause of ejections in the metrics.
 const unreachable = "unreachable"
 
--- a/internal/condition/reader/reader.go
+++ b/internal/condition/reader/reader.go
@@ -14,6 +14,7 @@
 	"github.com/dalebend/dalebend/internal/backend"
 	"github.com/dalebend/dalebend/internal/condition"
 	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/heldup"
 	"github.com/dalebend/dalebend/internal/sendlog"
 )
 
@@ -41,6 +42,8 @@
 	Tracker *condition.Tracker
 	// Sends records each request that is about to be written; it may be nil.
 	Sends *sendlog.Tracker
+	// HeldUp delays sends after a pause of the process, until what is known is current again; it may be nil.
+	HeldUp *heldup.Detector
 }
 
 // errLeft means that a request is not sent because its server has begun to leave, or is gone.
@@ -52,6 +55,7 @@
 func (r *Reader) Do(ctx context.Context, t exchange.Target, request *exchange.Request) (*exchange.Response, error) {
 	beforeSend := request.BeforeSend
 	request.BeforeSend = func() error {
+		r.HeldUp.Await(ctx)
 		if err := r.checkSend(t.Key, request.Continues); err != nil {
 			return err
 		}
--- a/internal/condition/reader/reader_test.go
+++ b/internal/condition/reader/reader_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -16,6 +17,7 @@
 	"github.com/dalebend/dalebend/internal/condition/reader"
 	"github.com/dalebend/dalebend/internal/departure"
 	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/heldup"
 	"github.com/dalebend/dalebend/internal/holdoff"
 	"github.com/dalebend/dalebend/internal/serverlimit"
 )
@@ -142,3 +144,35 @@
 	require.Error(t, goesOn.BeforeSend())
 	require.Equal(t, 2, called, "a withheld request is not taken for sent")
 }
+
+// sending is an exchanger that sends at once.
+type sending struct{ answers }
+
+func (s sending) Do(ctx context.Context, t exchange.Target, r *exchange.Request) (*exchange.Response, error) {
+	if err := r.BeforeSend(); err != nil {
+		return nil, err
+	}
+	return s.answers.Do(ctx, t, r)
+}
+
+// TestNewsOfAPauseAreReadBeforeASend: a request that waits when the process runs again is not sent to a server that
+// left while it did not.
+func TestNewsOfAPauseAreReadBeforeASend(t *testing.T) {
+	for _, continues := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			known := &fleet{}
+			tracker := newTracker()
+			r := &reader.Reader{
+				Exchanger: sending{answers{resp: &exchange.Response{Status: http.StatusOK}}}, Clock: clockwork.NewRealClock(),
+				Codec: codec{}, Servers: known, Tracker: tracker, HeldUp: &heldup.Detector{Clock: clockwork.NewRealClock()},
+			}
+			r.HeldUp.Check()
+			_, err := r.Do(t.Context(), exchange.Target{Key: "s"}, &exchange.Request{Continues: continues})
+			require.NoError(t, err)
+			time.Sleep(2500 * time.Millisecond)
+			time.AfterFunc(20*time.Millisecond, func() { known.gone = true })
+			_, err = r.Do(t.Context(), exchange.Target{Key: "s"}, &exchange.Request{Continues: continues})
+			require.ErrorContains(t, err, "withheld")
+		})
+	}
+}
--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -40,6 +40,8 @@
 			KeyCause),
 		warn(Suspended, "the machine was suspended, as its boot clock shows: what the box knew before is older by that",
 			KeyAway),
+		info(HeldUp, "the process was not run for away_ms; requests wait for a moment, until what arrived meanwhile is read",
+			KeyAway),
 		failure(WorkPanicked, "a defect of the program ended the work for one request, server or peer; the process goes on, and the request counts as perhaps run",
 			KeyWork, KeyCause, KeyStack, KeyRequest, KeyServer, KeyPeer, KeyRoute, KeyAccount, KeyConfigVersion, KeyElapsed),
 		warn(LinesDropped, "lines are missing since the last such line: the reader was slow, or an event came more often than its budget",
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -19,6 +19,7 @@
 	SettingsRefused  Name = "settings-refused"
 	LinesDropped     Name = "log-lines-dropped"
 	Suspended        Name = "suspended"
+	HeldUp           Name = "held-up"
 	WorkPanicked     Name = "work-panicked"
 )
 
--- a/internal/heldup/detector.go
+++ b/internal/heldup/detector.go
@@ -27,7 +27,8 @@
 // Detector is safe for concurrent use. Set Clock before use. A nil Detector detects nothing.
 type Detector struct {
 	Clock clockwork.Clock
-	// OnHeldUp, if set, is called with the time for which the process was held up. It must not block.
+	// OnHeldUp, if set, is called with the time for which the process was held up. It must not block, nor call
+	// the Detector.
 	OnHeldUp func(d time.Duration)
 
 	// checked is when the process was last known to run, caughtUp when it has read what arrived while it did
--- a/internal/program/box.go
+++ b/internal/program/box.go
@@ -21,6 +21,7 @@
 	"github.com/dalebend/dalebend/internal/decisionlog"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/exchange"
+	"github.com/dalebend/dalebend/internal/heldup"
 	"github.com/dalebend/dalebend/internal/settings"
 	"github.com/dalebend/dalebend/internal/telemetry"
 	"github.com/dalebend/dalebend/platform"
@@ -116,6 +117,7 @@
 	defer stop()
 	b := newBox(s, clock, log)
 	b.Exchange.Dialer = dialer
+	b.HeldUp = &heldup.Detector{Clock: clock}
 	clock.OnSuspend = func(away time.Duration) {
 		b.Logger.LogAttrs(ctx, event.Suspended.Level(), string(event.Suspended), slog.Int64(event.KeyAway, away.Milliseconds()))
 	}
--- a/internal/streaming/relay.go
+++ b/internal/streaming/relay.go
@@ -96,6 +96,8 @@
 	// PathDown, if set, reports whether open connections of this box to a server may hang, as its path is
 	// down.
 	PathDown func(server string) bool
+	// OnCheck, if set, is called at each check for stalled streams, several times within 0.1 s.
+	OnCheck func()
 	// LoadChanged, if set, is called when this box's part of an engine's load has changed.
 	LoadChanged func()
 	// Staleness is the age of the box's state for the decision log. It and Metrics may be nil.
--- a/internal/streaming/stall.go
+++ b/internal/streaming/stall.go
@@ -28,6 +28,9 @@
 func (r *Relay) WatchForStalls(ctx context.Context) {
 	checked := r.Clock.Now()
 	periodic.Run(ctx, r.Clock, stallCheckInterval, func() {
+		if r.OnCheck != nil {
+			r.OnCheck()
+		}
 		now := r.Clock.Now()
 		if now.Sub(checked) < earlyCheck {
 			return
