outage: a time in which the process was not run is no outage of the store

A box that was paused for more than 2 s took the store for having been away: the calls that ran out in the pause are failures, and no contact was heard. It then kept servers whose entries had gone for 1.8 s more, with requests. Pauses are left out of the time without contact now. TestServerGoneDuringAPauseIsNotKept failed before in its first case.

--- a/internal/box/contact.go
+++ b/internal/box/contact.go
@@ -18,6 +18,7 @@
 
 // recordOwnContact records this box's last failure to reach the store and its last contact.
 func (b *Box) recordOwnContact() {
+	b.HeldUp.Check()
 	s := b.election.Store()
 	b.outages.RecordFailure(s.LastFailure)
 	b.outages.RecordContact(s.LastContact)
@@ -26,6 +27,7 @@
 
 // recordPeerContact records a peer's last contact with the store, or its failure to reach it.
 func (b *Box) recordPeerContact(d *digest.Digest) {
+	b.HeldUp.Check()
 	now := b.Clock.Now()
 	if d.StoreReachable && d.StoreAgeMs >= 0 {
 		at := now.Add(-time.Duration(d.StoreAgeMs) * time.Millisecond)
--- a/internal/box/contact_test.go
+++ b/internal/box/contact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/dalebend/dalebend/internal/boxsettings"
 	"github.com/dalebend/dalebend/internal/digest"
+	"github.com/dalebend/dalebend/internal/heldup"
 	"github.com/dalebend/dalebend/internal/member"
 	"github.com/dalebend/dalebend/internal/peerstate"
 	"github.com/dalebend/dalebend/internal/registry"
@@ -78,6 +80,37 @@
 	require.False(t, b.directory.Takes("a"))
 }
 
+// TestServerGoneDuringAPauseIsNotKept: a time in which the process was not run is no outage of the store.
+func TestServerGoneDuringAPauseIsNotKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause, steps time.Duration
+		kept         bool
+	}{
+		"paused":              {pause: 3 * time.Second},
+		"paused in an outage": {pause: 3 * time.Second, steps: 2200 * time.Millisecond, kept: true},
+		"an outage":           {steps: 3 * time.Second, kept: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+			b := newContactBox(clock)
+			b.Logger = slog.New(slog.DiscardHandler)
+			b.HeldUp = &heldup.Detector{Clock: clock, OnHeldUp: b.onHeldUp}
+			receiveContact(b, true)
+			known := registry.View{}.With([]registry.Change{{Server: registry.Server{ID: "a", Service: "chat"}}}, 1)
+			b.directory.Set(&known)
+			clock.Advance(c.pause)
+			receiveContact(b, false)
+			for range c.steps / (100 * time.Millisecond) {
+				clock.Advance(100 * time.Millisecond)
+				receiveContact(b, false)
+			}
+			receiveContact(b, true)
+			b.directory.Set(&registry.View{Revision: 2})
+			require.Equal(t, c.kept, b.directory.Takes("a"))
+		})
+	}
+}
+
 // rankSecond names a box so that the peer "p" of its failure domain follows the store and it does not.
 func rankSecond(b *Box) {
 	follows := true
--- a/internal/box/state.go
+++ b/internal/box/state.go
@@ -171,6 +171,7 @@
 
 // onHeldUp is called when the process was not run for a while.
 func (b *Box) onHeldUp(d time.Duration) {
+	b.outages.RecordPause(d)
 	b.log(event.HeldUp, slog.Int64(event.KeyAway, d.Milliseconds()))
 }
 
--- a/internal/outage/tracker.go
+++ b/internal/outage/tracker.go
@@ -2,7 +2,7 @@
 // lapsed.
 //
 // An outage is a time without a contact of any box with the store, in which a box failed to reach
-// it. Shorter gaps are none: the boxes that follow the store may have been cut off from it, or a
+// it, as far as this process was run. Shorter gaps are none: the boxes that follow the store may have been cut off from it, or a
 // call may have failed.
 package outage
 
@@ -25,6 +25,8 @@
 	// contact is the time of the last contact of any box, failure that of the last failure.
 	contact, failure time.Time
 	returned         time.Time
+	// paused is the time since contact in which this process was not run: it heard nobody then.
+	paused time.Duration
 }
 
 // RecordFailure records that a box failed to reach the store at a time; a zero time is ignored.
@@ -46,7 +48,15 @@
 	if t.away(at) && at.Sub(t.returned) >= newsLead {
 		t.returned = at
 	}
-	t.contact = at
+	t.contact, t.paused = at, 0
+}
+
+// RecordPause records that this process was not run for a while, before what happened meanwhile is
+// recorded.
+func (t *Tracker) RecordPause(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.paused += d
 }
 
 // RecordView records that a newer view was received from another box, which has read it from the
@@ -61,7 +71,7 @@
 
 // away reports whether there was an outage until a time. The lock must be held.
 func (t *Tracker) away(at time.Time) bool {
-	return t.failure.After(t.contact) && at.Sub(t.contact) >= MinGap
+	return t.failure.After(t.contact) && at.Sub(t.contact)-t.paused >= MinGap
 }
 
 // Returned returns when the store was first reached after the last outage, zero if there was none.
