--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -248,7 +248,7 @@
 			Exchanger: b.gate, Codec: b.Platform.Codec, RetryBudget: b.retryBudget,
 			Staleness: b.knownState, Metrics: b.Metrics,
 		},
-		Streams: b.streams, Quarantine: b.quarantine, Table: b.share.Table, ConfigRecent: b.election.RecentContact,
+		Streams: b.streams, Quarantine: b.quarantine, Table: b.share.Table, HeldUp: b.HeldUp, ConfigRecent: b.election.RecentContact,
 		Staleness: b.knownState, Metrics: b.Metrics,
 		Buffers: &bufferlimit.Accounting{Clock: b.Clock, Limits: bufferlimit.LimitsOf(s.MemoryBytes, s.KeptShare)},
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -74,6 +74,7 @@
 		x.refuse(refusal{status: http.StatusBadRequest, class: badRequest, reason: err.Error()})
 		return
 	}
+	x.server.HeldUp.Await(ending)
 	if !x.admit() {
 		return
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -26,6 +26,7 @@
 	"github.com/dalebend/dalebend/internal/bufferlimit"
 	"github.com/dalebend/dalebend/internal/callerconn"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
+	"github.com/dalebend/dalebend/internal/heldup"
 	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -93,6 +94,8 @@
 	Quarantine *quarantine.Tracker
 	// Table returns the configuration in force, nil before the first.
 	Table func() *routetable.Table
+	// HeldUp delays requests after a pause of the process, until what is known is current again; it may be nil.
+	HeldUp *heldup.Detector
 	// ConfigRecent reports whether the configuration in force was recently known to be the newest.
 	ConfigRecent func() bool
 	// Staleness is the age of the box's state for the decision log. It and Metrics may be nil.
