--- a/internal/registry/instances.go
+++ b/internal/registry/instances.go
@@ -24,13 +24,7 @@
 func (d *Directory) resolveEntry(e *edit, name string, now time.Time) (Server, bool) {
 	known, ok := d.newestInstance(e.old, name)
 	entry, exists := e.next.view.Servers.Get(name)
-	switch {
-	case exists && entry.State == Draining:
-		recordReports(&d.drained, []string{entry.ID}, now)
-	case !exists:
-		// A server that does not tell when it started may have started again. Its instances have its name.
-		delete(d.drained, name)
-	}
+	d.recordDrained(name, &entry, exists, now)
 	switch {
 	case !exists && ok && now.Sub(known.reportedAt) < maxWriteLag:
 		d.keepInstance(name, known)
@@ -40,12 +34,9 @@
 		e.entries.Delete(name)
 	case ok && known.server.NewerThan(&entry) && (entry == known.supersededEntry || now.Sub(known.reportedAt) < maxWriteLag):
 		d.keepInstance(name, known)
-		if entry.State == Draining && entry != known.supersededEntry {
-			// A late write, or a start at which the server's clock was behind: it may leave.
-			known.server.State = Draining
-		}
-		e.entries.Set(name, known.server)
-		return known.server, true
+		server := known.behind(&entry)
+		e.entries.Set(name, server)
+		return server, true
 	default:
 		delete(d.instances, name)
 		e.entries.Set(name, entry)
@@ -53,6 +44,27 @@
 	return entry, exists
 }
 
+// behind returns the server while its entry is that of an earlier instance: a late write, or a start at which
+// the server's clock was behind. It may leave if that entry says so.
+func (i *instance) behind(entry *Server) Server {
+	s := i.server
+	if entry.State == Draining && *entry != i.supersededEntry {
+		s.State = Draining
+	}
+	return s
+}
+
+// recordDrained records what the entry of a server says of its leaving. The lock must be held.
+func (d *Directory) recordDrained(name string, entry *Server, exists bool, now time.Time) {
+	switch {
+	case !exists:
+		// A server that does not tell when it started may have started again. Its instances have its name.
+		delete(d.drained, name)
+	case entry.State == Draining:
+		recordReports(&d.drained, []string{entry.ID}, now)
+	}
+}
+
 // newestInstance returns the newest known instance of a server. The lock must be held.
 func (d *Directory) newestInstance(l *listing, name string) (s instance, ok bool) {
 	if s, ok = d.instances[name]; ok {
