--- a/internal/settings/soak.go
+++ b/internal/settings/soak.go
@@ -24,6 +24,7 @@
 	Seed                 uint64        `arg:"--seed,env:DALEBEND_SOAK_SEED" default:"1" help:"first seed; a seed always gives the same schedule"`
 	Seeds                int           `arg:"--seeds,env:DALEBEND_SOAK_SEEDS" default:"1" help:"number of seeds, one after another"`
 	Duration             time.Duration `arg:"--duration,env:DALEBEND_SOAK_DURATION" default:"10s" help:"time in which faults happen, for each seed"`
+	Calm                 bool          `arg:"--calm,env:DALEBEND_SOAK_CALM" help:"only planned work and servers that leave unheard, so that bounds on time bind most boxes"`
 	Boxes                int           `arg:"--boxes,env:DALEBEND_SOAK_BOXES" default:"4" help:"boxes, each a process"`
 	Servers              int           `arg:"--servers,env:DALEBEND_SOAK_SERVERS" default:"8" help:"backend servers, half of them engines"`
 	Slack                time.Duration `arg:"--slack,env:DALEBEND_SOAK_SLACK" default:"500ms" help:"what is added to each bound on time, as boxes share one machine; more on a busy one"`
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -28,6 +28,8 @@
 	Seed uint64
 	// Duration is the time in which faults happen.
 	Duration time.Duration
+	// Calm leaves out most faults; see schedule.DrawCalm.
+	Calm bool
 	// Boxes, Servers and Callers are how many there are.
 	Boxes   int
 	Servers int
@@ -118,7 +120,11 @@
 		Boxes: r.boxes, Fleet: r.fleet, Store: &inject.Store{Server: r.store}, Operator: r.operator,
 		Record: r.record, Clock: r.Clock, Logger: r.Logger, Serves: r.Bounds.Drain + serveOn,
 	}
-	counts, err := injector.Run(ctx, schedule.Draw(r.Seed, r.Boxes, r.Duration))
+	acts := schedule.Draw(r.Seed, r.Boxes, r.Duration)
+	if r.Calm {
+		acts = schedule.DrawCalm(r.Seed, r.Duration)
+	}
+	counts, err := injector.Run(ctx, acts)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -122,6 +122,15 @@
 	return acts
 }
 
+// DrawCalm draws the acts of a run in which little is disturbed, so that promises with a bound on time bind most boxes:
+// planned work, and servers that leave unheard.
+func DrawCalm(seed uint64, duration time.Duration) []Act {
+	rng := rand.New(rand.NewPCG(seed, stream))
+	acts := append(steady(rng, duration), word(seed, unheardStream, unheardIn, unheard(seed), unheardLasts, duration)...)
+	slices.SortStableFunc(acts, func(a, b Act) int { return int(a.At - b.At) })
+	return acts
+}
+
 // choose draws the families of a run.
 func choose(rng *rand.Rand) []family {
 	all := families()
--- a/internal/soak/schedule/schedule_test.go
+++ b/internal/soak/schedule/schedule_test.go
@@ -1,6 +1,8 @@
 package schedule_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,3 +53,24 @@
 	require.Len(t, seen, 45)
 	require.Greater(t, overlaps, 1000)
 }
+
+// TestCalm: a calm run has planned work, and servers that leave unheard in three of four seeds.
+func TestCalm(t *testing.T) {
+	seen := make(map[history.Kind]int)
+	for seed := range uint64(200) {
+		acts := schedule.DrawCalm(seed, duration)
+		require.Equal(t, acts, schedule.DrawCalm(seed, duration))
+		for _, a := range acts {
+			seen[a.Kind]++
+			require.LessOrEqual(t, a.At+a.Lasts, duration)
+		}
+	}
+	require.InDelta(t, 150, seen[schedule.FollowersCut]+seen[schedule.BoxesSleep], 20)
+	for _, kind := range []history.Kind{schedule.FollowersCut, schedule.BoxesSleep} {
+		require.Greater(t, seen[kind], 50)
+		delete(seen, kind)
+	}
+	require.ElementsMatch(t, []history.Kind{
+		schedule.ConfigChanges, schedule.ServerDrains, schedule.ServerVanishes, schedule.BoxStop,
+	}, slices.Collect(maps.Keys(seen)))
+}
--- a/internal/soak/series/series.go
+++ b/internal/soak/series/series.go
@@ -85,7 +85,7 @@
 		return nil, fmt.Errorf("make the folder of seed %d: %w", seed, err)
 	}
 	one := &run.Run{
-		Seed: seed, Duration: s.Settings.Duration, Boxes: s.Settings.Boxes, Servers: s.Settings.Servers,
+		Seed: seed, Duration: s.Settings.Duration, Calm: s.Settings.Calm, Boxes: s.Settings.Boxes, Servers: s.Settings.Servers,
 		Callers: s.Settings.Callers, SlowCallers: s.Settings.SlowCallers, IdleCallers: s.Settings.IdleCallers, DeadlyCallers: s.Settings.DeadlyCallers, DeadlySegmentCallers: s.Settings.DeadlySegmentCallers, Program: program, Args: args, Dir: dir, Bounds: s.Bounds, Clock: s.Clock, Logger: s.Logger,
 	}
 	r, err := one.Do(ctx)
