storewatch: the watch of the cordons waits as long as before

Only the configuration and the servers have the short bound: cordons have one of their own, come with every heartbeat, and their watch is left out of the time of a contact once they are read.

--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -78,10 +78,11 @@
 	oddIn     = 3
 	oddLasts  = 5 * time.Second
 	// unheardStream is that of boxes that are cut off from the store or paused as a server leaves, which lasts for
-	// unheardLasts at least, in all but one of unheardIn seeds.
+	// unheardLasts at least, in all but one of unheardIn seeds, and not before the boxes are in touch.
 	unheardStream = 23
 	unheardIn     = 4
 	unheardLasts  = 2500 * time.Millisecond
+	unheardLead   = 4500 * time.Millisecond
 	// restartRest is left after a restart for what follows from it.
 	restartRest = time.Second
 )
@@ -117,7 +118,7 @@
 	acts = append(acts, word(seed, slowStream, burstIn, EnginesSlow, burstLasts, duration)...)
 	acts = append(acts, word(seed, isolateStream, isolateIn, BoxesIsolated, isolateLasts, duration)...)
 	acts = append(acts, word(seed, oddStream, oddIn, OddEntries, oddLasts, duration)...)
-	acts = append(acts, word(seed, unheardStream, unheardIn, unheard(seed), unheardLasts, duration)...)
+	acts = append(acts, unheard(seed, duration)...)
 	slices.SortStableFunc(acts, func(a, b Act) int { return int(a.At - b.At) })
 	return acts
 }
@@ -126,7 +127,7 @@
 // planned work, and servers that leave unheard.
 func DrawCalm(seed uint64, duration time.Duration) []Act {
 	rng := rand.New(rand.NewPCG(seed, stream))
-	acts := append(steady(rng, duration), word(seed, unheardStream, unheardIn, unheard(seed), unheardLasts, duration)...)
+	acts := append(steady(rng, duration), unheard(seed, duration)...)
 	slices.SortStableFunc(acts, func(a, b Act) int { return int(a.At - b.At) })
 	return acts
 }
@@ -193,12 +194,17 @@
 		word(seed, holdOffStream, wordsIn, ServerHoldsOff, wordLasts, duration)...)
 }
 
-// unheard returns why boxes do not hear of a server that leaves: the two would excuse each other.
-func unheard(seed uint64) history.Kind {
+// unheard draws when boxes do not hear of servers that leave, for one of two reasons: they would excuse each other.
+func unheard(seed uint64, duration time.Duration) []Act {
+	kind := BoxesSleep
 	if seed%2 == 0 {
-		return FollowersCut
+		kind = FollowersCut
 	}
-	return BoxesSleep
+	acts := word(seed, unheardStream, unheardIn, kind, unheardLasts, duration-unheardLead+lead)
+	for i := range acts {
+		acts[i].At += unheardLead - lead
+	}
+	return acts
 }
 
 // word draws when servers say something of themselves, or boxes are cut off, for a least time: once in all seeds but one of some, if the
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -72,7 +72,8 @@
 	// RewatchDelay returns the delay before the next watch after an answer with so many changes of
 	// the servers; a second at most. Nil means no delay.
 	RewatchDelay func(changes int) time.Duration
-	// Wait returns how long the next watch waits for a change. Nil means WatchWait.
+	// Wait returns how long the next watch of the configuration or the servers waits for a change. Nil means
+	// WatchWait.
 	Wait func() time.Duration
 	// DeliveryDelay returns how long a change of the servers is held back, so that another box that
 	// reads the same change publishes it first. Nil means no delay.
@@ -167,9 +168,12 @@
 // session reads the state and follows it until something fails.
 func (w *Watcher) session(ctx context.Context) error {
 	// Sequentially, so that one call finds out that the store is away.
-	feeds := []*followed{{feed: &w.config, delayAfter: noDelay}, {feed: &w.servers, delayAfter: w.rewatchDelay}}
+	feeds := []*followed{
+		{feed: &w.config, wait: w.wait, delayAfter: noDelay},
+		{feed: &w.servers, wait: w.wait, delayAfter: w.rewatchDelay},
+	}
 	if w.OnCordons != nil {
-		feeds = append(feeds, &followed{feed: &w.cordons, delayAfter: noDelay})
+		feeds = append(feeds, &followed{feed: &w.cordons, wait: longWait, delayAfter: noDelay, slow: true})
 	}
 	if err := w.readAll(ctx, feeds); err != nil {
 		return err
@@ -189,8 +193,13 @@
 type followed struct {
 	feed
 
-	// delayAfter returns the delay before the next watch after so many changes.
+	// wait returns how long the next watch waits for a change, delayAfter the delay before it after so many
+	// changes.
+	wait       func() time.Duration
 	delayAfter func(changes int) time.Duration
+	// slow is set for a kind whose changes may take longer than the others. Once it is read, a contact does
+	// not depend on it.
+	slow bool
 	// knownAt is the time of the last answer after which all changes until then were delivered, zero before
 	// the first.
 	knownAt atomictime.Time
@@ -227,7 +236,10 @@
 // the whole configuration is sent to every box: a single box would take long to send it to all.
 func noDelay(int) time.Duration { return 0 }
 
-// wait returns how long the next watch waits for a change.
+// longWait is how long a watch of the cordons waits for a change.
+func longWait() time.Duration { return WatchWait }
+
+// wait returns how long the next watch of the configuration or the servers waits for a change.
 func (w *Watcher) wait() time.Duration {
 	if w.Wait == nil {
 		return WatchWait
@@ -242,7 +254,7 @@
 		began := w.Clock.Now()
 		// The wait is shortened by the delay before it, so that the cycle is not longer.
 		var answeredAt time.Time
-		changes, err := f.watch(ctx, max(w.wait()-delay, minCycle), func() { answeredAt = w.Clock.Now() })
+		changes, err := f.watch(ctx, max(f.wait()-delay, minCycle), func() { answeredAt = w.Clock.Now() })
 		if err == nil {
 			w.recordKnown(f, answeredAt)
 		}
@@ -288,7 +300,8 @@
 	w.contact.markReachable()
 	contact := at
 	for _, other := range *w.feeds.Load() {
-		if known := other.knownAt.Load(); known.Before(contact) {
+		known := other.knownAt.Load()
+		if known.Before(contact) && (!other.slow || known.IsZero()) {
 			contact = known
 		}
 	}
