--- a/internal/soak/inject/unheard.go
+++ b/internal/soak/inject/unheard.go
@@ -16,7 +16,7 @@
 	mostSpared = 2
 	// leavers is how many servers leave, of each kind of service some, leaveWithin the longest time until they do.
 	leavers     = 4
-	leaveWithin = 500 * time.Millisecond
+	leaveWithin = 150 * time.Millisecond
 )
 
 // leaveUnheard disturbs all boxes but one or two, so that those which tell the others are among them, and takes some
--- a/internal/watchelection/bound_test.go
+++ b/internal/watchelection/bound_test.go
@@ -108,14 +108,27 @@
 // for it lose it, the last contact being as fresh as it can be, whether they report that meanwhile or not.
 func TestCutFollowersAreNoticedInTime(t *testing.T) {
 	for _, reported := range []bool{false, true} {
-		t.Run(fmt.Sprintf("reported=%t", reported), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { requireAskedInTime(t, reported) })
-		})
+		for late, most := range map[time.Duration]time.Duration{0: 1500 * time.Millisecond, 50 * time.Millisecond: 1700 * time.Millisecond} {
+			t.Run(fmt.Sprintf("reported=%t late=%v", reported, late), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { requireAskedInTime(t, reported, late, most) })
+			})
+		}
 	}
 }
 
-func requireAskedInTime(t *testing.T, reported bool) {
-	clock := clockwork.NewRealClock()
+// lateClock is a clock whose timers fire late, as on a slow processor.
+type lateClock struct {
+	clockwork.Clock
+
+	by time.Duration
+}
+
+func (c lateClock) NewTimer(d time.Duration) clockwork.Timer { return c.Clock.NewTimer(d + c.by) }
+
+// requireAskedInTime requires that the store is asked within a time, with timers that are late. The rest of the bound is for the
+// call, a pause of the process (0.1 s) and a dial (0.2 s).
+func requireAskedInTime(t *testing.T, reported bool, late, most time.Duration) {
+	clock := lateClock{Clock: clockwork.NewRealClock(), by: late}
 	table := &peerstate.Table{Clock: clock}
 	rig := second()
 	live := rig.live
@@ -151,5 +164,5 @@
 	cancel()
 	<-done
 	require.Greater(t, asked, 1200*time.Millisecond, "no call while the contact is fresh")
-	require.LessOrEqual(t, asked, 1500*time.Millisecond)
+	require.LessOrEqual(t, asked, most)
 }
