--- a/internal/member/spread_measure_test.go
+++ b/internal/member/spread_measure_test.go
@@ -34,6 +34,7 @@
 	})
 	for _, b := range s.running() {
 		require.Zero(s.t, b.repeated, b.Self.Name)
+		require.Zero(s.t, b.misnamed, b.Self.Name)
 	}
 	return verdict
 }
--- a/internal/member/spread_test.go
+++ b/internal/member/spread_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -68,11 +69,16 @@
 	// noted is when each note arrived, and repeated counts duplicates.
 	noted    map[string]time.Time
 	repeated int
+	// misnamed counts notes whose sender is not the one that their text names.
+	misnamed int
 }
 
-func (b *teller) note(_ string, data []byte) {
+func (b *teller) note(from string, data []byte) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !strings.HasPrefix(string(data), from+" at ") {
+		b.misnamed++
+	}
 	if _, ok := b.noted[string(data)]; ok {
 		b.repeated++
 		return
--- a/internal/outage/tracker.go
+++ b/internal/outage/tracker.go
@@ -2,8 +2,8 @@
 // lapsed.
 //
 // An outage is a time without a contact of any box with the store, in which a box failed to reach
-// it, as far as this process was run. Shorter gaps are none: the boxes that follow the store may have been cut off from it, or a
-// call may have failed.
+// it, as far as this process was run. Shorter gaps are none: the boxes that follow the store may have
+// been cut off from it, or a call may have failed.
 package outage
 
 import (
--- a/internal/registry/instances.go
+++ b/internal/registry/instances.go
@@ -34,7 +34,7 @@
 		e.entries.Delete(name)
 	case ok && known.server.NewerThan(&entry) && (entry == known.supersededEntry || now.Sub(known.reportedAt) < maxWriteLag):
 		d.keepInstance(name, known)
-		server := known.behind(&entry)
+		server := known.withOlderEntry(&entry)
 		e.entries.Set(name, server)
 		return server, true
 	default:
@@ -44,9 +44,9 @@
 	return entry, exists
 }
 
-// behind returns the server while its entry is that of an earlier instance: a late write, or a start at which
-// the server's clock was behind. It may leave if that entry says so.
-func (i *instance) behind(entry *Server) Server {
+// withOlderEntry returns the server while its entry is that of an earlier instance: a late write, or a start at
+// which the server's clock was behind. It may leave if that entry says so.
+func (i *instance) withOlderEntry(entry *Server) Server {
 	s := i.server
 	if entry.State == Draining && *entry != i.supersededEntry {
 		s.State = Draining
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -173,7 +173,7 @@
 		{feed: &w.servers, wait: w.wait, delayAfter: w.rewatchDelay},
 	}
 	if w.OnCordons != nil {
-		feeds = append(feeds, &followed{feed: &w.cordons, wait: longWait, delayAfter: noDelay, slow: true})
+		feeds = append(feeds, &followed{feed: &w.cordons, wait: longWait, delayAfter: noDelay, ownBound: true})
 	}
 	if err := w.readAll(ctx, feeds); err != nil {
 		return err
@@ -197,9 +197,9 @@
 	// changes.
 	wait       func() time.Duration
 	delayAfter func(changes int) time.Duration
-	// slow is set for a kind whose changes may take longer than the others. Once it is read, a contact does
-	// not depend on it.
-	slow bool
+	// ownBound is set for a kind whose changes have a longer bound than the others. Once it is read, a contact
+	// does not depend on it.
+	ownBound bool
 	// knownAt is the time of the last answer after which all changes until then were delivered, zero before
 	// the first.
 	knownAt atomictime.Time
@@ -301,7 +301,7 @@
 	contact := at
 	for _, other := range *w.feeds.Load() {
 		known := other.knownAt.Load()
-		if known.Before(contact) && (!other.slow || known.IsZero()) {
+		if known.Before(contact) && (!other.ownBound || known.IsZero()) {
 			contact = known
 		}
 	}
--- a/internal/viewshare/change_test.go
+++ b/internal/viewshare/change_test.go
@@ -32,6 +32,7 @@
 		require.Equal(t, viewAt(9), *s.View(), "%v", order)
 		_, source := s.Sources()
 		require.Equal(t, SourceNote, source)
+		require.Equal(t, "b", s.Teller())
 		require.Empty(t, s.early)
 	}
 }
