heldup, freshness, storewatch: after a long pause a box asks the store before it sends

After a pause of 35% of the bound the watcher reads the whole state again, reports of peers don't count for a second, an answer to a call from before the pause counts for the time of the call, and requests wait until the box has asked the store or found that it can't, 1 s at most. Tests: TestLongPauseIsOverOnceCaughtUp, TestReportsThatWaitedInAPauseDontCount, TestAnswerThatWaitedInAPauseIsOld, TestReread, TestBoxAsksTheStoreAfterALongPause.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -42,13 +42,18 @@
 	"github.com/dalebend/dalebend/internal/watchelection"
 )
 
+// longPausePercent is the part of the bound for changes of the store, in percent, from which on a pause of the
+// process makes what the box knows too old: with the age that it may have without one it is within the bound.
+const longPausePercent = 35
+
 // build creates the parts of the box. The listeners must be open.
 func (b *Box) build() {
 	b.started = b.Clock.Now()
 	b.contact = make(chan struct{})
 	b.stopGrace.Store(int64(b.Settings.StopGrace))
 	if b.HeldUp != nil {
-		b.HeldUp.OnHeldUp = b.onHeldUp
+		b.HeldUp.OnHeldUp, b.HeldUp.CaughtUp = b.onHeldUp, b.caughtUp
+		b.HeldUp.LongPause = b.Settings.ChangeBound / 100 * longPausePercent
 	}
 	b.buildServers()
 	b.buildConditions()
@@ -186,7 +191,7 @@
 		StartDelay: least, StartSpread: spread,
 		RewatchDelay:  func(changes int) time.Duration { return b.election.RewatchDelay(changes) },
 		DeliveryDelay: func() time.Duration { return b.election.DeliveryDelay() },
-		NewestView:    b.share.View, Companion: b.heldRequests,
+		NewestView:    b.share.View, Companion: b.heldRequests, Resumed: b.HeldUp.Resumed,
 		Wait:            func() time.Duration { return b.election.WatchWait() },
 		Unconfirmed:     func() int { return b.election.Unconfirmed() },
 		RecheckInterval: watchelection.RecheckInterval, OnContact: b.onStoreContact,
@@ -197,7 +202,7 @@
 	b.election = &watchelection.Election{
 		Clock: b.Clock, Self: b.self(), Live: b.live, Store: b.watcher.Status, Peers: b.peers,
 		Started: b.started, Strength: relayStrength(b.Settings), Seed: isSeed(b.Settings),
-		ChangeBound: b.Settings.ChangeBound, LastContact: b.outages.LastContact, Confirmed: b.fresh.Confirmed,
+		ChangeBound: b.Settings.ChangeBound, LastContact: b.outages.LastContact, Confirmed: b.informedUntil,
 	}
 }
 
--- a/internal/box/contact.go
+++ b/internal/box/contact.go
@@ -22,7 +22,7 @@
 	s := b.election.Store()
 	b.outages.RecordFailure(s.LastFailure)
 	b.outages.RecordContact(s.LastContact)
-	b.fresh.RecordReport(s.LastContact, b.heldVersions())
+	b.fresh.RecordOwn(s.LastContact)
 }
 
 // recordPeerContact records a peer's last contact with the store, or its failure to reach it.
--- a/internal/box/contact_test.go
+++ b/internal/box/contact_test.go
@@ -171,3 +171,32 @@
 		})
 	}
 }
+
+// TestBoxAsksTheStoreAfterALongPause: a box that was paused does not rely on reports of its peers, which may have waited
+// meanwhile, and has caught up once it has asked the store, or found out that it can't.
+func TestBoxAsksTheStoreAfterALongPause(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+	b := newContactBox(clock)
+	b.Logger = slog.New(slog.DiscardHandler)
+	status := storewatch.Status{}
+	b.watcher = &storewatch.Watcher{}
+	b.election.Store = func() storewatch.Status { return status }
+	b.election.Confirmed = b.informedUntil
+	b.HeldUp = &heldup.Detector{Clock: clock, OnHeldUp: b.onHeldUp, LongPause: 700 * time.Millisecond}
+	b.HeldUp.Check()
+	receiveContact(b, true)
+	rankSecond(b)
+	clock.Advance(800 * time.Millisecond)
+	resumed := b.HeldUp.Resumed()
+	require.Equal(t, clock.Now(), resumed)
+	clock.Advance(20 * time.Millisecond)
+	receiveContact(b, true)
+	follows, _ := b.election.Decide()
+	require.True(t, follows)
+	require.False(t, b.caughtUp(resumed))
+	status.LastContact = clock.Now()
+	b.recordOwnContact()
+	require.True(t, b.caughtUp(resumed))
+	follows, _ = b.election.Decide()
+	require.False(t, follows)
+}
--- a/internal/box/state.go
+++ b/internal/box/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/freshness"
+	"github.com/dalebend/dalebend/internal/heldup"
 	"github.com/dalebend/dalebend/internal/registry"
 	"github.com/dalebend/dalebend/internal/routetable"
 	"github.com/dalebend/dalebend/internal/sendlog"
@@ -172,9 +173,30 @@
 // onHeldUp is called when the process was not run for a while.
 func (b *Box) onHeldUp(d time.Duration) {
 	b.outages.RecordPause(d)
+	if long := b.HeldUp.LongPause; long > 0 && d >= long {
+		b.fresh.RecordPause(b.Clock.Now())
+		b.watcher.Reread()
+	}
 	b.log(event.HeldUp, slog.Int64(event.KeyAway, d.Milliseconds()))
 }
 
+// informedUntil returns until when this box knows all changes, zero if it must ask the store itself: what others
+// report is not credible right after a long pause.
+func (b *Box) informedUntil() time.Time {
+	at := b.fresh.Confirmed()
+	if b.HeldUp.Resumed().After(at) {
+		return time.Time{}
+	}
+	return at
+}
+
+// caughtUp reports whether this box knows all changes until after a pause that ended at a time, or has found
+// out that it does not reach the store. Calls that ran out in the pause don't show that.
+func (b *Box) caughtUp(resumed time.Time) bool {
+	return b.fresh.Confirmed().After(resumed) ||
+		b.watcher.Status().LastFailure.After(resumed.Add(heldup.CatchUpTime))
+}
+
 // unreachable is the only cause of ejections in the metrics.
 const unreachable = "unreachable"
 
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -15,6 +15,9 @@
 // arrive per second, each within some 50 ms.
 const maxPending = 16
 
+// settleTime is how long it takes at most until the reports that arrived during a pause are read.
+const settleTime = time.Second
+
 // Versions are those of a box's state.
 type Versions struct {
 	// Config is the version of the configuration, View the revision of the servers, Cordons that of
@@ -32,6 +35,8 @@
 	mu        sync.Mutex
 	held      Versions
 	confirmed time.Time
+	// credible is the time from which on reports of others count.
+	credible time.Time
 	// pending holds reports of versions that this box lacks, by time.
 	pending []report
 }
@@ -42,12 +47,30 @@
 	versions Versions
 }
 
-// RecordReport records a box's report that it knew all changes until a time, and which versions it
-// holds. For a contact of this box itself these are its own.
+// RecordOwn records that this box knew all changes until a time, by its own contact with the store.
+func (t *Tracker) RecordOwn(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.confirmed) {
+		t.confirm(at)
+	}
+}
+
+// RecordPause records that this process was not run until a time. The reports that waited meanwhile appear
+// to be new, so that none counts whose time is less than settleTime later.
+func (t *Tracker) RecordPause(resumed time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.credible = resumed.Add(settleTime)
+	t.pending = nil
+}
+
+// RecordReport records another box's report that it knew all changes until a time, and which versions it
+// holds.
 func (t *Tracker) RecordReport(at time.Time, versions Versions) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !at.After(t.confirmed) {
+	if !at.After(t.confirmed) || at.Before(t.credible) {
 		return
 	}
 	if t.held.covers(versions) {
--- a/internal/freshness/tracker_test.go
+++ b/internal/freshness/tracker_test.go
@@ -44,3 +44,22 @@
 	f.RecordHeld(freshness.Versions{View: 995})
 	require.Equal(t, at(995), f.Confirmed())
 }
+
+// TestReportsThatWaitedInAPauseDontCount: reports that are read after a pause seem to be new, and are not. What this box
+// finds out itself is.
+func TestReportsThatWaitedInAPauseDontCount(t *testing.T) {
+	var f freshness.Tracker
+	f.RecordHeld(freshness.Versions{View: 10})
+	f.RecordReport(at(100), freshness.Versions{View: 10})
+	f.RecordReport(at(200), freshness.Versions{View: 11})
+	f.RecordPause(at(5000))
+	f.RecordReport(at(5100), freshness.Versions{View: 10})
+	f.RecordReport(at(5999), freshness.Versions{View: 11})
+	f.RecordHeld(freshness.Versions{View: 11})
+	require.Equal(t, at(100), f.Confirmed())
+	f.RecordReport(at(6000), freshness.Versions{View: 11})
+	require.Equal(t, at(6000), f.Confirmed())
+	f.RecordPause(at(9000))
+	f.RecordOwn(at(9010))
+	require.Equal(t, at(9010), f.Confirmed())
+}
--- a/internal/heldup/detector.go
+++ b/internal/heldup/detector.go
@@ -19,9 +19,12 @@
 	// Threshold is the time without a check from which on the process is assumed to have been held up. An
 	// exhausted CPU quota takes 0.1 s.
 	Threshold = 250 * time.Millisecond
-	// catchUpTime is how long the process has afterwards to read what arrived meanwhile, and to ask the store
-	// again if its watch ran out: some round trips.
-	catchUpTime = 100 * time.Millisecond
+	// CatchUpTime is how long the process has afterwards to read what arrived meanwhile: some round trips.
+	CatchUpTime = 100 * time.Millisecond
+	// MaxCatchUpTime is how long it has at most until it is CaughtUp after a long pause.
+	MaxCatchUpTime = time.Second
+	// pollInterval is the interval between questions whether it is.
+	pollInterval = 10 * time.Millisecond
 )
 
 // Detector is safe for concurrent use. Set Clock before use. A nil Detector detects nothing.
@@ -31,9 +34,14 @@
 	// the Detector.
 	OnHeldUp func(d time.Duration)
 
-	// checked is when the process was last known to run, caughtUp when it has read what arrived while it did
-	// not.
-	checked, caughtUp atomictime.Time
+	// LongPause is the shortest pause after which CaughtUp is asked; 0 is none. CaughtUp reports whether the
+	// process knows again what it should, after a pause that ended at a time.
+	LongPause time.Duration
+	CaughtUp  func(resumed time.Time) bool
+
+	// checked is when the process was last known to run, resumed the end of the last pause, and resumedLong
+	// that of the last long one.
+	checked, resumed, resumedLong atomictime.Time
 	// mu is held while a pause is recorded, so that it counts once.
 	mu sync.Mutex
 }
@@ -49,7 +57,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if pause := d.unchecked(now); pause >= Threshold {
-		d.caughtUp.Store(now.Add(catchUpTime))
+		d.resumed.Store(now)
+		if d.LongPause > 0 && pause >= d.LongPause {
+			d.resumedLong.Store(now)
+		}
 		if d.OnHeldUp != nil {
 			d.OnHeldUp(pause)
 		}
@@ -66,8 +77,17 @@
 	return now.Sub(last)
 }
 
-// Await waits, if the process was held up, until it has read what arrived meanwhile, or the context ends. It
-// waits for catchUpTime at most.
+// Resumed returns the end of the last long pause, zero if there was none.
+func (d *Detector) Resumed() time.Time {
+	if d == nil {
+		return time.Time{}
+	}
+	d.Check()
+	return d.resumedLong.Load()
+}
+
+// Await waits after a pause until the process has read what arrived meanwhile, or the context ends:
+// for CatchUpTime, and after a long pause until it is CaughtUp, MaxCatchUpTime at most.
 func (d *Detector) Await(ctx context.Context) {
 	if d == nil {
 		return
@@ -76,14 +96,26 @@
 	if d.unchecked(now) >= Threshold {
 		d.check(now)
 	}
-	left := d.caughtUp.Load().Sub(now)
-	if left <= 0 {
+	if left := d.resumed.Load().Add(CatchUpTime).Sub(now); left > 0 && !d.sleep(ctx, left) {
 		return
 	}
+	for d.behind(d.resumedLong.Load()) && d.sleep(ctx, pollInterval) {
+	}
+}
+
+// behind reports whether the process is still to be awaited after a long pause that ended at a time.
+func (d *Detector) behind(resumed time.Time) bool {
+	return !resumed.IsZero() && d.Clock.Since(resumed) < MaxCatchUpTime && !d.CaughtUp(resumed)
+}
+
+// sleep reports whether a time has passed before the context ended.
+func (d *Detector) sleep(ctx context.Context, left time.Duration) bool {
 	timer := d.Clock.NewTimer(left)
 	defer timer.Stop()
 	select {
 	case <-timer.Chan():
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
--- a/internal/heldup/detector_test.go
+++ b/internal/heldup/detector_test.go
@@ -46,3 +46,30 @@
 		none.Await(t.Context())
 	})
 }
+
+// TestLongPauseIsOverOnceCaughtUp: after a long pause what is to be sent waits until the process knows again what it
+// should, a second at most.
+func TestLongPauseIsOverOnceCaughtUp(t *testing.T) {
+	for after, waits := range map[time.Duration]time.Duration{
+		0: 100 * time.Millisecond, 450 * time.Millisecond: 450 * time.Millisecond, time.Hour: time.Second,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			d := &heldup.Detector{Clock: clockwork.NewRealClock(), LongPause: 700 * time.Millisecond}
+			d.CaughtUp = func(resumed time.Time) bool {
+				d.Check()
+				return time.Since(resumed) >= after
+			}
+			d.Check()
+			require.True(t, d.Resumed().IsZero())
+			time.Sleep(2 * time.Second)
+			began := time.Now()
+			d.Await(t.Context())
+			require.Equal(t, waits, time.Since(began))
+			require.Equal(t, began, d.Resumed())
+			d.Check()
+			time.Sleep(699 * time.Millisecond)
+			d.Await(t.Context())
+			require.Equal(t, began, d.Resumed(), "not a long pause")
+		})
+	}
+}
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -29,8 +29,12 @@
 	minCycle = 100 * time.Millisecond
 )
 
-// errInactive ends the watches of a watcher that has become inactive.
-var errInactive = errors.New("watcher is inactive")
+// errInactive ends the watches of a watcher that has become inactive, errReread those of one that is to read
+// the whole state again.
+var (
+	errInactive = errors.New("watcher is inactive")
+	errReread   = errors.New("the state is to be read again")
+)
 
 // Companion is additional state that is followed while a watcher follows the store.
 type Companion interface {
@@ -80,6 +84,9 @@
 	DeliveryDelay func() time.Duration
 	// OnContact, if set, is called after each contact with the store; see Status.LastContact.
 	OnContact func()
+	// Resumed, if set, returns when the process was last run again after a long pause, zero for never. An answer
+	// that waited meanwhile tells nothing of the time since its call.
+	Resumed func() time.Time
 	// NewestView returns the newest view of the servers that the box has, from any source. Watches
 	// continue from it. Nil, also as the result, means none.
 	NewestView func() *registry.View
@@ -97,6 +104,7 @@
 
 	once    sync.Once
 	wake    chan struct{}
+	reread  chan struct{}
 	contact contact
 	config  configFeed
 	servers serversFeed
@@ -109,6 +117,7 @@
 
 func (w *Watcher) prepare() {
 	w.wake = make(chan struct{}, 1)
+	w.reread = make(chan struct{}, 1)
 	w.contact.clock = w.Clock
 	w.contact.logger = w.Logger
 	w.contact.beliefs = w.Beliefs
@@ -126,6 +135,15 @@
 	}
 }
 
+// Reread makes a watcher that follows the store read the whole state again, and calls Active now.
+func (w *Watcher) Reread() {
+	w.Wake()
+	select {
+	case w.reread <- struct{}{}:
+	default:
+	}
+}
+
 // Status reports whether the store is reachable. It does not block.
 func (w *Watcher) Status() Status { return w.contact.load() }
 
@@ -156,6 +174,10 @@
 		if ctx.Err() != nil || errors.Is(err, errInactive) {
 			continue
 		}
+		if errors.Is(err, errReread) {
+			next = 0
+			continue
+		}
 		w.contact.markLost(err)
 		if w.answered.Swap(false) {
 			pause.Reset()
@@ -175,6 +197,10 @@
 	if w.OnCordons != nil {
 		feeds = append(feeds, &followed{feed: &w.cordons, wait: longWait, delayAfter: noDelay, ownBound: true})
 	}
+	select {
+	case <-w.reread:
+	default:
+	}
 	if err := w.readAll(ctx, feeds); err != nil {
 		return err
 	}
@@ -186,6 +212,14 @@
 		g.Go(func() error { w.Companion.Follow(ctx); return nil })
 	}
 	g.Go(func() error { return w.awaitInactive(ctx) })
+	g.Go(func() error {
+		select {
+		case <-w.reread:
+			return errReread
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	})
 	return g.Wait()
 }
 
@@ -256,7 +290,7 @@
 		var answeredAt time.Time
 		changes, err := f.watch(ctx, max(f.wait()-delay, minCycle), func() { answeredAt = w.Clock.Now() })
 		if err == nil {
-			w.recordKnown(f, answeredAt)
+			w.recordKnown(f, w.knownSince(began, answeredAt))
 		}
 		if err := w.handleResult(ctx, f, err); err != nil {
 			return err
@@ -314,6 +348,15 @@
 	}
 }
 
+// knownSince returns until when all changes are known by an answer that was read at a time, to a call that
+// began at another one.
+func (w *Watcher) knownSince(began, answeredAt time.Time) time.Time {
+	if w.Resumed != nil && w.Resumed().After(began) {
+		return began
+	}
+	return answeredAt
+}
+
 func (w *Watcher) newestView() *registry.View {
 	if w.NewestView == nil {
 		return nil
