--- a/internal/condition/reader/reader_test.go
+++ b/internal/condition/reader/reader_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,6 +146,12 @@
 	require.Equal(t, 2, called, "a withheld request is not taken for sent")
 }
 
+// goingFleet is servers that are gone from a moment on.
+type goingFleet struct{ gone atomic.Bool }
+
+func (f *goingFleet) Takes(string) bool       { return !f.gone.Load() }
+func (f *goingFleet) MayContinue(string) bool { return !f.gone.Load() }
+
 // sending is an exchanger that sends at once.
 type sending struct{ answers }
 
@@ -160,7 +167,7 @@
 func TestNewsOfAPauseAreReadBeforeASend(t *testing.T) {
 	for _, continues := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			known := &fleet{}
+			known := &goingFleet{}
 			tracker := newTracker()
 			r := &reader.Reader{
 				Exchanger: sending{answers{resp: &exchange.Response{Status: http.StatusOK}}}, Clock: clockwork.NewRealClock(),
@@ -170,7 +177,8 @@
 			_, err := r.Do(t.Context(), exchange.Target{Key: "s"}, &exchange.Request{Continues: continues})
 			require.NoError(t, err)
 			time.Sleep(2500 * time.Millisecond)
-			time.AfterFunc(20*time.Millisecond, func() { known.gone = true })
+			news := time.AfterFunc(20*time.Millisecond, func() { known.gone.Store(true) })
+			defer news.Stop()
 			_, err = r.Do(t.Context(), exchange.Target{Key: "s"}, &exchange.Request{Continues: continues})
 			require.ErrorContains(t, err, "withheld")
 		})
