--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -111,8 +111,9 @@
 // Cordoned reports whether the servers of a failure domain get no new work.
 func (d *Directory) Cordoned(domain string) bool { return d.Cordons().Has(domain) }
 
-// rebuild replaces the listing by one for the given view, and returns what changed. reported are the instances that have just reported something. The lock must be held,
-// so that an older view never replaces a newer one.
+// rebuild replaces the listing by one for the given view, and returns what changed. reported are the
+// instances that have just reported something. The lock must be held, so that an older view never
+// replaces a newer one.
 func (d *Directory) rebuild(v *View, reported ...string) (c changes) {
 	now := d.Clock.Now()
 	d.pruneReports()
--- a/internal/registry/reports.go
+++ b/internal/registry/reports.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// reportMemory is the minimum time for which a server's report, or an entry that says that it leaves, is remembered: longer than a store
-// outage. It is never forgotten while the view has the instance, as such a report ends only with
-// the instance. Later instances, which have other ids, are not affected.
+// reportMemory is the minimum time for which a server's report is remembered, and an entry that says that
+// it leaves: longer than a store outage. It is never forgotten while the view has the instance, as such a
+// report ends only with the instance. Later instances, which have other ids, are not affected.
 const reportMemory = 10 * time.Minute
 
 // MarkDeparting records instances that reported when they end, and returns those for which this is
