condition/reader, front: tests of a request that ends while it waits after a pause

heldup.Await returns at once when its context has ended, and both callers go on by what was known before the pause.

--- a/internal/condition/reader/reader_test.go
+++ b/internal/condition/reader/reader_test.go
@@ -184,3 +184,21 @@
 		})
 	}
 }
+
+// TestRequestThatEndedInAPauseIsNotSent: a request whose deadline passed while the process did not run is not sent after it.
+func TestRequestThatEndedInAPauseIsNotSent(t *testing.T) {
+	for _, continues := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			r := &reader.Reader{
+				Exchanger: sending{answers{resp: &exchange.Response{Status: http.StatusOK}}}, Clock: clockwork.NewRealClock(),
+				Codec: codec{}, Servers: &goingFleet{}, Tracker: newTracker(), HeldUp: &heldup.Detector{Clock: clockwork.NewRealClock()},
+			}
+			r.HeldUp.Check()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			time.Sleep(2500 * time.Millisecond)
+			_, err := r.Do(ctx, exchange.Target{Key: "s"}, &exchange.Request{Continues: continues})
+			require.ErrorIs(t, err, context.DeadlineExceeded)
+		})
+	}
+}
--- a/internal/front/pause_test.go
+++ b/internal/front/pause_test.go
@@ -35,3 +35,17 @@
 	clock.Advance(time.Second)
 	require.Equal(t, http.StatusNotFound, <-answered)
 }
+
+// TestRequestOfAPauseIsNotAdmittedAtTheEnd: a request that waits after a pause is rejected if the box ends meanwhile.
+func TestRequestOfAPauseIsNotAdmittedAtTheEnd(t *testing.T) {
+	r := newRig(t)
+	clock := clockwork.NewFakeClock()
+	r.HeldUp = &heldup.Detector{Clock: clock}
+	r.HeldUp.Check()
+	clock.Advance(3 * time.Second)
+	answered := make(chan int, 1)
+	go func() { answered <- r.get("plain.test", "/").StatusCode }()
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	r.cancel()
+	require.Equal(t, http.StatusServiceUnavailable, <-answered)
+}
