heldup: a request that ends while it waits after a pause is not sent

The reader withholds the request; the front rejects one that waits as the box ends, as it does others then.

--- a/internal/condition/reader/reader.go
+++ b/internal/condition/reader/reader.go
@@ -55,7 +55,9 @@
 func (r *Reader) Do(ctx context.Context, t exchange.Target, request *exchange.Request) (*exchange.Response, error) {
 	beforeSend := request.BeforeSend
 	request.BeforeSend = func() error {
-		r.HeldUp.Await(ctx)
+		if err := r.HeldUp.Await(ctx); err != nil {
+			return err
+		}
 		if err := r.checkSend(t.Key, request.Continues); err != nil {
 			return err
 		}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -74,7 +74,10 @@
 		x.refuse(refusal{status: http.StatusBadRequest, class: badRequest, reason: err.Error()})
 		return
 	}
-	x.server.HeldUp.Await(ending)
+	if x.server.HeldUp.Await(ending) != nil {
+		x.refuse(stoppingRefusal())
+		return
+	}
 	if !x.admit() {
 		return
 	}
--- a/internal/heldup/detector.go
+++ b/internal/heldup/detector.go
@@ -86,21 +86,28 @@
 	return d.resumedLong.Load()
 }
 
-// Await waits after a pause until the process has read what arrived meanwhile, or the context ends:
-// for CatchUpTime, and after a long pause until it is CaughtUp, MaxCatchUpTime at most.
-func (d *Detector) Await(ctx context.Context) {
+// Await waits after a pause until the process has read what arrived meanwhile: for CatchUpTime, and after a long
+// pause until it is CaughtUp, MaxCatchUpTime at most. If the context ends before that, it returns the context's
+// error, and what waits must not be done.
+func (d *Detector) Await(ctx context.Context) error {
 	if d == nil {
-		return
+		return nil
 	}
 	now := d.Clock.Now()
 	if d.unchecked(now) >= Threshold {
 		d.check(now)
 	}
-	if left := d.resumed.Load().Add(CatchUpTime).Sub(now); left > 0 && !d.sleep(ctx, left) {
-		return
+	if left := d.resumed.Load().Add(CatchUpTime).Sub(now); left > 0 {
+		if err := d.sleep(ctx, left); err != nil {
+			return err
+		}
 	}
-	for d.behind(d.resumedLong.Load()) && d.sleep(ctx, pollInterval) {
+	for d.behind(d.resumedLong.Load()) {
+		if err := d.sleep(ctx, pollInterval); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 // behind reports whether the process is still to be awaited after a long pause that ended at a time.
@@ -108,14 +115,14 @@
 	return !resumed.IsZero() && d.Clock.Since(resumed) < MaxCatchUpTime && !d.CaughtUp(resumed)
 }
 
-// sleep reports whether a time has passed before the context ended.
-func (d *Detector) sleep(ctx context.Context, left time.Duration) bool {
+// sleep waits for a time. It returns the context's error if that ends before.
+func (d *Detector) sleep(ctx context.Context, left time.Duration) error {
 	timer := d.Clock.NewTimer(left)
 	defer timer.Stop()
 	select {
 	case <-timer.Chan():
-		return true
+		return nil
 	case <-ctx.Done():
-		return false
+		return ctx.Err()
 	}
 }
--- a/internal/heldup/detector_test.go
+++ b/internal/heldup/detector_test.go
@@ -19,7 +19,7 @@
 		d := &heldup.Detector{Clock: clockwork.NewRealClock(), OnHeldUp: func(p time.Duration) { pauses = append(pauses, p) }}
 		waits := func() time.Duration {
 			began := time.Now()
-			d.Await(t.Context())
+			require.NoError(t, d.Await(t.Context()))
 			return time.Since(began)
 		}
 		time.Sleep(time.Hour)
@@ -40,10 +40,10 @@
 		time.Sleep(3 * time.Second)
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		d.Await(ctx)
+		require.ErrorIs(t, d.Await(ctx), context.Canceled)
 		var none *heldup.Detector
 		none.Check()
-		none.Await(t.Context())
+		require.NoError(t, none.Await(t.Context()))
 	})
 }
 
@@ -63,12 +63,12 @@
 			require.True(t, d.Resumed().IsZero())
 			time.Sleep(2 * time.Second)
 			began := time.Now()
-			d.Await(t.Context())
+			require.NoError(t, d.Await(t.Context()))
 			require.Equal(t, waits, time.Since(began))
 			require.Equal(t, began, d.Resumed())
 			d.Check()
 			time.Sleep(699 * time.Millisecond)
-			d.Await(t.Context())
+			require.NoError(t, d.Await(t.Context()))
 			require.Equal(t, began, d.Resumed(), "not a long pause")
 		})
 	}
