storewatch: a contact with the store is as old as its answer, whenever that is read

Callers saw nothing; a backend server that leaves may get a request later than 2 s after that was acknowledged. An answer to a watch may be read up to 0.5 s after the store gave it (lost packets, a slow link), and was dated when it was read. All that counts from contacts was wrong by that: boxes ask the store 1.7 s after the last contact at most, and work goes on at a leaving server for 1.7 s from the last one.

An answer without changes is now dated at the end of its wait, when the store gave it; one with changes by the begin of its call. The next watch waits less by the age of what is known, so that contacts come as often as before.

--- a/internal/storewatch/pause_test.go
+++ b/internal/storewatch/pause_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dalebend/dalebend/internal/atomictime"
+	"github.com/dalebend/dalebend/internal/registry"
 )
 
 // TestAnswerThatWaitedInAPauseIsOld: an answer to a call from before a long pause tells what was until the call.
@@ -33,6 +34,36 @@
 	require.Equal(t, r.clock.Now(), r.watcher.Status().LastContact)
 }
 
+// TestAnswerReadLateIsDatedWhenItWasGiven: an answer without changes was given at the end of the wait, one with changes at any time
+// after the call.
+func TestAnswerReadLateIsDatedWhenItWasGiven(t *testing.T) {
+	const late = 400 * time.Millisecond
+	r := newRigWith(t, false, func(*Watcher) {})
+	defer r.stop()
+	r.active.Store(true)
+	r.watcher.Wake()
+	config, servers := r.start()
+	began := r.clock.Now()
+	r.clock.Advance(WatchWait + late)
+	config.answer(reply{at: 6})
+	config = <-r.watchConfig
+	servers.answer(reply{at: 6})
+	servers = <-r.watchServers
+	require.Equal(t, began.Add(WatchWait), r.watcher.Status().LastContact)
+	require.Equal(t, WatchWait-late, servers.wait)
+
+	began = r.clock.Now()
+	r.clock.Advance(time.Second)
+	servers.answer(reply{changes: []registry.Change{added("b")}, at: 7})
+	<-r.views
+	servers = <-r.watchServers
+	config.answer(reply{doc: []byte("v2"), at: 8})
+	<-r.docs
+	config = <-r.watchConfig
+	require.Equal(t, began, r.watcher.Status().LastContact)
+	require.Equal(t, []time.Duration{WatchWait - time.Second, WatchWait - time.Second}, []time.Duration{config.wait, servers.wait})
+}
+
 // TestReread: a watcher that follows the store reads the whole state again when asked to; one that does not is not called.
 func TestReread(t *testing.T) {
 	r := newRigWith(t, false, func(*Watcher) {})
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -283,22 +283,18 @@
 
 // follow watches one kind of state until a call fails.
 func (w *Watcher) follow(ctx context.Context, f *followed) error {
-	delay := time.Duration(0)
 	for w.Active() {
-		began := w.Clock.Now()
-		// The wait is shortened by the delay before it, so that the cycle is not longer.
+		began, wait := w.Clock.Now(), w.nextWait(f)
 		var answeredAt time.Time
-		changes, err := f.watch(ctx, max(f.wait()-delay, minCycle), func() { answeredAt = w.Clock.Now() })
+		changes, err := f.watch(ctx, wait, func() { answeredAt = w.Clock.Now() })
 		if err == nil {
-			w.recordKnown(f, w.knownSince(began, answeredAt))
+			w.recordKnown(f, w.knownUntil(began, wait, answeredAt, changes))
 		}
 		if err := w.handleResult(ctx, f, err); err != nil {
 			return err
 		}
-		delay = 0
 		if changes > 0 {
-			delay = f.delayAfter(changes)
-			w.sleep(ctx, delay)
+			w.sleep(ctx, f.delayAfter(changes))
 		} else {
 			w.sleep(ctx, minCycle-w.Clock.Since(began))
 		}
@@ -309,6 +305,16 @@
 	return errInactive
 }
 
+// nextWait returns how long the next watch of a kind waits for a change. It is shorter if the last time until
+// which all changes are known is some time ago, so that the next such time does not come later.
+func (w *Watcher) nextWait(f *followed) time.Duration {
+	wait := f.wait()
+	if known := f.knownAt.Load(); !known.IsZero() {
+		wait -= w.Clock.Since(known)
+	}
+	return max(wait, minCycle)
+}
+
 // handleResult records how a watch ended, and reads the whole state again if necessary.
 func (w *Watcher) handleResult(ctx context.Context, f *followed, err error) error {
 	switch {
@@ -348,12 +354,16 @@
 	}
 }
 
-// knownSince returns until when all changes are known by an answer that was read at a time, to a call that
-// began at another one.
-func (w *Watcher) knownSince(began, answeredAt time.Time) time.Time {
-	if w.Resumed != nil && w.Resumed().After(began) {
+// knownUntil returns until when all changes are known by an answer to a watch that began at a time. The answer may
+// be read long after the store gave it: one without changes was given at the end of the wait, any other at an
+// unknown time.
+func (w *Watcher) knownUntil(began time.Time, wait time.Duration, answeredAt time.Time, changes int) time.Time {
+	if changes > 0 || w.Resumed != nil && w.Resumed().After(began) {
 		return began
 	}
+	if given := began.Add(wait); given.Before(answeredAt) {
+		return given
+	}
 	return answeredAt
 }
 
