front, intake: callers' connections and heads are bounded together

Crowds of clients that finish no request ended the process: the bound on a head, 64 KB, is for one, in bytes; tiny fields take ten times as many once parsed, and connections were bounded by nothing.

Package intake counts a port's connections, and what the heads of messages take once parsed (headcost: 128 bytes a field, and each byte twice). At a bound the connection whose head is awaited for longest is closed, then the one idle for longest, never one in use; if all are in use a new one waits for 0.1 s. A common head arrives whole within milliseconds, so an ordinary caller gets in during a crowd. What is closed was not passed on. Up to 8 KB a head is not counted, so that a head in use that was large keeps no common one out. Defaults: a third of the descriptors for sockets or a quarter of the memory at 24 KB each (1,300 connections on a box of 134 MB and 4,100 descriptors), and a sixteenth of the memory for heads (15 of the largest that the pages allow, 16 KB of fields of four bytes).

--- a/cmd/dalebend-box/crowd_test.go
+++ b/cmd/dalebend-box/crowd_test.go
@@ -3,6 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -78,6 +81,29 @@
 	}
 }
 
+// TestLargestHeadIsServed guards against a limit that refuses a request within those of the configuration.
+func TestLargestHeadIsServed(t *testing.T) {
+	const maxHeaderBytes = 16 << 10
+	r := newRig(t)
+	r.start()
+	conn, err := net.Dial("tcp", r.file.Front())
+	require.NoError(t, err)
+	defer conn.Close()
+	w := bufio.NewWriter(conn)
+	const first, last = requestLine + "Attempt-Id: largest\r\n", "\r\n"
+	_, _ = w.WriteString(first) // a failure shows in Flush
+	require.NoError(t, tinyFields(w, maxHeaderBytes-len(first)-len(last)-len("ffff:\r\n")))
+	_, _ = w.WriteString(last)
+	require.NoError(t, w.Flush())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "answer of sound to largest", string(text))
+	r.requireHealthy()
+}
+
 // TestMalformedCallersEndNoBox guards against a process that runs out of memory or descriptors by what callers send that is no request.
 func TestMalformedCallersEndNoBox(t *testing.T) {
 	for name, c := range map[string]crowd{
--- /dev/null
+++ b/internal/box/intake.go
@@ -0,0 +1,53 @@
+package box
+
+import "github.com/dalebend/dalebend/internal/intake"
+
+const (
+	// connMemory is the memory in bytes that a connection of a caller without a request takes, with a head that is not
+	// counted.
+	connMemory = 24 << 10
+	// callerMemoryDivisor divides the memory of a box into that of callers' connections, callerSocketDivisor its sockets: as
+	// many may be connected to servers.
+	callerMemoryDivisor = 4
+	callerSocketDivisor = 3
+	// defaultMemory is the memory in bytes that is assumed if it is not stated.
+	defaultMemory = 256 << 20
+)
+
+// Ports, as labels of metrics.
+const portFront = "front"
+
+// callerIntake returns the limiter of callers' connections.
+func (b *Box) callerIntake() *intake.Limiter {
+	return b.newIntake(portFront, b.maxCallerConns(), b.maxHeadBytes())
+}
+
+func (b *Box) newIntake(port string, conns int, headBytes int64) *intake.Limiter {
+	evicted := b.Metrics.OrDiscard().ConnectionsEvicted
+	return &intake.Limiter{
+		Clock: b.Clock, MaxConns: conns, MaxHeadBytes: headBytes, OnClose: func(reason intake.Reason) { evicted.Inc(port, string(reason)) },
+	}
+}
+
+// maxCallerConns returns the greatest number of callers' connections.
+func (b *Box) maxCallerConns() int {
+	s := b.Settings
+	if s.MaxConnections > 0 {
+		return s.MaxConnections
+	}
+	most := int(b.memory() / callerMemoryDivisor / connMemory)
+	if s.Sockets > 0 {
+		most = min(most, s.Sockets/callerSocketDivisor)
+	}
+	return most
+}
+
+// maxHeadBytes returns the memory for the heads of callers' requests; 0 is no bound.
+func (b *Box) maxHeadBytes() int64 { return int64(b.Settings.HeadShare * float64(b.memory())) }
+
+func (b *Box) memory() int64 {
+	if b.Settings.MemoryBytes > 0 {
+		return b.Settings.MemoryBytes
+	}
+	return defaultMemory
+}
--- a/internal/boxsettings/settings.go
+++ b/internal/boxsettings/settings.go
@@ -35,8 +35,14 @@
 	// KeptShare is the part of the memory that may be used for buffers of callers and servers that
 	// read slowly; 0 is no bound.
 	KeptShare float64
-	// Descriptors is the limit on open files; 0 is unknown.
+	// HeadShare is the part of the memory that the parsed heads of callers' requests may take, and those of servers' answers; 0 is
+	// no bound.
+	HeadShare float64
+	// MaxConnections is the greatest number of callers' connections; 0 follows from memory and sockets.
+	MaxConnections int
+	// Descriptors is the limit on open files, Sockets the part of it for sockets; 0 is unknown.
 	Descriptors int
+	Sockets     int
 	// LinkMbps is the rate of the box's link in Mbit/s, Cores its share of a processor core; 0 is
 	// unknown.
 	LinkMbps float64
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -27,6 +27,7 @@
 	"github.com/dalebend/dalebend/internal/callerconn"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/heldup"
+	"github.com/dalebend/dalebend/internal/intake"
 	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -103,6 +104,8 @@
 	Metrics   *telemetry.Metrics
 	// Buffers bounds the memory buffered for callers; nil is unbounded.
 	Buffers *bufferlimit.Accounting
+	// Intake bounds the callers' connections and the heads of their requests; nil is unbounded.
+	Intake *intake.Limiter
 
 	// stopAt is when the process ends; zero if the server is not draining.
 	stopAt atomictime.Time
@@ -124,7 +127,7 @@
 		s.Buffers = &bufferlimit.Accounting{Clock: s.Clock}
 	}
 	go s.Buffers.Run(ctx)
-	callers := &callerconn.Listener{Listener: ln, Buffers: s.Buffers}
+	callers := &callerconn.Listener{Listener: s.Intake.Listen(ln), Buffers: s.Buffers}
 	ending, endRequests := context.WithCancel(context.WithoutCancel(ctx))
 	defer endRequests()
 	server := &http.Server{
@@ -218,6 +221,7 @@
 		s.connections.Add(1)
 	case http.StateIdle:
 		s.requests.end(conn)
+		countedConn(conn).End()
 	case http.StateClosed, http.StateHijacked:
 		s.requests.end(conn)
 		s.connections.Add(-1)
@@ -229,6 +233,7 @@
 func (s *Server) serve(ending context.Context, w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r.Context())
 	begun := s.requests.begin(conn)
+	countedConn(conn).Begin(r.Header)
 	uri := uriOf(r)
 	path, _, _ := strings.Cut(uri, "?")
 	x := &exchange{
@@ -256,6 +261,16 @@
 	return ctx.Value(connKey{}).(*callerconn.Conn)
 }
 
+// countedConn returns the connection that Intake counts, nil if it counts none.
+func countedConn(nc net.Conn) *intake.Conn {
+	caller, ok := nc.(*callerconn.Conn)
+	if !ok {
+		return nil
+	}
+	c, _ := caller.Conn.(*intake.Conn)
+	return c
+}
+
 // hostOf returns a host without its port.
 func hostOf(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- /dev/null
+++ b/internal/intake/export_test.go
@@ -0,0 +1,4 @@
+package intake
+
+// MaxAcceptWait is how long a connection waits for one of those in use to end.
+const MaxAcceptWait = maxAcceptWait
--- a/internal/program/box.go
+++ b/internal/program/box.go
@@ -86,7 +86,7 @@
 		return nil, err
 	}
 	s.Metrics = net.JoinHostPort(hostOf(s.Front), strconv.Itoa(flags.MetricsPort))
-	s.KeptShare = flags.KeptShare
+	s.KeptShare, s.HeadShare, s.MaxConnections = flags.KeptShare, flags.HeadShare, flags.MaxConns
 	return s, nil
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -44,6 +44,8 @@
 	// SlowCallersDropped counts callers that were dropped as too slow for their buffered bytes, by
 	// bound.
 	SlowCallersDropped *counters
+	// ConnectionsEvicted counts connections that were closed for others, by port and by what there was too much of.
+	ConnectionsEvicted *counters
 	// QuarantineChanges counts state changes of requests during which servers ended, by change.
 	QuarantineChanges *counters
 	// LimitedSends counts requests sent to servers that state a rate limit, by server.
@@ -193,6 +195,7 @@
 	m.LongPauses = m.counters("long_pauses_total", "pauses of streams that callers call too long, by what the engine did beside", "beside")
 	m.ReturningCallers = m.counters("returned_total", "generations of callers that came back after a refusal and went first", "route")
 	m.CallersLeft = m.counters("callers_left_total", "callers that went away before the end of their answer", "kind")
+	m.ConnectionsEvicted = m.counters("connections_evicted_total", "connections without a whole request that were closed for others", "port", "bound")
 	m.SlowCallersDropped = m.counters("gave_way_total", "callers that were too slow for what was kept for them", "bound")
 	m.LeavingSends = m.counters("leaving_sends_total", "requests sent to backend servers that leave, perhaps before this box knew or surely after", "when")
 	m.TunnelRequests = m.counters("tunnel_requests_total", "connections to backend servers that other boxes asked for", "result")
