box, telemetry: connections and heads at the ports for health checks and metrics are bounded

A crowd at either port ended the process: net/http allows heads of 1 MB there, and any number of connections. Both ports have one client. They take 16 connections now, with heads of 4 KB at most, by package intake: one that finishes no request is closed for a new one, so that the balancer and the scraper get in during a crowd.

--- a/internal/box/intake.go
+++ b/internal/box/intake.go
@@ -10,18 +10,31 @@
 	// many may be connected to servers.
 	callerMemoryDivisor = 4
 	callerSocketDivisor = 3
+	// smallConns is the number of connections of a port that has one client: the balancer, or a scraper.
+	smallConns = 16
+	// smallHeadsDivisor divides the memory for callers' heads into that of such a port.
+	smallHeadsDivisor = 8
 	// defaultMemory is the memory in bytes that is assumed if it is not stated.
 	defaultMemory = 256 << 20
 )
 
 // Ports, as labels of metrics.
-const portFront = "front"
+const (
+	portFront   = "front"
+	portReady   = "ready"
+	portMetrics = "metrics"
+)
 
 // callerIntake returns the limiter of callers' connections.
 func (b *Box) callerIntake() *intake.Limiter {
 	return b.newIntake(portFront, b.maxCallerConns(), b.maxHeadBytes())
 }
 
+// smallIntake returns the limiter of a port that has one client.
+func (b *Box) smallIntake(port string) *intake.Limiter {
+	return b.newIntake(port, smallConns, b.maxHeadBytes()/smallHeadsDivisor)
+}
+
 func (b *Box) newIntake(port string, conns int, headBytes int64) *intake.Limiter {
 	evicted := b.Metrics.OrDiscard().ConnectionsEvicted
 	return &intake.Limiter{
--- a/internal/box/ready.go
+++ b/internal/box/ready.go
@@ -18,17 +18,24 @@
 	// readyHeaderTimeout limits the time for the header of a health check, which the balancer sends
 	// each second.
 	readyHeaderTimeout = time.Second
+	// readyIdleTimeout is how long a connection of the balancer is kept between two checks.
+	readyIdleTimeout = time.Minute
+	// readyHeadBytes limits the header of a health check.
+	readyHeadBytes = 4 << 10
 )
 
 // serveReady answers the balancer's health checks: 200 while the box accepts requests.
 func (b *Box) serveReady(ctx context.Context) error {
-	server := &http.Server{Handler: http.HandlerFunc(b.handleReady), ReadHeaderTimeout: readyHeaderTimeout}
+	server := &http.Server{
+		Handler: http.HandlerFunc(b.handleReady), ReadHeaderTimeout: readyHeaderTimeout, IdleTimeout: readyIdleTimeout,
+		MaxHeaderBytes: readyHeadBytes,
+	}
 	ended := context.AfterFunc(ctx, func() {
 		// Serve may already have closed the listener.
 		_ = server.Close()
 	})
 	defer ended()
-	if err := server.Serve(b.listeners.ready); !errors.Is(err, http.ErrServerClosed) {
+	if err := b.smallIntake(portReady).Serve(server, b.listeners.ready); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve the balancer: %w", err)
 	}
 	return nil
--- a/internal/telemetry/serve.go
+++ b/internal/telemetry/serve.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/dalebend/dalebend/internal/intake"
 )
 
 const (
@@ -14,16 +16,18 @@
 	// idleTimeout keeps a scraper's connection open between scrapes, which come at intervals from a
 	// few seconds to a minute.
 	idleTimeout = 2 * time.Minute
+	// maxHeadBytes bounds a scraper's request.
+	maxHeadBytes = 4 << 10
 )
 
 // Serve answers every GET on the listener with all metrics, whatever the path, until ctx ends. It
 // then closes the listener and cuts scrapes in progress. It returns the error of a listener that
-// failed before.
-func (m *Metrics) Serve(ctx context.Context, ln net.Listener) error {
-	server := &http.Server{Handler: m, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
+// failed before. The limiter bounds the scrapers' connections; nil bounds nothing.
+func (m *Metrics) Serve(ctx context.Context, ln net.Listener, limiter *intake.Limiter) error {
+	server := &http.Server{Handler: m, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := limiter.Serve(server, ln); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -82,7 +82,7 @@
 	fill(m)
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan error, 1)
-	go func() { served <- m.Serve(ctx, ln) }()
+	go func() { served <- m.Serve(ctx, ln, nil) }()
 
 	transport := &http.Transport{}
 	client := &http.Client{Transport: transport}
