box, connmux, tunnel: connections of other boxes' calls and tunnels are bounded

A crowd at that port took any number of descriptors: a connection that sends one byte is held for as long as it likes. Connections that have not sent their first bytes, or the head of a tunnel, are closed first, then those of calls, the oldest first; a peer whose call is cut asks another box. An open tunnel is never closed. The reset of a tunnel no longer depends on the type of the connection.

--- a/internal/box/intake.go
+++ b/internal/box/intake.go
@@ -10,9 +10,11 @@
 	// many may be connected to servers.
 	callerMemoryDivisor = 4
 	callerSocketDivisor = 3
+	// callsSocketDivisor divides the sockets of a box into those of other boxes' calls and tunnels.
+	callsSocketDivisor = 4
 	// smallConns is the number of connections of a port that has one client: the balancer, or a scraper.
 	smallConns = 16
-	// smallHeadsDivisor divides the memory for callers' heads into that of such a port.
+	// smallHeadsDivisor divides the memory for callers' heads into that of such a port, and of other boxes.
 	smallHeadsDivisor = 8
 	// defaultMemory is the memory in bytes that is assumed if it is not stated.
 	defaultMemory = 256 << 20
@@ -23,6 +25,7 @@
 	portFront   = "front"
 	portReady   = "ready"
 	portMetrics = "metrics"
+	portCalls   = "calls"
 )
 
 // callerIntake returns the limiter of callers' connections.
@@ -30,6 +33,11 @@
 	return b.newIntake(portFront, b.maxCallerConns(), b.maxHeadBytes())
 }
 
+// callsIntake returns the limiter of other boxes' connections.
+func (b *Box) callsIntake() *intake.Limiter {
+	return b.newIntake(portCalls, b.Settings.Sockets/callsSocketDivisor, b.maxHeadBytes()/smallHeadsDivisor)
+}
+
 // smallIntake returns the limiter of a port that has one client.
 func (b *Box) smallIntake(port string) *intake.Limiter {
 	return b.newIntake(port, smallConns, b.maxHeadBytes()/smallHeadsDivisor)
--- a/internal/connmux/mux.go
+++ b/internal/connmux/mux.go
@@ -108,6 +108,8 @@
 	to := m.others
 	if matches {
 		to = m.matching
+	} else if c, ok := conn.(interface{ Uncount() }); ok {
+		c.Uncount()
 	}
 	to.deliver(conn)
 }
--- a/internal/tunnel/endpoint/server.go
+++ b/internal/tunnel/endpoint/server.go
@@ -121,6 +121,9 @@
 	if err != nil {
 		return nil, &badRequestError{cause: err}
 	}
+	if c, ok := near.(interface{ Begin(h http.Header) }); ok {
+		c.Begin(r.Header)
+	}
 	server, ok := tunnel.ServerOf(r.URL.EscapedPath())
 	if !ok || r.Header.Get("Upgrade") != tunnel.Protocol {
 		return nil, &badRequestError{cause: errors.New("it names no server, or another protocol")}
--- a/internal/tunnel/endpoint/splice.go
+++ b/internal/tunnel/endpoint/splice.go
@@ -111,7 +111,7 @@
 
 // abort closes a connection with a reset, so that what it carried doesn't seem complete.
 func abort(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0) // without it the end of a tunnel is still no clean one
 	}
 	discard(conn)
