headcost, intake: only heads count, and all that are parsed

A head that arrives in one piece with the end of another one was not counted, and the lines of a body that arrives with its head were. TestLargeHeadsGoFirst, TestBodiesAreNotCounted and TestParsed check it; the crowd tests pass as before.

--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -29,11 +29,13 @@
 	bodyTooLarge class = "body-too-large"
 	bodyMissing  class = "body-missing"
 	callerSlow   class = "caller-slow"
-	boxStopping  class = "box-stopping"
-	notTaken     class = "not-taken"
-	quarantined  class = "quarantined"
-	limited      class = "limited"
-	unwanted     class = "unwanted"
+	// headsTooLarge is a request whose head does not fit beside those of others.
+	headsTooLarge class = "heads-too-large"
+	boxStopping   class = "box-stopping"
+	notTaken      class = "not-taken"
+	quarantined   class = "quarantined"
+	limited       class = "limited"
+	unwanted      class = "unwanted"
 )
 
 // problem is the body of an answer of this box itself.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -233,7 +233,7 @@
 func (s *Server) serve(ending context.Context, w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r.Context())
 	begun := s.requests.begin(conn)
-	countedConn(conn).Begin(r.Header)
+	fits := countedConn(conn).Begin(r.Header)
 	uri := uriOf(r)
 	path, _, _ := strings.Cut(uri, "?")
 	x := &exchange{
@@ -243,11 +243,18 @@
 			Header: r.Header, HasBody: r.ContentLength != 0, Arrived: s.Clock.Now(),
 		},
 	}
-	if !begun {
+	switch {
+	case !begun:
 		x.refuse(stoppingRefusal())
-		return
+	case !fits:
+		x.w.Header().Set("Connection", "close")
+		x.refuse(refusal{
+			status: http.StatusServiceUnavailable, class: headsTooLarge,
+			reason: "the heads of requests take too much memory", retryAfter: bodyRetryAfter,
+		})
+	default:
+		x.run(ending)
 	}
-	x.run(ending)
 }
 
 // connKey is the context key of a request's connection.
--- a/internal/headcost/headcost.go
+++ b/internal/headcost/headcost.go
@@ -20,8 +20,14 @@
 	copies     = 2
 )
 
-// Of returns the cost in bytes of a piece of a head.
+// blankLine ends a head.
+var blankLine = []byte("\r\n\r\n")
+
+// Of returns the cost in bytes of a piece of a head, without what follows the head in the piece.
 func Of(piece []byte) int64 {
+	if end := bytes.Index(piece, blankLine); end >= 0 {
+		piece = piece[:end]
+	}
 	return copies*int64(len(piece)) + fieldBytes*int64(bytes.Count(piece, []byte{'\n'}))
 }
 
@@ -59,11 +65,12 @@
 	return b.settle(m, m.cost+Of(piece))
 }
 
-// Parsed replaces the cost of the pieces, which may hold a part of the body, by that of the parsed head.
-func (b *Budget) Parsed(m *Meter, h http.Header) {
-	if b != nil {
-		b.settle(m, min(m.cost, OfHeader(h)))
+// Parsed replaces the cost of the pieces by that of the parsed head, and reports whether that is within the budget.
+func (b *Budget) Parsed(m *Meter, h http.Header) bool {
+	if b == nil {
+		return true
 	}
+	return b.settle(m, OfHeader(h))
 }
 
 // Release takes the head out of the budget.
--- a/internal/headcost/headcost_test.go
+++ b/internal/headcost/headcost_test.go
@@ -36,22 +36,26 @@
 	require.False(t, b.Add(&third, tiny), "a later piece")
 }
 
-// TestParsed: what was counted with a head without being of it is given back.
+// TestBodiesAreNotCounted: what follows a head in a piece is no part of it.
+func TestBodiesAreNotCounted(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
+	require.Less(t, headcost.Of([]byte(head+strings.Repeat("\n", 1000))), int64(1000))
+}
+
+// TestParsed: the cost of a parsed head replaces that of its pieces.
 func TestParsed(t *testing.T) {
-	b := headcost.New(headcost.Free)
 	head := http.Header{}
-	for n := range 100 {
+	for n := range 1000 {
 		head.Add(fmt.Sprint("Field-", n), "value")
 	}
-	body := []byte(strings.Repeat("\n", 100))
-	for range 2 {
-		var m headcost.Meter
-		require.True(t, b.Add(&m, body))
-		b.Parsed(&m, http.Header{"A": {"b"}})
-	}
-	var m headcost.Meter
-	b.Parsed(&m, head)
-	require.True(t, b.Add(&m, body), "a head that was not counted stays uncounted")
+	b := headcost.New(headcost.OfHeader(head))
+	tiny := []byte(strings.Repeat("a:\r\n", 900))
+	var first, second headcost.Meter
+	require.True(t, b.Add(&first, tiny))
+	require.False(t, b.Parsed(&second, head), "it was not in the pieces")
+	b.Release(&second)
+	require.True(t, b.Parsed(&first, http.Header{"A": {"b"}}))
+	require.True(t, b.Add(&second, tiny))
 }
 
 // TestNoBudget: without a budget nothing is bounded.
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -44,17 +44,20 @@
 	return n, err
 }
 
-// Begin records that a head has arrived whole, with these fields, and that its message is handled now.
-func (c *Conn) Begin(h http.Header) {
+// Begin records that a head has arrived whole, with these fields, and that its message is handled now. It reports whether
+// there is memory for it.
+func (c *Conn) Begin(h http.Header) bool {
 	if c == nil {
-		return
+		return true
 	}
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	if c.phase != closed {
-		c.limiter.move(c, busy)
-		c.limiter.charge(c, min(c.cost, headcost.OfHeader(h)))
+	if c.phase == closed {
+		return true
 	}
+	c.limiter.move(c, busy)
+	c.limiter.charge(c, headcost.OfHeader(h))
+	return c.charged == 0 || !c.limiter.overHeads()
 }
 
 // End records that the message has been handled.
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -200,12 +200,15 @@
 	default:
 	}
 	l.charge(c, c.cost+headcost.Of(piece))
-	for l.MaxHeadBytes > 0 && l.heads > l.MaxHeadBytes && c.charged > 0 {
+	for l.overHeads() && c.charged > 0 {
 		l.evict(l.longestCounted(), HeadsTooLarge)
 	}
 	return c.phase != closed
 }
 
+// overHeads reports whether the heads take more than they may. The lock must be held.
+func (l *Limiter) overHeads() bool { return l.MaxHeadBytes > 0 && l.heads > l.MaxHeadBytes }
+
 // longestCounted returns the connection that has waited for longest of those whose heads count. There must be one.
 func (l *Limiter) longestCounted() *Conn {
 	for e := l.waiting.Front(); ; e = e.Next() {
--- a/internal/intake/limiter_test.go
+++ b/internal/intake/limiter_test.go
@@ -172,14 +172,16 @@
 	r.requireOpen(common, true, "not counted")
 	require.Equal(t, []intake.Reason{intake.HeadsTooLarge}, r.reasons)
 
-	for n, c := range near[1:] {
-		header := http.Header{}
-		for i := range 1000 {
-			header.Add(fmt.Sprintf("A%d", i), "")
-		}
-		c.Begin(header)
-		r.requireOpen(c, true, fmt.Sprint(n, " in use"))
+	header := http.Header{}
+	for i := range 1000 {
+		header.Add(fmt.Sprintf("A%d", i), "")
+	}
+	for _, c := range near[1:] {
+		require.True(t, c.Begin(header))
+		r.requireOpen(c, true, "in use")
 	}
+	require.False(t, common.Begin(header), "it came unseen, behind the end of another head")
+	common.End()
 	last, far := r.dial()
 	require.Error(t, r.receive(last, far, tiny), "those in use hold the memory")
 	near[1].End()
--- a/internal/intake/serve.go
+++ b/internal/intake/serve.go
@@ -16,7 +16,10 @@
 		return context.WithValue(ctx, connKey{}, nc)
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		connOf(r.Context().Value(connKey{})).Begin(r.Header)
+		if !connOf(r.Context().Value(connKey{})).Begin(r.Header) {
+			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 	server.ConnState = func(nc net.Conn, state http.ConnState) {
--- a/internal/tunnel/endpoint/server.go
+++ b/internal/tunnel/endpoint/server.go
@@ -121,8 +121,8 @@
 	if err != nil {
 		return nil, &badRequestError{cause: err}
 	}
-	if c, ok := near.(interface{ Begin(h http.Header) }); ok {
-		c.Begin(r.Header)
+	if c, ok := near.(interface{ Begin(h http.Header) bool }); ok {
+		_ = c.Begin(r.Header) // its head is not kept
 	}
 	server, ok := tunnel.ServerOf(r.URL.EscapedPath())
 	if !ok || r.Header.Get("Upgrade") != tunnel.Protocol {
