exchange: what the heads of all answers take in memory is bounded together

Eighty answers of faulty servers with heads of tiny fields took 103 MB at once: each is bounded to 64 KB, in bytes, and they are parsed to more than ten times that.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -18,6 +18,7 @@
 	"github.com/dalebend/dalebend/internal/engineload"
 	"github.com/dalebend/dalebend/internal/evidence"
 	"github.com/dalebend/dalebend/internal/front"
+	"github.com/dalebend/dalebend/internal/headcost"
 	"github.com/dalebend/dalebend/internal/holdoff"
 	"github.com/dalebend/dalebend/internal/member"
 	"github.com/dalebend/dalebend/internal/outputlength"
@@ -51,6 +52,7 @@
 	b.started = b.Clock.Now()
 	b.contact = make(chan struct{})
 	b.stopGrace.Store(int64(b.Settings.StopGrace))
+	b.Exchange.Heads = headcost.New(b.maxHeadBytes())
 	if b.HeldUp != nil {
 		b.HeldUp.OnHeldUp, b.HeldUp.CaughtUp = b.onHeldUp, b.caughtUp
 		b.HeldUp.LongPause = b.Settings.ChangeBound / 100 * longPausePercent
--- a/internal/box/intake.go
+++ b/internal/box/intake.go
@@ -63,7 +63,7 @@
 	return most
 }
 
-// maxHeadBytes returns the memory for the heads of callers' requests; 0 is no bound.
+// maxHeadBytes returns the memory for the heads of callers' requests, and of servers' answers; 0 is no bound.
 func (b *Box) maxHeadBytes() int64 { return int64(b.Settings.HeadShare * float64(b.memory())) }
 
 func (b *Box) memory() int64 {
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -8,6 +8,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/dalebend/dalebend/internal/headcost"
 )
 
 const (
@@ -31,6 +33,8 @@
 	MaxIdlePerServer int
 	// Dialer dials servers. Nil uses TCP with time-outs that detect a dead server.
 	Dialer Dialer
+	// Heads bounds what the heads of all answers take in memory. Nil bounds nothing.
+	Heads *headcost.Budget
 	// Paths chooses how servers are reached. Nil connects directly.
 	Paths Paths
 
@@ -117,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := newConn(nc, p)
+	conn, err := newConn(nc, p, c.Heads)
 	if err != nil {
 		_ = nc.Close() // the first error counts
 		return nil, err
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/dalebend/dalebend/internal/headcost"
 )
 
 // readBufferSize is the size of a connection's read buffer while it carries a request. It holds
@@ -33,6 +35,8 @@
 	pool *pool
 	br   *bufio.Reader // nil while the connection is idle
 
+	heads *headcost.Budget
+	head  headcost.Meter
 	left  int   // bytes that may still be read, or unlimited
 	ended error // error that ended reading
 
@@ -40,7 +44,7 @@
 	expires   time.Time
 }
 
-func newConn(nc net.Conn, own *pool) (*conn, error) {
+func newConn(nc net.Conn, own *pool, heads *headcost.Budget) (*conn, error) {
 	system, ok := nc.(syscall.Conn)
 	if !ok {
 		return nil, fmt.Errorf("%T has no connection of the operating system", nc)
@@ -49,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{nc: nc, raw: raw, pool: own, left: unlimited}, nil
+	return &conn{nc: nc, raw: raw, pool: own, heads: heads, left: unlimited}, nil
 }
 
 // peer returns the name of the box that the connection goes through, empty if it is direct.
@@ -79,6 +83,9 @@
 	n, err := c.nc.Read(p)
 	if c.left > 0 {
 		c.left -= n
+		if !c.heads.Add(&c.head, p[:n]) {
+			return 0, errHeadTooLarge
+		}
 	}
 	if err != nil {
 		c.ended = err
@@ -115,6 +122,7 @@
 	c.br.Reset(nil)
 	readers.Put(c.br)
 	c.br = nil
+	c.heads.Release(&c.head)
 }
 
 // close ignores errors: the descriptor is released anyway, and no data is waiting to be flushed.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -88,6 +88,9 @@
 		if h.informational() {
 			continue
 		}
+		if !x.conn.heads.Parsed(&x.conn.head, h.header) {
+			return nil, framing{}, errHeadTooLarge
+		}
 		f, err := framingOf(method, h)
 		return h, f, err
 	}
--- a/internal/exchange/internal_test.go
+++ b/internal/exchange/internal_test.go
@@ -39,7 +39,7 @@
 	c := &Client{Clock: clockwork.NewFakeClock()}
 	p := c.poolOf("s1")
 	p.open = 1
-	conn, err := newConn(near, p)
+	conn, err := newConn(near, p, nil)
 	require.NoError(t, err)
 	require.True(t, conn.reusable())
 	require.NoError(t, far.SetLinger(0))
@@ -87,7 +87,7 @@
 	c := &Client{Clock: clockwork.NewFakeClock()}
 	p := c.poolOf("s1")
 	p.open = 1
-	conn, err := newConn(near, p)
+	conn, err := newConn(near, p, nil)
 	require.NoError(t, err)
 	_, err = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	require.NoError(t, err)
@@ -116,7 +116,7 @@
 	c := &Client{Clock: clockwork.NewFakeClock()}
 	p := c.poolOf("s1")
 	p.open = 1
-	conn, err := newConn(near, p)
+	conn, err := newConn(near, p, nil)
 	require.NoError(t, err)
 	for full := false; !full; {
 		n, err := conn.tryWrite(make([]byte, 1<<20))
@@ -152,7 +152,7 @@
 	defer far.Close()
 	p := c.poolOf("s1")
 	p.open = 1
-	conn, err := newConn(near, p)
+	conn, err := newConn(near, p, nil)
 	require.NoError(t, err)
 	c.putIdle(conn, 2*sweepInterval)
 	for range 2 {
