--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -257,8 +257,8 @@
 		},
 		Streams: b.streams, Quarantine: b.quarantine, Table: b.share.Table, HeldUp: b.HeldUp, ConfigRecent: b.election.RecentContact,
 		Staleness: b.knownState, Metrics: b.Metrics,
-		Buffers: &bufferlimit.Accounting{Clock: b.Clock, Limits: bufferlimit.LimitsOf(s.MemoryBytes, s.KeptShare)},
-		Intake:  b.callerIntake(),
+		Buffers:   &bufferlimit.Accounting{Clock: b.Clock, Limits: bufferlimit.LimitsOf(s.MemoryBytes, s.KeptShare)},
+		ConnLimit: b.callerConnLimit(),
 	}
 }
 
--- a/internal/box/intake.go
+++ b/internal/box/connlimits.go
@@ -1,6 +1,6 @@
 package box
 
-import "github.com/dalebend/dalebend/internal/intake"
+import "github.com/dalebend/dalebend/internal/connlimit"
 
 const (
 	// connMemory is the memory in bytes that a connection of a caller without a request takes, with a head that is not
@@ -28,25 +28,25 @@
 	portCalls   = "calls"
 )
 
-// callerIntake returns the limiter of callers' connections.
-func (b *Box) callerIntake() *intake.Limiter {
-	return b.newIntake(portFront, b.maxCallerConns(), b.maxHeadBytes())
+// callerConnLimit returns the limiter of callers' connections.
+func (b *Box) callerConnLimit() *connlimit.Limiter {
+	return b.newConnLimit(portFront, b.maxCallerConns(), b.maxHeadBytes())
 }
 
-// callsIntake returns the limiter of other boxes' connections.
-func (b *Box) callsIntake() *intake.Limiter {
-	return b.newIntake(portCalls, b.Settings.Sockets/callsSocketDivisor, b.maxHeadBytes()/smallHeadsDivisor)
+// callsConnLimit returns the limiter of other boxes' connections.
+func (b *Box) callsConnLimit() *connlimit.Limiter {
+	return b.newConnLimit(portCalls, b.Settings.Sockets/callsSocketDivisor, b.maxHeadBytes()/smallHeadsDivisor)
 }
 
-// smallIntake returns the limiter of a port that has one client.
-func (b *Box) smallIntake(port string) *intake.Limiter {
-	return b.newIntake(port, smallConns, b.maxHeadBytes()/smallHeadsDivisor)
+// smallConnLimit returns the limiter of a port that has one client.
+func (b *Box) smallConnLimit(port string) *connlimit.Limiter {
+	return b.newConnLimit(port, smallConns, b.maxHeadBytes()/smallHeadsDivisor)
 }
 
-func (b *Box) newIntake(port string, conns int, headBytes int64) *intake.Limiter {
+func (b *Box) newConnLimit(port string, conns int, headBytes int64) *connlimit.Limiter {
 	evicted := b.Metrics.OrDiscard().ConnectionsEvicted
-	return &intake.Limiter{
-		Clock: b.Clock, MaxConns: conns, MaxHeadBytes: headBytes, OnClose: func(reason intake.Reason) { evicted.Inc(port, string(reason)) },
+	return &connlimit.Limiter{
+		Clock: b.Clock, MaxConns: conns, MaxHeadBytes: headBytes, OnClose: func(reason connlimit.Reason) { evicted.Inc(port, string(reason)) },
 	}
 }
 
--- a/internal/box/listeners.go
+++ b/internal/box/listeners.go
@@ -35,7 +35,7 @@
 	if l.calls, err = net.Listen("tcp", s.Calls); err != nil {
 		return fmt.Errorf("listen for other boxes: %w", err)
 	}
-	l.callsMux = &connmux.Mux{Listener: b.callsIntake().Listen(l.calls), Prefix: tunnel.Prefix, Clock: b.Clock, Logger: b.Logger}
+	l.callsMux = &connmux.Mux{Listener: b.callsConnLimit().Listen(l.calls), Prefix: tunnel.Prefix, Clock: b.Clock, Logger: b.Logger}
 	if l.ready, err = net.Listen("tcp", s.Ready); err != nil {
 		return fmt.Errorf("listen for the balancer: %w", err)
 	}
--- a/internal/box/metrics.go
+++ b/internal/box/metrics.go
@@ -72,7 +72,7 @@
 	if b.listeners.metrics == nil {
 		return
 	}
-	if err := b.Metrics.Serve(ctx, b.listeners.metrics, b.smallIntake(portMetrics)); err != nil {
+	if err := b.Metrics.Serve(ctx, b.listeners.metrics, b.smallConnLimit(portMetrics)); err != nil {
 		b.Logger.Warn("metrics server failed", "error", err)
 	}
 }
--- a/internal/box/ready.go
+++ b/internal/box/ready.go
@@ -35,7 +35,7 @@
 		_ = server.Close()
 	})
 	defer ended()
-	if err := b.smallIntake(portReady).Serve(server, b.listeners.ready); !errors.Is(err, http.ErrServerClosed) {
+	if err := b.smallConnLimit(portReady).Serve(server, b.listeners.ready); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve the balancer: %w", err)
 	}
 	return nil
--- a/internal/intake/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -1,11 +1,11 @@
-// Package intake bounds what clients can make a process hold before it knows what they want: connections, and heads
+// Package connlimit bounds what clients can make a process hold before it knows what they want: connections, and heads
 // of messages.
 //
 // At a bound the connection whose next head is awaited for longest is closed, then the one that has been idle for
 // longest. A common head arrives whole within milliseconds, so that this strikes clients that don't finish theirs.
 // A connection whose message is being handled is never closed, as the message may have been passed on. If there are
 // only such, a new connection waits a moment for one of them to end.
-package intake
+package connlimit
 
 import (
 	"container/list"
--- a/internal/intake/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -1,4 +1,4 @@
-package intake_test
+package connlimit_test
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/dalebend/dalebend/internal/headcost"
-	"github.com/dalebend/dalebend/internal/intake"
+	"github.com/dalebend/dalebend/internal/connlimit"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -26,7 +26,7 @@
 	ln    net.Listener
 
 	mu      sync.Mutex
-	reasons []intake.Reason
+	reasons []connlimit.Reason
 }
 
 func newRig(t *testing.T, conns int, headBytes int64) *rig {
@@ -34,38 +34,38 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() }) // some tests close it
 	r := &rig{t: t, clock: clockwork.NewFakeClock()}
-	limiter := &intake.Limiter{Clock: r.clock, MaxConns: conns, MaxHeadBytes: headBytes, OnClose: r.evicted}
+	limiter := &connlimit.Limiter{Clock: r.clock, MaxConns: conns, MaxHeadBytes: headBytes, OnClose: r.evicted}
 	r.ln = limiter.Listen(ln)
 	return r
 }
 
-func (r *rig) evicted(reason intake.Reason) {
+func (r *rig) evicted(reason connlimit.Reason) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.reasons = append(r.reasons, reason)
 }
 
 // dial opens a connection and returns both ends.
-func (r *rig) dial() (near *intake.Conn, far net.Conn) {
+func (r *rig) dial() (near *connlimit.Conn, far net.Conn) {
 	far, err := net.Dial("tcp", r.ln.Addr().String())
 	require.NoError(r.t, err)
 	r.t.Cleanup(func() { _ = far.Close() }) // the end may have failed
 	nc, err := r.ln.Accept()
 	require.NoError(r.t, err)
-	near = nc.(*intake.Conn)
+	near = nc.(*connlimit.Conn)
 	r.t.Cleanup(func() { _ = near.Close() }) // it may be closed
 	return near, far
 }
 
 // receive passes bytes over a connection.
-func (r *rig) receive(near *intake.Conn, far net.Conn, text string) error {
+func (r *rig) receive(near *connlimit.Conn, far net.Conn, text string) error {
 	_, err := io.WriteString(far, text)
 	require.NoError(r.t, err)
 	_, err = io.ReadFull(near, make([]byte, len(text)))
 	return err
 }
 
-func (r *rig) requireOpen(near *intake.Conn, open bool, msg string) {
+func (r *rig) requireOpen(near *connlimit.Conn, open bool, msg string) {
 	r.t.Helper()
 	_, err := near.Write([]byte("x"))
 	require.Equal(r.t, open, err == nil, msg)
@@ -95,7 +95,7 @@
 	r.dial()
 	r.requireOpen(idle, true, "others await a head")
 	r.requireOpen(used, true, "in use")
-	require.Equal(t, []intake.Reason{intake.TooMany, intake.TooMany, intake.TooMany, intake.TooMany}, r.reasons)
+	require.Equal(t, []connlimit.Reason{connlimit.TooMany, connlimit.TooMany, connlimit.TooMany, connlimit.TooMany}, r.reasons)
 }
 
 // TestIdleConnectionsMakeRoom: without connections that await a head the one that is idle for longest is closed.
@@ -103,7 +103,7 @@
 	r := newRig(t, 2, 0)
 	first, _ := r.dial()
 	second, _ := r.dial()
-	for _, c := range []*intake.Conn{second, first} {
+	for _, c := range []*connlimit.Conn{second, first} {
 		c.Begin(nil)
 		c.End()
 	}
@@ -134,7 +134,7 @@
 	require.NotNil(t, nc)
 	r.requireOpen(used, false, "idle")
 
-	nc.(*intake.Conn).Begin(nil)
+	nc.(*connlimit.Conn).Begin(nil)
 	refused, err := net.Dial("tcp", r.ln.Addr().String())
 	require.NoError(t, err)
 	defer refused.Close()
@@ -146,7 +146,7 @@
 		accepted <- nc
 	}()
 	require.NoError(t, r.clock.BlockUntilContext(t.Context(), 1))
-	r.clock.Advance(intake.MaxAcceptWait)
+	r.clock.Advance(connlimit.MaxAcceptWait)
 	_, err = refused.Read(make([]byte, 1))
 	require.Error(t, err, "closed")
 	require.NoError(t, nc.Close())
@@ -161,7 +161,7 @@
 	r := newRig(t, 0, 2*each)
 	common, commonFar := r.dial()
 	require.NoError(t, r.receive(common, commonFar, "GET / HTTP/1.1\r\n"))
-	var near []*intake.Conn
+	var near []*connlimit.Conn
 	for range 3 {
 		c, far := r.dial()
 		near = append(near, c)
@@ -170,7 +170,7 @@
 	r.requireOpen(near[0], false, "the oldest")
 	r.requireOpen(near[1], true, "within the bound")
 	r.requireOpen(common, true, "not counted")
-	require.Equal(t, []intake.Reason{intake.HeadsTooLarge}, r.reasons)
+	require.Equal(t, []connlimit.Reason{connlimit.HeadsTooLarge}, r.reasons)
 
 	header := http.Header{}
 	for i := range 1000 {
@@ -193,7 +193,7 @@
 func TestLimitsOfAServer(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	limiter := &intake.Limiter{Clock: clockwork.NewRealClock(), MaxConns: 1}
+	limiter := &connlimit.Limiter{Clock: clockwork.NewRealClock(), MaxConns: 1}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "yes") })}
 	served := make(chan error, 1)
 	go func() { served <- limiter.Serve(server, ln) }()
@@ -213,12 +213,12 @@
 
 // TestNoLimiter: without a limiter nothing changes.
 func TestNoLimiter(t *testing.T) {
-	var limiter *intake.Limiter
+	var limiter *connlimit.Limiter
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.Equal(t, ln, limiter.Listen(ln))
 	require.NoError(t, ln.Close())
-	var c *intake.Conn
+	var c *connlimit.Conn
 	c.Begin(nil)
 	c.End()
 }
--- a/internal/intake/serve.go
+++ b/internal/connlimit/serve.go
@@ -1,4 +1,4 @@
-package intake
+package connlimit
 
 import (
 	"context"
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -25,9 +25,9 @@
 	"github.com/dalebend/dalebend/internal/atomictime"
 	"github.com/dalebend/dalebend/internal/bufferlimit"
 	"github.com/dalebend/dalebend/internal/callerconn"
+	"github.com/dalebend/dalebend/internal/connlimit"
 	"github.com/dalebend/dalebend/internal/decisionlog/event"
 	"github.com/dalebend/dalebend/internal/heldup"
-	"github.com/dalebend/dalebend/internal/intake"
 	"github.com/dalebend/dalebend/internal/quarantine"
 	"github.com/dalebend/dalebend/internal/request"
 	"github.com/dalebend/dalebend/internal/routetable"
@@ -104,8 +104,8 @@
 	Metrics   *telemetry.Metrics
 	// Buffers bounds the memory buffered for callers; nil is unbounded.
 	Buffers *bufferlimit.Accounting
-	// Intake bounds the callers' connections and the heads of their requests; nil is unbounded.
-	Intake *intake.Limiter
+	// ConnLimit bounds the callers' connections and the heads of their requests; nil is unbounded.
+	ConnLimit *connlimit.Limiter
 
 	// stopAt is when the process ends; zero if the server is not draining.
 	stopAt atomictime.Time
@@ -127,7 +127,7 @@
 		s.Buffers = &bufferlimit.Accounting{Clock: s.Clock}
 	}
 	go s.Buffers.Run(ctx)
-	callers := &callerconn.Listener{Listener: s.Intake.Listen(ln), Buffers: s.Buffers}
+	callers := &callerconn.Listener{Listener: s.ConnLimit.Listen(ln), Buffers: s.Buffers}
 	ending, endRequests := context.WithCancel(context.WithoutCancel(ctx))
 	defer endRequests()
 	server := &http.Server{
@@ -268,13 +268,13 @@
 	return ctx.Value(connKey{}).(*callerconn.Conn)
 }
 
-// countedConn returns the connection that Intake counts, nil if it counts none.
-func countedConn(nc net.Conn) *intake.Conn {
+// countedConn returns the connection that ConnLimit counts, nil if it counts none.
+func countedConn(nc net.Conn) *connlimit.Conn {
 	caller, ok := nc.(*callerconn.Conn)
 	if !ok {
 		return nil
 	}
-	c, _ := caller.Conn.(*intake.Conn)
+	c, _ := caller.Conn.(*connlimit.Conn)
 	return c
 }
 
--- a/internal/telemetry/serve.go
+++ b/internal/telemetry/serve.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/dalebend/dalebend/internal/intake"
+	"github.com/dalebend/dalebend/internal/connlimit"
 )
 
 const (
@@ -23,7 +23,7 @@
 // Serve answers every GET on the listener with all metrics, whatever the path, until ctx ends. It
 // then closes the listener and cuts scrapes in progress. It returns the error of a listener that
 // failed before. The limiter bounds the scrapers' connections; nil bounds nothing.
-func (m *Metrics) Serve(ctx context.Context, ln net.Listener, limiter *intake.Limiter) error {
+func (m *Metrics) Serve(ctx context.Context, ln net.Listener, limiter *connlimit.Limiter) error {
 	server := &http.Server{Handler: m, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
