peerlag, streaming: other boxes' logs tell of a box that acts on an old view, and of a server that fell silent

With server-left these tell the hypotheses apart by any other box's lines: an ignorant sender (peer-behind), a server that hung (silent_ms), neither (the sender knew).

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -33,6 +33,7 @@
 	"github.com/dalebend/dalebend/internal/holdoff"
 	"github.com/dalebend/dalebend/internal/member"
 	"github.com/dalebend/dalebend/internal/outage"
+	"github.com/dalebend/dalebend/internal/peerlag"
 	"github.com/dalebend/dalebend/internal/peerstate"
 	"github.com/dalebend/dalebend/internal/picker"
 	"github.com/dalebend/dalebend/internal/prefilldemand"
@@ -153,6 +154,8 @@
 	outages outage.Tracker
 	// fresh tells until when this box knows all changes of the store.
 	fresh freshness.Tracker
+	// lag logs the peers that hold an older view.
+	lag *peerlag.Tracker
 	// sends records the sends to servers that leave.
 	sends *sendlog.Tracker
 	// contact is closed when the box first learns that some box reached the store.
--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -22,6 +22,7 @@
 	"github.com/dalebend/dalebend/internal/holdoff"
 	"github.com/dalebend/dalebend/internal/member"
 	"github.com/dalebend/dalebend/internal/outputlength"
+	"github.com/dalebend/dalebend/internal/peerlag"
 	"github.com/dalebend/dalebend/internal/peerstate"
 	"github.com/dalebend/dalebend/internal/picker"
 	"github.com/dalebend/dalebend/internal/prefilldemand"
@@ -137,6 +138,7 @@
 
 func (b *Box) buildPeers() {
 	b.peers = &peerstate.Table{Clock: b.Clock}
+	b.lag = &peerlag.Tracker{Clock: b.Clock, Logger: b.Logger, Bound: b.Settings.ChangeBound}
 	b.share = &viewshare.Share{
 		Decode: b.Platform.Decode, Clock: b.Clock, Logger: b.Logger,
 		OnTable: b.onTable, OnView: b.onView, OnChange: b.broadcastChange,
--- a/internal/box/contact.go
+++ b/internal/box/contact.go
@@ -42,6 +42,7 @@
 func (b *Box) onPeersChanged(lost []string) {
 	for _, box := range lost {
 		b.peers.Forget(box)
+		b.lag.Forget(box)
 		b.engineLoad.ForgetPeer(box)
 	}
 	b.watcher.Wake()
--- a/internal/box/peers.go
+++ b/internal/box/peers.go
@@ -99,6 +99,7 @@
 	changed := b.peers.Update(d)
 	b.applyCordons(registry.Cordons{Revision: d.CordonRevision, Domains: d.Cordoned}, d.Box)
 	b.recordPeerContact(d)
+	b.lag.RecordPeer(d.Box, d.ViewRevision)
 	b.updateContact()
 	b.startRate.Add(b.engineLoad.UpdatePeer(d.Box, d.Loads))
 	b.receiveDecodeTimes(d.Loads)
--- a/internal/box/state.go
+++ b/internal/box/state.go
@@ -100,6 +100,7 @@
 	b.outages.RecordView(b.Clock.Now())
 	b.publishView()
 	b.directory.Set(&v)
+	b.lag.RecordOwn(v.Revision)
 	b.fresh.RecordHeld(b.heldVersions())
 	b.forgetGoneServers()
 	b.gate.ServersChanged()
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/dalebend/dalebend/internal/headcost"
 	"github.com/dalebend/dalebend/internal/connlimit"
+	"github.com/dalebend/dalebend/internal/headcost"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -57,6 +57,15 @@
 	return near, far
 }
 
+// accept passes the next connection on, or nil if the listener is closed.
+func (r *rig) accept(to chan<- net.Conn) {
+	nc, err := r.ln.Accept()
+	if err != nil {
+		nc = nil
+	}
+	to <- nc
+}
+
 // receive passes bytes over a connection.
 func (r *rig) receive(near *connlimit.Conn, far net.Conn, text string) error {
 	_, err := io.WriteString(far, text)
@@ -121,13 +130,7 @@
 	require.NoError(t, err)
 	defer late.Close()
 	accepted := make(chan net.Conn, 1)
-	go func() {
-		nc, err := r.ln.Accept()
-		if err != nil {
-			nc = nil
-		}
-		accepted <- nc
-	}()
+	go r.accept(accepted)
 	require.NoError(t, r.clock.BlockUntilContext(t.Context(), 1))
 	used.End()
 	nc := <-accepted
@@ -138,13 +141,7 @@
 	refused, err := net.Dial("tcp", r.ln.Addr().String())
 	require.NoError(t, err)
 	defer refused.Close()
-	go func() {
-		nc, err := r.ln.Accept()
-		if err != nil {
-			nc = nil
-		}
-		accepted <- nc
-	}()
+	go r.accept(accepted)
 	require.NoError(t, r.clock.BlockUntilContext(t.Context(), 1))
 	r.clock.Advance(connlimit.MaxAcceptWait)
 	_, err = refused.Read(make([]byte, 1))
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -30,6 +30,8 @@
 	PeerLost         Name = "peer-lost"
 	PeerRegained     Name = "peer-regained"
 	PeersChanged     Name = "peers-changed"
+	PeerBehind       Name = "peer-behind"
+	PeerCaughtUp     Name = "peer-caught-up"
 	WatchTaken       Name = "watch-taken"
 	WatchGivenUp     Name = "watch-given-up"
 	ConfigInForce    Name = "config-in-force"
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -68,6 +68,8 @@
 	KeyEvents = "events"
 	KeyMoves  = "moves"
 	KeyPause  = "pause_ms"
+	// KeyBehind is how long after this box a peer knows a change of the servers.
+	KeyBehind = "behind_ms"
 	// KeySilent is the time since a stream's last event, KeyOutcome how a switch to another engine ended.
 	KeySilent  = "silent_ms"
 	KeyOutcome = "outcome"
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -143,6 +143,7 @@
 	engine, backup, events := x.engineAndEvents()
 	x.log(event.StreamBroke,
 		slog.String(event.KeyServer, engine), slog.Int(event.KeyEvents, events),
+		slog.Int64(event.KeySilent, x.silentFor(x.relay.Clock.Now()).Milliseconds()),
 		slog.String(event.KeyBackup, backup), slog.String(event.KeyCause, cause.Error()),
 		slog.String(event.KeyFingerprint, x.fingerprint().String()), x.segments(),
 		slog.Int64(event.KeyElapsed, x.relay.Clock.Since(x.began).Milliseconds()))
