connlimit: a request whose connection was closed for others is not handled

A connection may be closed for a new one after its head was read and before its request is handled; the request was passed on then, and its answer lost. Begin reports it, and the front refuses the request, which has not run.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -45,7 +45,7 @@
 }
 
 // Begin records that a head has arrived whole, with these fields, and that its message is handled now. It reports whether
-// there is memory for it.
+// there is memory for it, and the connection has not been closed for others meanwhile; else the message must not be handled.
 func (c *Conn) Begin(h http.Header) bool {
 	if c == nil {
 		return true
@@ -53,7 +53,7 @@
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	if c.phase == closed {
-		return true
+		return false
 	}
 	c.limiter.move(c, busy)
 	c.limiter.charge(c, headcost.OfHeader(h))
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -165,6 +165,7 @@
 		require.NoError(t, r.receive(c, far, tiny))
 	}
 	r.requireOpen(near[0], false, "the oldest")
+	require.False(t, near[0].Begin(nil), "its message must not be handled")
 	r.requireOpen(near[1], true, "within the bound")
 	r.requireOpen(common, true, "not counted")
 	require.Equal(t, []connlimit.Reason{connlimit.HeadsTooLarge}, r.reasons)
