storewatch, watchelection: only the box that others rely on watches anew sooner after a change

What is known must be young at the leading box only: the times until which it knows all changes are 40% of the bound apart at most. Others wait as before.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -197,6 +197,7 @@
 		DeliveryDelay: func() time.Duration { return b.election.DeliveryDelay() },
 		NewestView:    b.share.View, Companion: b.heldRequests, Resumed: b.HeldUp.Resumed,
 		Wait:            func() time.Duration { return b.election.WatchWait() },
+		KnownEvery:      func() time.Duration { return b.election.KnownEvery() },
 		Unconfirmed:     func() int { return b.election.Unconfirmed() },
 		RecheckInterval: watchelection.RecheckInterval, OnContact: b.onStoreContact,
 	}
--- a/internal/storewatch/watcher.go
+++ b/internal/storewatch/watcher.go
@@ -79,6 +79,8 @@
 	// Wait returns how long the next watch of the configuration or the servers waits for a change. Nil means
 	// WatchWait.
 	Wait func() time.Duration
+	// KnownEvery returns how far apart the times may be until which all changes are known; 0 is no bound. Nil means 0.
+	KnownEvery func() time.Duration
 	// DeliveryDelay returns how long a change of the servers is held back, so that another box that
 	// reads the same change publishes it first. Nil means no delay.
 	DeliveryDelay func() time.Duration
@@ -283,8 +285,9 @@
 
 // follow watches one kind of state until a call fails.
 func (w *Watcher) follow(ctx context.Context, f *followed) error {
+	delay := time.Duration(0)
 	for w.Active() {
-		began, wait := w.Clock.Now(), w.nextWait(f)
+		began, wait := w.Clock.Now(), w.nextWait(f, delay)
 		var answeredAt time.Time
 		changes, err := f.watch(ctx, wait, func() { answeredAt = w.Clock.Now() })
 		if err == nil {
@@ -293,8 +296,10 @@
 		if err := w.handleResult(ctx, f, err); err != nil {
 			return err
 		}
+		delay = 0
 		if changes > 0 {
-			w.sleep(ctx, f.delayAfter(changes))
+			delay = f.delayAfter(changes)
+			w.sleep(ctx, delay)
 		} else {
 			w.sleep(ctx, minCycle-w.Clock.Since(began))
 		}
@@ -305,16 +310,23 @@
 	return errInactive
 }
 
-// nextWait returns how long the next watch of a kind waits for a change. It is shorter if the last time until
-// which all changes are known is some time ago, so that the next such time does not come later.
-func (w *Watcher) nextWait(f *followed) time.Duration {
-	wait := f.wait()
-	if known := f.knownAt.Load(); !known.IsZero() {
-		wait -= w.Clock.Since(known)
+// nextWait returns how long the next watch of a kind waits for a change. It is shorter by the delay before it, so that the
+// cycle is not longer, and within KnownEvery.
+func (w *Watcher) nextWait(f *followed, delay time.Duration) time.Duration {
+	wait := f.wait() - delay
+	if every := w.knownEvery(); every > 0 {
+		wait = min(wait, every-w.Clock.Since(f.knownAt.Load()))
 	}
 	return max(wait, minCycle)
 }
 
+func (w *Watcher) knownEvery() time.Duration {
+	if w.KnownEvery == nil {
+		return 0
+	}
+	return w.KnownEvery()
+}
+
 // handleResult records how a watch ended, and reads the whole state again if necessary.
 func (w *Watcher) handleResult(ctx context.Context, f *followed, err error) error {
 	switch {
--- a/internal/watchelection/bound.go
+++ b/internal/watchelection/bound.go
@@ -19,6 +19,9 @@
 	// from the store at least once: little more than half of freshPercent, so that one lost
 	// heartbeat makes nobody ask.
 	contactPercent = 35
+	// knownPercent is the part of ChangeBound, in percent, by which the times are apart at most until which the leading
+	// box knows all changes. The wait of its watches is less than that by what an answer may take.
+	knownPercent = 40
 	// RecheckInterval is how often a box must decide anew while it relies on others.
 	RecheckInterval = 100 * time.Millisecond
 )
@@ -37,6 +40,14 @@
 	return min(d.changeBound()/100*freshPercent, MaxContactAge)
 }
 
+// KnownEvery returns how far apart the times may be until which this box knows all changes, 0 if no other relies on them.
+func (d *Election) KnownEvery() time.Duration {
+	if d.Leads() {
+		return d.changeBound() / 100 * knownPercent
+	}
+	return 0
+}
+
 // WatchWait returns how long a watch may wait for a change. The watches of the box that the others
 // rely on are answered more often.
 func (d *Election) WatchWait() time.Duration {
