--- a/cmd/dalebend-box/crowd_test.go
+++ b/cmd/dalebend-box/crowd_test.go
@@ -133,6 +133,22 @@
 	r.requireHealthy()
 }
 
+// TestResetsEndNoBox guards against a process that runs out of memory or descriptors by callers that reset their connections at once.
+func TestResetsEndNoBox(t *testing.T) {
+	const resets = 10_000
+	r := newRig(t)
+	r.start()
+	for range resets {
+		conn, err := net.Dial("tcp", r.file.Front())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, requestLine)
+		require.NoError(t, err)
+		require.NoError(t, conn.(*net.TCPConn).SetLinger(0))
+		require.NoError(t, conn.Close())
+	}
+	r.requireHealthy()
+}
+
 // TestCrowdAtOtherPortsEndsNoBox guards against a process that runs out of memory or descriptors by what is sent to its other ports.
 func TestCrowdAtOtherPortsEndsNoBox(t *testing.T) {
 	heads := func(_ int, w *bufio.Writer) error {
