--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -49,7 +49,10 @@
 	}
 }
 
-func stateEvents() []Declaration {
+func stateEvents() []Declaration { return slices.Concat(dependencyEvents(), beliefEvents()) }
+
+// dependencyEvents are of the store and of other boxes.
+func dependencyEvents() []Declaration {
 	return []Declaration{
 		warn(StoreLost, "the object API does not answer; the box serves with what it knows",
 			KeyCause, KeyAway, KeyConfigVersion, KeyViewRevision, KeyViewAge),
@@ -69,6 +72,12 @@
 			KeyReason, KeyLive),
 		info(WatchGivenUp, "another box watches instead",
 			KeyReason, KeyLive),
+	}
+}
+
+// beliefEvents are of the configuration and of the backend servers.
+func beliefEvents() []Declaration {
+	return []Declaration{
 		info(ConfigInForce, "a configuration version is in force on this box",
 			KeyVersion, KeySource, KeyConfigAge),
 		warn(ConfigRefused, "a configuration version cannot be used; the one in force stays",
