--- a/cmd/dalebend-box/crowd_test.go
+++ b/cmd/dalebend-box/crowd_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/dalebend/dalebend/platform/standin"
 )
 
 const (
@@ -48,7 +50,11 @@
 	return nil
 }
 
-const requestLine = "GET / HTTP/1.1\r\nHost: sound.test\r\n"
+const (
+	requestLine = "GET / HTTP/1.1\r\nHost: sound.test\r\n"
+	// chunkedHead is the head of a request with a body in chunks; its id has a text and a number.
+	chunkedHead = "POST / HTTP/1.1\r\nHost: sound.test\r\n" + standin.IDHeader + ": %s-%d\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
 
 // crowd is what each connection of a crowd sends, and how often it comes again when it is closed.
 type crowd struct {
@@ -74,7 +80,7 @@
 		"long request lines": {send: func(_ int, w *bufio.Writer) error { return repeated(w, "a", headBytes) }},
 		"nothing":            {send: func(int, *bufio.Writer) error { return nil }},
 		"answers that nobody reads": {send: func(n int, w *bufio.Writer) error {
-			return repeated(w, fmt.Sprintf("GET / HTTP/1.1\r\nHost: sound.test\r\nAttempt-Id: unread-%d\r\n\r\n", n), headBytes)
+			return repeated(w, fmt.Sprintf(requestLine+standin.IDHeader+": unread-%d\r\n\r\n", n), headBytes)
 		}},
 	} {
 		t.Run(name, func(t *testing.T) { requireOutlived(t, c) })
@@ -90,7 +96,7 @@
 	require.NoError(t, err)
 	defer conn.Close()
 	w := bufio.NewWriter(conn)
-	const first, last = requestLine + "Attempt-Id: largest\r\n", "\r\n"
+	const first, last = requestLine + standin.IDHeader + ": largest\r\n", "\r\n"
 	_, _ = w.WriteString(first) // a failure shows in Flush
 	require.NoError(t, tinyFields(w, maxHeaderBytes-len(first)-len(last)-len("ffff:\r\n")))
 	_, _ = w.WriteString(last)
@@ -114,11 +120,11 @@
 			return repeated(w, "\r\n", endlessBytes)
 		}},
 		"bodies of one byte a chunk": {send: func(n int, w *bufio.Writer) error {
-			_, _ = fmt.Fprintf(w, "POST / HTTP/1.1\r\nHost: sound.test\r\nAttempt-Id: chunks-%d\r\nTransfer-Encoding: chunked\r\n\r\n", n)
+			_, _ = fmt.Fprintf(w, chunkedHead, "chunks", n)
 			return repeated(w, "1;"+strings.Repeat("e", 40)+"\r\na\r\n", headBytes)
 		}},
 		"trailers of tiny fields": {again: reopened, send: func(n int, w *bufio.Writer) error {
-			_, _ = fmt.Fprintf(w, "POST / HTTP/1.1\r\nHost: sound.test\r\nAttempt-Id: trailer-%d\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", n)
+			_, _ = fmt.Fprintf(w, chunkedHead+"1\r\na\r\n0\r\n", "trailer", n)
 			return tinyFields(w, endlessBytes)
 		}},
 	} {
--- a/cmd/dalebend-box/rig_test.go
+++ b/cmd/dalebend-box/rig_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -211,11 +210,7 @@
 		ln, err := net.Listen("tcp", net.JoinHostPort(r.file.IP, "0"))
 		require.NoError(r.t, err)
 		r.t.Cleanup(func() { _ = ln.Close() })
-		entry, err := json.Marshal(map[string]any{
-			"service": "faulty", "address": ln.Addr().String(), "zone": "hall", "slots": 1000, "state": "ready",
-		})
-		require.NoError(r.t, err)
-		r.store.Put("servers", fmt.Sprint("faulty-", n), string(entry))
+		r.servers.Announce(fmt.Sprint("faulty-", n), "faulty", "hall", ln.Addr().String())
 		go func() {
 			for {
 				conn, err := ln.Accept()
--- a/cmd/dalebend-box/stop_test.go
+++ b/cmd/dalebend-box/stop_test.go
@@ -40,7 +40,7 @@
 		return false
 	}
 	req.Host = "once.test"
-	req.Header.Set("Attempt-Id", id)
+	req.Header.Set(standin.IDHeader, id)
 	c.sent++
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
