--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -38,6 +40,13 @@
 		closeCurrent()
 		os.Exit(exitNotRun)
 	})
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-ended
+		closeCurrent()
+		os.Exit(exitNotRun)
+	}()
 	held, err := scenarios[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/_rig2/twice.go
+++ b/review/_rig2/twice.go
@@ -26,6 +26,8 @@
 	engines = 7
 	// playFor is how long clients wait after the trouble has begun.
 	playFor = 14 * time.Second
+	// slowFor is how long an engine is slow.
+	slowFor = 5 * time.Second
 	// commentAfter is the silence after which engines send a comment line.
 	commentAfter = 180 * time.Millisecond
 )
@@ -223,14 +225,18 @@
 		for _, e := range f.engines {
 			if e.id == "i-0" {
 				e.slow.Store(times)
+				time.AfterFunc(slowFor, func() {
+					e.slow.Store(0)
+					rec.add("i-0 works as before")
+				})
 			}
 		}
-		rec.add("trouble: i-0 works %d times as long", times)
+		rec.add("trouble: i-0 works %d times as long, for %v", times, slowFor)
 		return time.Now().Add(-time.Second)
 	}
 }
 
-// slowEngine: an engine works eight times as long; engines drop a request when a write to its connection fails.
+// slowEngine: an engine works eight times as long for a while; engines drop a request when a write to its connection fails.
 func slowEngine(rec *record, trouble bool) (bool, error) {
 	play := streamPlay{byWrite: true}
 	if trouble {
@@ -240,7 +246,7 @@
 	return got.overlapped == 0, err
 }
 
-// commentLines: an engine works four times as long, and engines send a comment line when they have nothing to send for a while.
+// commentLines: an engine works four times as long for a while, and engines send a comment line when they have nothing to send for a while.
 func commentLines(rec *record, trouble bool) (bool, error) {
 	play := streamPlay{comments: commentAfter}
 	if trouble {
