--- a/review/_rig2/rig.go
+++ b/review/_rig2/rig.go
@@ -38,8 +38,8 @@
 	record  *record
 	dir     string
 	network int
-	// frontPort, controlPort and readyPort are those of all boxes.
-	frontPort, controlPort, readyPort string
+	// ports are those of all boxes.
+	ports   ports
 	claim   net.Listener
 	store   *standin.Store
 	storeAt string
@@ -93,12 +93,15 @@
 	return r, nil
 }
 
+// ports are the ports of a box.
+type ports struct{ front, control, ready string }
+
 // findPorts finds ports for the boxes that nothing on this machine uses.
 func (r *rig) findPorts() error {
 	for port := firstPort; port < lastPort; port += portStep {
 		front, control, ready := strconv.Itoa(port), strconv.Itoa(port+1), strconv.Itoa(port+2)
 		if portIsFree(r.ip(11), front) && portIsFree(r.ip(11), control) && portIsFree(r.ip(11), ready) {
-			r.frontPort, r.controlPort, r.readyPort = front, control, ready
+			r.ports = ports{front: front, control: control, ready: ready}
 			return nil
 		}
 	}
@@ -147,7 +150,7 @@
 	b.settings = filepath.Join(r.dir, b.name+".toml")
 	seeds := []string{}
 	for i := 0; i < 3; i++ {
-		seeds = append(seeds, fmt.Sprintf("%q", r.ip(11+i)+":"+r.controlPort))
+		seeds = append(seeds, fmt.Sprintf("%q", r.ip(11+i)+":"+r.ports.control))
 	}
 	text := fmt.Sprintf(`node = %q
 role = "box"
@@ -210,7 +213,7 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, b.name, b.ip, zone, strings.Join(seeds, ","), b.ip, r.frontPort, b.ip, r.readyPort, b.ip, r.controlPort, r.memoryMB, floor, r.storeAt)
+`, b.name, b.ip, zone, strings.Join(seeds, ","), b.ip, r.ports.front, b.ip, r.ports.ready, b.ip, r.ports.control, r.memoryMB, floor, r.storeAt)
 	if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -265,11 +268,11 @@
 	}
 }
 
-func (b *box) front() string { return net.JoinHostPort(b.ip, b.rig.frontPort) }
+func (b *box) front() string { return net.JoinHostPort(b.ip, b.rig.ports.front) }
 
 func (b *box) ready() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := c.Get("http://" + net.JoinHostPort(b.ip, b.rig.readyPort) + "/dalebend/ready")
+	resp, err := c.Get("http://" + net.JoinHostPort(b.ip, b.rig.ports.ready) + "/dalebend/ready")
 	if err != nil {
 		return false
 	}
