soak: the store comes back from an older copy

The stand-in store of tests and soak copies itself, is away, and comes back from the copy with a higher era, once or twice from the same copy; what operators and servers wrote is written again. A new checker, Remembers, finds requests of processes that must have known of a leaving before.

--- a/internal/soak/check/check.go
+++ b/internal/soak/check/check.go
@@ -31,7 +31,7 @@
 
 // All are the checkers.
 func All() []Checker {
-	return []Checker{Whole, Order, Once, Alone, NotRun, Asked, Drain, Wakes, Starts, Config, Reverts, Budget, Deadly, DeadlySegments, Neighbours, Limits, Leaves, HoldsOff, Isolated, Kept, Backlog, Ends, Recovers}
+	return []Checker{Whole, Order, Once, Alone, NotRun, Asked, Drain, Remembers, Wakes, Starts, Config, Reverts, Budget, Deadly, DeadlySegments, Neighbours, Limits, Leaves, HoldsOff, Isolated, Kept, Backlog, Ends, Recovers}
 }
 
 // Case is a history that is prepared for the checkers. Get one from NewCase.
--- a/internal/soak/inject/injector.go
+++ b/internal/soak/inject/injector.go
@@ -89,7 +89,7 @@
 	case onLink(a.Kind):
 		i.link(ctx, a, box)
 	case strings.HasPrefix(string(a.Kind), storePrefix):
-		i.disturb(ctx, a, history.OnStore, "", func() func() { return i.Store.begin(a) })
+		i.strikeStore(ctx, a)
 	case a.Kind == schedule.OddEntries:
 		i.plantOdd(ctx, a)
 	case a.Kind == schedule.ConfigChanges:
@@ -100,6 +100,15 @@
 	return nil
 }
 
+// strikeStore lets the store fail, or come back from an older copy.
+func (i *Injector) strikeStore(ctx context.Context, a schedule.Act) {
+	if a.Kind == schedule.StoreReturns {
+		i.returnStore(ctx, a)
+		return
+	}
+	i.disturb(ctx, a, history.OnStore, "", func() func() { return i.Store.begin(a) })
+}
+
 // disturb begins a trouble, and ends it when it has lasted.
 func (i *Injector) disturb(ctx context.Context, a schedule.Act, scope history.Scope, target string, begin func() (mend func())) {
 	over := i.Record.Trouble(a.Kind, scope, target)
--- a/internal/soak/inject/store.go
+++ b/internal/soak/inject/store.go
@@ -32,7 +32,11 @@
 		s.Server.DropHistory()
 		return func() {}
 	}
-	f := fault(a.Kind, a.Pick)
+	return s.fail(fault(a.Kind, a.Pick))
+}
+
+// fail begins a fault and returns what ends it.
+func (s *Store) fail(f standin.Fault) (mend func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = append(s.faults, &f)
--- a/internal/soak/run/start.go
+++ b/internal/soak/run/start.go
@@ -34,6 +34,8 @@
 	keptSetting = "DALEBEND_KEPT_SHARE"
 	// storeHeaderTime bounds how long a box takes to send the head of a call.
 	storeHeaderTime = time.Minute
+	// firstEra is the era of the store at first.
+	firstEra = 3
 	// fileMode is that of settings files, which only the boxes read.
 	fileMode = 0o600
 )
@@ -78,7 +80,7 @@
 
 // startStore starts the store and returns its address.
 func (r *Run) startStore(ctx context.Context) (string, error) {
-	r.store = &standin.Store{Clock: r.Clock}
+	r.store = &standin.Store{Clock: r.Clock, Era: firstEra}
 	ln, err := net.Listen("tcp", r.loopback.store())
 	if err != nil {
 		return "", fmt.Errorf("start the store: %w", err)
--- a/internal/soak/schedule/kind.go
+++ b/internal/soak/schedule/kind.go
@@ -33,6 +33,8 @@
 	StoreLoses   history.Kind = "store-loses-answers"
 	StoreLate    history.Kind = "store-writes-late"
 	StoreForgets history.Kind = "store-forgets"
+	// StoreReturns lets the store come back from an older copy, once or twice.
+	StoreReturns history.Kind = "store-returns"
 	// OddEntries lets another writer put objects that are no entries into the store's lists.
 	OddEntries history.Kind = "odd-entries"
 
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -83,6 +83,13 @@
 	unheardIn     = 4
 	unheardLasts  = 2500 * time.Millisecond
 	unheardLead   = 4500 * time.Millisecond
+	// returnStream is that of returns of the store from an older copy, which loses the changes of returnLasts at least, in
+	// all but one of returnIn seeds; returnRest is left for what follows from it.
+	returnStream = 32
+	returnIn     = 4
+	returnLasts  = 800 * time.Millisecond
+	returnMost   = 2500 * time.Millisecond
+	returnRest   = 3 * time.Second
 	// restartRest is left after a restart for what follows from it.
 	restartRest = time.Second
 )
@@ -119,15 +126,17 @@
 	acts = append(acts, word(seed, isolateStream, isolateIn, BoxesIsolated, isolateLasts, duration)...)
 	acts = append(acts, word(seed, oddStream, oddIn, OddEntries, oddLasts, duration)...)
 	acts = append(acts, unheard(seed, duration)...)
+	acts = append(acts, returns(seed, duration)...)
 	slices.SortStableFunc(acts, func(a, b Act) int { return int(a.At - b.At) })
 	return acts
 }
 
 // DrawCalm draws the acts of a run in which little is disturbed, so that promises with a bound on time bind most boxes:
-// planned work, and servers that leave unheard.
+// planned work, servers that leave unheard, and a store that comes back from an older copy.
 func DrawCalm(seed uint64, duration time.Duration) []Act {
 	rng := rand.New(rand.NewPCG(seed, stream))
 	acts := append(steady(rng, duration), unheard(seed, duration)...)
+	acts = append(acts, returns(seed, duration)...)
 	slices.SortStableFunc(acts, func(a, b Act) int { return int(a.At - b.At) })
 	return acts
 }
@@ -207,6 +216,15 @@
 	return acts
 }
 
+// returns draws when the store comes back from an older copy.
+func returns(seed uint64, duration time.Duration) []Act {
+	acts := word(seed, returnStream, returnIn, StoreReturns, returnLasts, duration-returnRest)
+	for i := range acts {
+		acts[i].Lasts = min(acts[i].Lasts, returnMost)
+	}
+	return acts
+}
+
 // word draws when servers say something of themselves, or boxes are cut off, for a least time: once in all seeds but one of some, if the
 // run is long enough.
 func word(seed, stream uint64, of int, kind history.Kind, least, duration time.Duration) []Act {
--- a/internal/soak/schedule/schedule_test.go
+++ b/internal/soak/schedule/schedule_test.go
@@ -50,11 +50,11 @@
 			}
 		}
 	}
-	require.Len(t, seen, 45)
+	require.Len(t, seen, 46)
 	require.Greater(t, overlaps, 1000)
 }
 
-// TestCalm: a calm run has planned work, and servers that leave unheard in three of four seeds.
+// TestCalm: a calm run has planned work, servers that leave unheard in three of four seeds, and returns of the store.
 func TestCalm(t *testing.T) {
 	seen := make(map[history.Kind]int)
 	for seed := range uint64(200) {
@@ -71,6 +71,6 @@
 		delete(seen, kind)
 	}
 	require.ElementsMatch(t, []history.Kind{
-		schedule.ConfigChanges, schedule.ServerDrains, schedule.ServerVanishes, schedule.BoxStop,
+		schedule.ConfigChanges, schedule.ServerDrains, schedule.ServerVanishes, schedule.BoxStop, schedule.StoreReturns,
 	}, slices.Collect(maps.Keys(seen)))
 }
