streaming: an engine that misses the close of its connection is told to stop

Cause: a switch stopped the old engine by closing its connection only. One that only writes to its connection finds out at its second write, two pauses later. The same holds for an engine whose connection was reset or cut on the way, and for one whose open connections have fallen silent.

40 ms after the close the box asks the engine to stop, by a move with "last", and frees the copy that this makes. Engines that have noticed the close answer that there is no such run. The caller's stream does not wait for it. A generation that comes back to that engine meanwhile drops or awaits the call. A new line, stream-told-to-stop, tells of each engine that was still at work.

In the soak every other engine notices a close by a failed write only.

--- a/internal/decisionlog/event/declarations.go
+++ b/internal/decisionlog/event/declarations.go
@@ -198,6 +198,8 @@
 			KeyRequest, KeyServer, KeyBackup, KeyEvents, KeySilent),
 		info(StreamSwitchEnded, "how that ended: switched, switched-late (after the stalled server had to stop), refused, withdrawn (the stalled server sends again), lost (no answer, and the stalled server had to stop), request-ended; server is where the stream is now, silent_ms counts from the last event before",
 			KeyRequest, KeyServer, KeyOutcome, KeySilent, KeyCause),
+		warn(StreamToldToStop, "a server went on with a stream that is at another one since, and was told to stop; stopped is false if it gave no such answer",
+			KeyRequest, KeyServer, KeyStopped, KeyCause),
 		info(StreamMoved, "a stream goes on from another server",
 			KeyRequest, KeyFrom, KeyTo, KeyWay, KeyPause, KeyEvents, KeyReason),
 		info(StreamCopyFreed, "a copy that no stream goes on from was given back; cause is set when that failed and it takes memory until it runs out",
--- a/internal/decisionlog/event/event.go
+++ b/internal/decisionlog/event/event.go
@@ -96,6 +96,7 @@
 	StreamBroke        Name = "stream-broke"
 	StreamStalled      Name = "stream-stalled"
 	StreamSwitchEnded  Name = "stream-switch-ended"
+	StreamToldToStop   Name = "stream-told-to-stop"
 	StreamMoved        Name = "stream-moved"
 	StreamMoveFailed   Name = "stream-move-failed"
 	StreamCopyFreed    Name = "stream-copy-freed"
--- a/internal/decisionlog/event/keys.go
+++ b/internal/decisionlog/event/keys.go
@@ -97,6 +97,7 @@
 	// KeyKeptServers are the servers that the store's copy lacks and that stay in use for a while, KeyWithheld
 	// those that had gone and that the copy still has.
 	KeyKeptServers = "kept"
+	KeyStopped     = "stopped"
 	KeyWithheld    = "withheld"
 	KeyAdded       = "added"
 	KeyGone        = "gone"
--- a/internal/soak/backends/backends.go
+++ b/internal/soak/backends/backends.go
@@ -101,13 +101,17 @@
 func (f *Fleet) fill(s *slot) error {
 	f.mu.Lock()
 	f.started++
-	id := fmt.Sprintf("server-%d", f.started)
-	domain := f.Domains[f.started%len(f.Domains)]
+	number := f.started
+	id := fmt.Sprintf("server-%d", number)
+	domain := f.Domains[number%len(f.Domains)]
 	f.mu.Unlock()
 	e, err := f.engines.Start(id, s.service, domain, s.model)
 	if err != nil {
 		return err
 	}
+	if s.model && number/2%2 == 1 {
+		e.IgnoreCloses()
+	}
 	f.mu.Lock()
 	s.server = e
 	s.proxy = f.proxies[id]
--- a/internal/streaming/fleet_copies_test.go
+++ b/internal/streaming/fleet_copies_test.go
@@ -61,7 +61,7 @@
 	case mode == "made" && !stop:
 		// It was copied before the generation finished.
 		return "ahead", nil
-	case mode == "not-running", s == nil, s != nil && s.isOver() && !stopped:
+	case mode == "not-running", s == nil, !s.active() && !stopped:
 		return "", backend.ErrNotRunning
 	case mode == "fail":
 		return "", errCopy
--- a/internal/streaming/fleet_stream_test.go
+++ b/internal/streaming/fleet_stream_test.go
@@ -21,6 +21,9 @@
 	cause  func() error
 	closed chan struct{}
 
+	// heedless is set if the engine works on after the connection has closed.
+	heedless bool
+
 	mu      sync.Mutex
 	reading bool
 	shut    bool
@@ -47,6 +50,16 @@
 	return s.over || s.shut
 }
 
+// active reports whether the engine works on the run.
+func (s *stream) active() bool {
+	if !s.heedless {
+		return !s.isOver() && !isOver(s.ended)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.over
+}
+
 // stop ends a stream cleanly but early, in the background.
 func (s *stream) stop() {
 	s.mu.Lock()
--- a/internal/streaming/fleet_test.go
+++ b/internal/streaming/fleet_test.go
@@ -48,6 +48,8 @@
 	born int64
 	// leaves is the reported departure: "not yet", "soon" or "nothing".
 	leaves string
+	// heedless means that it does not notice that a connection has closed.
+	heedless bool
 	// mute means that calls to free a copy get no answer.
 	mute bool
 	// held is closed to release hanging calls.
@@ -232,10 +234,10 @@
 	}
 	s := &stream{
 		fleet: f, engine: e.id, run: run, next: after + 1, pieces: make(chan piece),
-		ended: ctx.Done(), cause: func() error { return context.Cause(ctx) }, closed: make(chan struct{}),
+		heedless: e.heedless, ended: ctx.Done(), cause: func() error { return context.Cause(ctx) }, closed: make(chan struct{}),
 	}
 	e.streams = append(e.streams, s)
-	f.works = append(f.works, &work{run: run, engine: e.id, began: f.now(), active: func() bool { return !s.isOver() && !isOver(s.ended) }})
+	f.works = append(f.works, &work{run: run, engine: e.id, began: f.now(), active: s.active})
 	f.backUp(h, run)
 	return &exchange.Response{Status: http.StatusOK, Header: http.Header{headerProof: {"1"}}, Body: s}, nil
 }
--- a/internal/streaming/log.go
+++ b/internal/streaming/log.go
@@ -196,6 +196,15 @@
 	x.log(event.StreamCopyFreed, attrs...)
 }
 
+// logToldToStop logs that an engine went on with a generation that had left it, and was told to stop.
+func (x *run) logToldToStop(engine *registry.Server, stopped bool, err error) {
+	attrs := []slog.Attr{slog.String(event.KeyServer, engine.ID), slog.Bool(event.KeyStopped, stopped)}
+	if err != nil {
+		attrs = append(attrs, slog.String(event.KeyCause, err.Error()))
+	}
+	x.log(event.StreamToldToStop, attrs...)
+}
+
 func (x *run) logMoveFailed(from, to *registry.Server, cause error) {
 	x.relay.Metrics.OrDiscard().MovesFailed.Inc(causeLabel(cause))
 	x.log(event.StreamMoveFailed,
--- a/internal/streaming/resume.go
+++ b/internal/streaming/resume.go
@@ -13,12 +13,15 @@
 // engine.
 func (x *run) resumeElsewhere(ctx context.Context, cause error) error {
 	x.logBroke(cause)
+	left := x.currentEngine()
+	var backup *copyRef
 	at := x.movedCopy(ctx)
 	if at == nil || x.replaced(at.server) {
 		if !errors.Is(cause, errSilent) {
 			x.relay.ShutdownNotice.RecordStreamBreak(idOf(x.currentEngine()))
 		}
-		at = x.backupCopy()
+		backup = x.backupCopy()
+		at = backup
 	}
 	o := x.continueAt(ctx, at, nil)
 	if back := at.atSource(); back != nil && o.notRun() {
@@ -32,6 +35,10 @@
 	defer x.mu.Unlock()
 	x.split.DropPartial()
 	x.answer = o.answer
+	if at == backup {
+		// Its stream broke off, but the engine may not know.
+		x.stopOld(left, x.engine)
+	}
 	return nil
 }
 
@@ -91,6 +98,7 @@
 	if events == 0 {
 		return offerResult{err: errNoEvent}
 	}
+	x.endStop(ctx, at.server)
 	if !at.retryTaken && !x.relay.RetryBudget.TakeRetry(x.job.Service.Name) {
 		return offerResult{err: errBudgetSpent}
 	}
--- a/internal/streaming/run.go
+++ b/internal/streaming/run.go
@@ -68,6 +68,8 @@
 	switchover *switchover
 	// move is a pending move of the generation's memory, or nil.
 	move *move
+	// stops holds the calls that stop the generation at engines that it has left, by engine id.
+	stops map[string]*pendingStop
 	// nextSwitch is when the next switch away from a stalled engine may be tried.
 	nextSwitch time.Time
 }
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -39,8 +39,10 @@
 //	                             slow-MODE once the generation is stopped, if it is to be
 //	say ENGINE N / part ENGINE [N]   the engine's newest stream sends N events / N and a part of one
 //	end ENGINE / break ENGINE    it ends cleanly / breaks
+//	cut ENGINE                   its connection breaks; a heedless engine works on
 //	panic ENGINE                 reading it panics
 //	old say|end|break ENGINE     the same for the stream before the newest
+//	heedless ENGINE              it works on after a connection has closed, from the next request on
 //	mute ENGINE                  it answers no call to free a copy
 //	release ENGINE               its hanging calls continue
 //	restart ENGINE SECONDS       it restarts under its id and holds nothing
@@ -146,6 +148,8 @@
 	case "old":
 		streams := r.fleet.engines[args[1]].streams
 		s.act(streams[len(streams)-2], args[0], args[2:])
+	case "heedless":
+		r.fleet.engines[args[0]].heedless = true
 	case "mute":
 		r.fleet.engines[args[0]].mute = true
 	case "release":
@@ -231,6 +235,8 @@
 		stream.end(io.EOF)
 	case "break":
 		stream.end(io.ErrUnexpectedEOF)
+	case "cut":
+		go stream.give(piece{err: io.ErrUnexpectedEOF})
 	case "panic":
 		stream.end(errDefect)
 	default:
--- a/internal/streaming/switchover.go
+++ b/internal/streaming/switchover.go
@@ -9,11 +9,12 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/dalebend/dalebend/internal/panics"
+	"github.com/dalebend/dalebend/internal/registry"
 )
 
 // handoverTimeout is how long a stalled engine goes on after the generation was sent to another one that
 // has neither accepted nor refused it: half of the 400 ms for which users allow two engines to work on
-// one generation. The rest is for the stop to reach the engine.
+// one generation. The rest is for the stop to reach the engine; see closeNotice.
 const handoverTimeout = 200 * time.Millisecond
 
 // switchover is a switch of a stalled stream to another engine.
@@ -25,7 +26,8 @@
 // the other engine sends it again.
 type switchover struct {
 	run *run
-	// old is the answer of the present engine, which has been silent for so long.
+	// engine is the present engine and old its answer, which has been silent for so long.
+	engine *registry.Server
 	old    *answer
 	silent time.Duration
 	began  time.Time
@@ -38,6 +40,8 @@
 
 	// The run's mu guards the fields below.
 
+	// target is the engine that holds the copy, nil if there is none.
+	target *registry.Server
 	// sent is set when the other engine may have the generation.
 	sent bool
 	// withdrawn is set when the present engine needs no replacement any more.
@@ -56,7 +60,7 @@
 func (x *run) startSwitch(silent time.Duration, hasBackup bool) {
 	ctx, cancel := context.WithCancel(x.ctx)
 	x.switchover = &switchover{
-		run: x, old: x.answer, silent: silent, began: x.relay.Clock.Now(), stops: !hasBackup, cancel: cancel,
+		run: x, engine: x.engine, old: x.answer, silent: silent, began: x.relay.Clock.Now(), stops: !hasBackup, cancel: cancel,
 		done: make(chan struct{}),
 	}
 	source := x.backupCopy
@@ -72,7 +76,7 @@
 	defer close(c.done)
 	c.run.logSwitchBegins(c)
 	var o offerResult
-	if p := c.run.catch(panics.Switch, func() { o = c.run.continueAt(ctx, source(), c) }); p != nil {
+	if p := c.run.catch(panics.Switch, func() { o = c.run.continueAt(ctx, c.aim(source()), c) }); p != nil {
 		o = offerResult{perhapsRun: true, err: p}
 	}
 	if o.err == nil {
@@ -95,6 +99,16 @@
 	c.run.logSwitchEnded(c, o)
 }
 
+// aim records the engine that holds the copy to resume from.
+func (c *switchover) aim(at *copyRef) *copyRef {
+	if at != nil {
+		c.run.mu.Lock()
+		defer c.run.mu.Unlock()
+		c.target = at.server
+	}
+	return at
+}
+
 // beforeSend withholds the generation if the present engine needs no replacement any more, and limits for
 // how long both engines may work on it.
 func (c *switchover) beforeSend() error {
@@ -118,10 +132,14 @@
 	}
 }
 
-// handOver stops the present engine. The run's lock must be held.
+// handOver stops the present engine: closing its connection is enough for most, and others are told. The run's
+// lock must be held.
 func (c *switchover) handOver() {
 	c.handedOver = true
 	c.old.giveUp(errSilent)
+	if !c.stops {
+		c.run.stopOld(c.engine, c.target)
+	}
 }
 
 // withdraw ends the attempt as the present engine needs no replacement. The run's lock must be held.
