--- a/internal/front/request_test.go
+++ b/internal/front/request_test.go
@@ -46,6 +46,16 @@
 	require.Equal(t, "/a%2Fb", j.Request.Path)
 }
 
+// TestNoRoute guards against a success that no server gave: for a target that no route can match, such as that of "OPTIONS *".
+func TestNoRoute(t *testing.T) {
+	r := newRig(t)
+	for _, c := range [][2]string{{"OPTIONS *", "plain.test"}, {"OPTIONS *", "nowhere.test"}, {"GET *", "plain.test"}, {"OPTIONS /a", "nowhere.test"}} {
+		got := r.call().send(c[0] + " HTTP/1.1\nHost: " + c[1] + "\nX-Id: q\nContent-Length: 0\n\n").read()
+		require.Equal(t, http.StatusNotFound, got.StatusCode, "%s", c)
+		require.Equal(t, "q", got.Header.Get(headerID), "%s", c)
+	}
+}
+
 // TestRequestAsSent: method, host, headers and body are passed on unchanged.
 func TestRequestAsSent(t *testing.T) {
 	r := newRig(t)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -131,13 +131,15 @@
 	ending, endRequests := context.WithCancel(context.WithoutCancel(ctx))
 	defer endRequests()
 	server := &http.Server{
-		ConnContext:       withConn,
-		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(ending, w, r) }),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         s.connChanged,
-		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelDebug),
+		ConnContext: withConn,
+		// Otherwise net/http answers "OPTIONS *" with 200 by itself.
+		DisableGeneralOptionsHandler: true,
+		Handler:                      http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(ending, w, r) }),
+		ReadHeaderTimeout:            headerTimeout,
+		IdleTimeout:                  idleTimeout,
+		MaxHeaderBytes:               maxHeaderBytes,
+		ConnState:                    s.connChanged,
+		ErrorLog:                     slog.NewLogLogger(s.Logger.Handler(), slog.LevelDebug),
 	}
 	ended := context.AfterFunc(ctx, func() {
 		s.closing.Store(true)
