sse: a comment is no event

Cause: whatever stands between two blank lines counted as an event, comments too. A switch counts by that which events the caller has beyond the point from which the new engine resumes, and skipped a real event for a comment.

A part of a stream is an event if any line of it is neither blank nor a comment. Comments are passed on as before.

--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -1,4 +1,5 @@
-// Package sse splits a server-sent event stream into events.
+// Package sse splits a server-sent event stream into events. A comment, a line that begins with a colon, is passed on
+// and is no event.
 //
 // A stream may break in the middle of an event. Only complete events are passed on, so that the
 // stream can be resumed elsewhere after the last of them.
@@ -9,6 +10,7 @@
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
+	newline  = []byte("\n")
 )
 
 // maxEventBytes bounds an event: some six hundred times the usual size, so that a server that never
@@ -45,16 +47,23 @@
 	s.pending = s.pending[:rest]
 }
 
-// isBlank reports whether a part of the stream is no event, but blank lines alone.
-func isBlank(part []byte) bool { return len(bytes.Trim(part, "\n")) == 0 }
+// isEvent reports whether a part of the stream is an event: any line of it is neither blank nor a comment.
+func isEvent(part []byte) bool {
+	for line := range bytes.SplitSeq(part, newline) {
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
 
 // count counts an event and stores its id.
 func (s *Splitter) count(event []byte) {
-	if isBlank(event) {
+	if !isEvent(event) {
 		return
 	}
 	s.events++
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
+	for line := range bytes.SplitSeq(event, newline) {
 		if id, found := bytes.CutPrefix(line, idField); found {
 			s.lastID = string(bytes.TrimSpace(id))
 		}
@@ -71,7 +80,7 @@
 		if !complete {
 			return
 		}
-		if !isBlank(event) {
+		if isEvent(event) {
 			s.skip--
 		}
 		s.pending = s.pending[:copy(s.pending, rest)]
--- a/internal/streaming/script_test.go
+++ b/internal/streaming/script_test.go
@@ -38,6 +38,7 @@
 //	moves ENGINE MODE...         outcomes of the next copy calls to the engine: hang-MODE before it does anything,
 //	                             slow-MODE once the generation is stopped, if it is to be
 //	say ENGINE N / part ENGINE [N]   the engine's newest stream sends N events / N and a part of one
+//	comment ENGINE               it sends a comment line
 //	end ENGINE / break ENGINE    it ends cleanly / breaks
 //	cut ENGINE                   its connection breaks; a heedless engine works on
 //	panic ENGINE                 reading it panics
@@ -235,6 +236,8 @@
 		stream.end(io.EOF)
 	case "break":
 		stream.end(io.ErrUnexpectedEOF)
+	case "comment":
+		go stream.give(piece{data: []byte(": waiting\n\n")})
 	case "cut":
 		go stream.give(piece{err: io.ErrUnexpectedEOF})
 	case "panic":
