streaming: an engine that has probably ended is not told to stop

The call that stops an engine whose connection has closed went to engines that had just ended, too. It could not be sent, and the memory of the whole generation counted at the new engine for seconds, as if a copy had been made there.

No call to an ejected engine, and no copy is assumed of a call that was not sent.

--- a/internal/storerev/revision.go
+++ b/internal/storerev/revision.go
@@ -25,7 +25,7 @@
 // Revision identifies a state of the store: an era, and the number of a change in it. Revisions compare as
 // integers; one of a later era is higher whatever its number. The zero value means none.
 //
-// It is an integer so that it has the same form in memory and in messages.
+// It is an integer, so that it can be compared by its operators and no comparison leaves the era out.
 type Revision int64
 
 // New returns the revision of a change in an era; era 0 is that of a store that states none.
--- a/internal/streaming/stopold.go
+++ b/internal/streaming/stopold.go
@@ -7,6 +7,7 @@
 
 	"github.com/dalebend/dalebend/internal/backend"
 	"github.com/dalebend/dalebend/internal/clockctx"
+	"github.com/dalebend/dalebend/internal/exchange"
 	"github.com/dalebend/dalebend/internal/panics"
 	"github.com/dalebend/dalebend/internal/registry"
 )
@@ -52,9 +53,10 @@
 	})
 }
 
-// tellToStop tells an engine to stop the generation, if it still works on it.
+// tellToStop tells an engine to stop the generation, if it still works on it. One that is ejected,
+// and has probably ended, is not called.
 func (x *run) tellToStop(old, successor *registry.Server) {
-	if x.replaced(old) {
+	if x.replaced(old) || x.relay.Evidence.Assess(old.ID).Ejected {
 		return
 	}
 	ctx, cancel := clockctx.WithTimeout(context.WithoutCancel(x.ctx), x.relay.Clock, stopTimeout)
@@ -64,11 +66,19 @@
 		return
 	}
 	x.logToldToStop(old, name != "", err)
-	if name == "" || x.free(old, name) != nil {
+	switch {
+	case name != "" && x.free(old, name) == nil, isUnsent(err):
+	default:
 		x.trackOrphanedCopy(successor)
 	}
 }
 
+// isUnsent reports whether a call failed before anything of it was sent, so that it has made no copy.
+func isUnsent(err error) bool {
+	var failure *exchange.Failure
+	return errors.As(err, &failure) && failure.Stage().Unsent()
+}
+
 // endStop ends a pending stop of the generation at an engine, as it would stop one that resumes there as well.
 // A call that has begun is waited for.
 func (x *run) endStop(ctx context.Context, engine *registry.Server) {
