freshness: a report of a later era counts before its configuration is fetched

After a return of the store every box fetched a document that it had already, before it counted as knowing what the store's followers know, and asked the store itself meanwhile.

The era of the configuration is no part of what a report asks for. A version whose number was given to another document is known later by one fetch.

--- a/internal/box/build.go
+++ b/internal/box/build.go
@@ -141,7 +141,7 @@
 	b.lag = &peerlag.Tracker{Clock: b.Clock, Logger: b.Logger, Bound: b.Settings.ChangeBound}
 	b.share = &viewshare.Share{
 		Decode: b.Platform.Decode, Clock: b.Clock, Logger: b.Logger,
-		OnTable: b.onTable, OnConfigEra: b.onConfigEra, OnView: b.onView, OnChange: b.broadcastChange,
+		OnTable: b.onTable, OnView: b.onView, OnChange: b.broadcastChange,
 		MaxChangeBytes: member.MaxNoteBytes, Domain: b.Settings.Domain, Grace: changeGrace, LinkMbps: b.Settings.LinkMbps,
 	}
 	b.node = &member.Node{
--- a/internal/box/contact.go
+++ b/internal/box/contact.go
@@ -32,7 +32,7 @@
 	if d.StoreReachable && d.StoreAgeMs >= 0 {
 		at := now.Add(-time.Duration(d.StoreAgeMs) * time.Millisecond)
 		b.outages.RecordContact(at)
-		b.fresh.RecordReport(at, freshness.Versions{Config: d.Config(), View: d.ViewRevision, Cordons: d.CordonRevision})
+		b.fresh.RecordReport(at, freshness.Versions{Config: d.ConfigVersion, View: d.ViewRevision, Cordons: d.CordonRevision})
 	} else if d.StoreTried {
 		b.outages.RecordFailure(now)
 	}
--- a/internal/box/state.go
+++ b/internal/box/state.go
@@ -48,7 +48,7 @@
 
 // heldVersions returns the versions that this box has.
 func (b *Box) heldVersions() freshness.Versions {
-	v := freshness.Versions{Config: b.share.ConfigVersion(), Cordons: b.directory.Cordons().Revision}
+	v := freshness.Versions{Config: b.share.ConfigVersion().Number, Cordons: b.directory.Cordons().Revision}
 	if view := b.share.View(); view != nil {
 		v.View = view.Revision
 	}
@@ -92,9 +92,6 @@
 	b.node.TriggerHeartbeat()
 }
 
-// onConfigEra is called when the store of a later era has the configuration in force.
-func (b *Box) onConfigEra() { b.fresh.RecordHeld(b.heldVersions()) }
-
 // onView is called with newer entries of the backend servers.
 func (b *Box) onView(v registry.View) {
 	b.updateContact()
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -23,14 +23,15 @@
 // Versions are those of a box's state.
 type Versions struct {
 	// Config is the version of the configuration, View the revision of the servers, Cordons that of
-	// the cordons; 0 if the box has none.
-	Config        storerev.ConfigVersion
+	// the cordons; 0 if the box has none. The era of the configuration is left out: if it were not, no box would be
+	// confirmed after a return of the store before it has fetched a document that it has already.
+	Config        int64
 	View, Cordons storerev.Revision
 }
 
 // covers reports whether a state with these versions includes one with others.
 func (v Versions) covers(other Versions) bool {
-	return !other.Config.Newer(v.Config) && v.View >= other.View && v.Cordons >= other.Cordons
+	return v.Config >= other.Config && v.View >= other.View && v.Cordons >= other.Cordons
 }
 
 // Tracker is safe for concurrent use. The zero value holds no versions.
@@ -92,10 +93,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	// Versions never fall; two callers may come here out of order.
-	if held.Config.Newer(t.held.Config) {
-		t.held.Config = held.Config
+	t.held = Versions{
+		Config: max(t.held.Config, held.Config), View: max(t.held.View, held.View), Cordons: max(t.held.Cordons, held.Cordons),
 	}
-	t.held.View, t.held.Cordons = max(t.held.View, held.View), max(t.held.Cordons, held.Cordons)
 	for i := len(t.pending) - 1; i >= 0; i-- {
 		if t.held.covers(t.pending[i].versions) {
 			t.confirm(t.pending[i].at)
--- a/internal/viewshare/share.go
+++ b/internal/viewshare/share.go
@@ -32,9 +32,7 @@
 	// OnTable and OnView, if set, are called in order with each table and view that is taken. They
 	// must not offer documents themselves.
 	OnTable func(t *routetable.Table)
-	// OnConfigEra, if set, is called when the store of a later era has the configuration in force.
-	OnConfigEra func()
-	OnView      func(v registry.View)
+	OnView  func(v registry.View)
 	// OnChange, if set, is called before OnView with the change from the previous view to one from
 	// the store, in parts if it is large. Other boxes apply the parts with ReceiveChange. It must
 	// not block.
@@ -181,9 +179,6 @@
 	next.era = era
 	s.config.Store(&next)
 	s.fetches.progress(configKind)
-	if s.OnConfigEra != nil {
-		s.OnConfigEra()
-	}
 }
 
 // OfferView takes a view if its revision is higher than that of the held one. The view must not be
