--- a/internal/storewatch/era_test.go
+++ b/internal/storewatch/era_test.go
@@ -67,9 +67,10 @@
 	(<-r.config).answer(reply{doc: []byte("v1"), at: inEra(t, 5, 101)})
 	(<-r.servers).answer(reply{view: view(inEra(t, 5, 101), "a")})
 	<-r.views
-	contact := r.watcher.Status().LastContact
 	<-r.watchConfig
-	(<-r.watchServers).answer(reply{err: ErrHistoryGone})
+	servers := <-r.watchServers
+	contact := r.watcher.Status().LastContact
+	servers.answer(reply{err: ErrHistoryGone})
 	(<-r.servers).answer(reply{view: view(inEra(t, 4, 136), "b")})
 	r.awaitPause()
 	require.Empty(t, r.views)
