--- a/internal/box/era_test.go
+++ b/internal/box/era_test.go
@@ -34,12 +34,12 @@
 
 // eraRig is a box that follows a store of era 4 with three plain servers, and a copy of the store from before the last changes: since
 // then "c" has started, "b" has left, and a route was added.
-func eraRig(t *testing.T) (r *rig, copied *standin.Copy) {
+func eraRig(t *testing.T) (r *rig, a *standin.BackendServer, copied *standin.Copy) {
 	r = newRig(t)
 	r.settings.Cordons = true
 	r.store.Era = 4
 	r.standard()
-	r.server("a", "plain")
+	a = r.server("a", "plain")
 	b := r.server("b", "plain")
 	r.run()
 	r.awaitServers(2, 0)
@@ -61,7 +61,7 @@
 	})
 	r.awaitEventually(func() bool { return r.statusOf("added.test") == http.StatusOK })
 	r.log.forget()
-	return r, copied
+	return r, a, copied
 }
 
 // withRoute returns a configuration with one more route.
@@ -77,7 +77,7 @@
 // copy, as the revisions of the store are lower than the ones it holds: a route that is gone was served, and a server that drains
 // got requests, for as long as that lasted. What the copy lacks stays in force.
 func TestStoreComesBackFromAnOlderCopy(t *testing.T) {
-	r, copied := eraRig(t)
+	r, a, copied := eraRig(t)
 	r.store.Return(copied)
 	r.awaitEventually(func() bool { return r.log.has(event.StoreReturned) })
 	r.log.await(event.StoreReturned, func(a map[string]slog.Value) bool {
@@ -92,8 +92,7 @@
 	r.store.Put(platform.CordonsKind, "elsewhere", "{}")
 	r.store.PutConfig(config(3))
 	r.awaitEventually(func() bool { return r.statusOf("added.test") == http.StatusNotFound })
-	r.engines.Announce("a", "plain", "hall", "127.0.0.1:1")
-	r.store.Remove("servers", "a")
+	a.Deregister()
 	r.awaitEventually(func() bool {
 		got, text := r.ask(standin.Call{ID: "q", Host: "many.test", URI: "/", Timeout: time.Minute})
 		return got.Status == http.StatusOK && text == "answer of c to q"
@@ -102,7 +101,7 @@
 
 // TestStoreComesBackTwice: the store comes back from the same copy a second time, before its revisions have caught up.
 func TestStoreComesBackTwice(t *testing.T) {
-	r, copied := eraRig(t)
+	r, _, copied := eraRig(t)
 	for range 2 {
 		r.store.Return(copied)
 		r.awaitEventually(func() bool { return r.log.has(event.StoreReturned) })
@@ -122,12 +121,7 @@
 	r.store.Era = 4
 	r.standard()
 	copied := r.store.Copy()
-	registered := func() bool {
-		resp, err := http.Get("http://" + r.settings.Store + "/dalebend/objects/boxes/" + r.settings.Box)
-		require.NoError(t, err)
-		require.NoError(t, resp.Body.Close())
-		return resp.StatusCode == http.StatusOK
-	}
+	registered := func() bool { return r.store.HasBox(r.settings.Box) }
 	r.run()
 	r.awaitEventually(func() bool { return r.log.has(event.ServersView) })
 	r.server("a", "plain")
--- a/internal/box/status_test.go
+++ b/internal/box/status_test.go
@@ -1,9 +1,7 @@
 package box_test
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -14,29 +12,13 @@
 	"github.com/dalebend/dalebend/platform/standin"
 )
 
-// answerRaw runs a backend server of a service that answers each request with a status line and a body of its own.
+// answerRaw runs a backend server of a service that answers with status lines of the test's.
 func (r *rig) answerRaw(id, service string, statusLine func() string) {
-	ln, err := net.Listen("tcp", boxIP()+":0")
+	s := &standin.RawServer{StatusLine: statusLine}
+	addr, err := s.Start(boxIP())
 	require.NoError(r.t, err)
-	r.t.Cleanup(func() { require.NoError(r.t, ln.Close()) })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				q, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = fmt.Fprintf(c, "%s\r\nAttempt-Id: %s\r\nResponse-Seal: seal\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
-					statusLine(), q.Header.Get("Attempt-Id"))
-			}()
-		}
-	}()
-	r.engines.Announce(id, service, "hall", ln.Addr().String())
+	r.t.Cleanup(s.Close)
+	r.engines.Announce(id, service, "hall", addr)
 }
 
 // TestStatusOfNoAnswer guards against an answer with a status that is none of HTTP, such as 000, that a caller gets as an answer of
@@ -63,14 +45,14 @@
 				require.GreaterOrEqual(t, got.Status, http.StatusBadGateway, "%q", odd)
 				require.LessOrEqual(t, got.Status, http.StatusGatewayTimeout, "%q", odd)
 				require.Empty(t, got.Proof, "%q", odd)
-				require.NotEqual(t, "ok", text, "%q", odd)
+				require.NotEqual(t, standin.RawBody, text, "%q", odd)
 			}
 			found := "HTTP/1.1 404 Not Found"
 			line.Store(&found)
 			r.clock.Advance(time.Minute)
 			got, text := r.ask(standin.Call{ID: "last", Host: host, URI: "/", Timeout: time.Minute})
 			require.Equal(t, http.StatusNotFound, got.Status)
-			require.Equal(t, "ok", text)
+			require.Equal(t, standin.RawBody, text)
 		})
 	}
 }
--- a/internal/storewatch/waits.go
+++ b/internal/storewatch/waits.go
@@ -141,3 +141,32 @@
 	case <-ctx.Done():
 	}
 }
+
+// noDelay is the delay after a change of the configuration or the cordons. Both change rarely, and
+// the whole configuration is sent to every box: a single box would take long to send it to all.
+func noDelay(int) time.Duration { return 0 }
+
+// longWait is how long a watch of the cordons waits for a change.
+func longWait() time.Duration { return WatchWait }
+
+// wait returns how long the next watch of the configuration or the servers waits for a change.
+func (w *Watcher) wait() time.Duration {
+	if w.Wait == nil {
+		return WatchWait
+	}
+	return w.Wait()
+}
+
+// awaitDelivery waits for the delivery delay.
+func (w *Watcher) awaitDelivery(ctx context.Context) {
+	if w.DeliveryDelay != nil {
+		w.sleep(ctx, w.DeliveryDelay())
+	}
+}
+
+func (w *Watcher) rewatchDelay(changes int) time.Duration {
+	if w.RewatchDelay == nil {
+		return 0
+	}
+	return min(w.RewatchDelay(changes), maxRewatchDelay)
+}
